Thin path: caller to entry to upstream process to engine and back

Cause: the repository was empty. Change: entry and gate cores without I/O, Cap'n Proto messages in authenticated frames over TCP, an HTTP interface for callers, durable claims for idempotency keys, stand-ins for engine, service, object API and host list, and a script that starts a local fleet. Seen: a completion streams through a fleet of 2 entries, 4 engines and 2 services; the second call with the same Idempotency-Key is answered from the first (service log: one call). Not yet: tests beyond codec and settings, the operators' tool, the load tool.

--- /dev/null
+++ b/ctl/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/config/Settings.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "base/Time.h"
+#include "config/JsonObjectReader.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+namespace tamarack {
+
+enum class Role { Entry, Upstream };
+
+/// An address and a port, written `ADDRESS:PORT`. Addresses are IP numbers.
+struct Endpoint
+{
+    std::string address;
+    unsigned short port = 0;
+
+    bool operator==(const Endpoint &) const = default;
+};
+
+std::string toString(const Endpoint &endpoint);
+std::optional<Endpoint> parseEndpoint(std::string_view text);
+
+/// Server certificate of a listener; both files are PEM.
+struct TlsSettings
+{
+    std::string certificateFile;
+    std::string keyFile;
+};
+
+struct ListenerSettings
+{
+    Endpoint endpoint;
+    std::optional<TlsSettings> tls;
+};
+
+/// A bearer token by digest, and whom it names.
+struct TokenSettings
+{
+    std::string name;
+    std::string tokenSha256;
+    /// For operators: "admin" or "viewer".
+    std::string role;
+};
+
+struct SeedSettings
+{
+    std::string name;
+    Endpoint endpoint;
+};
+
+/// What the upstream process stands beside.
+struct UpstreamSettings
+{
+    /// "engine" or "service".
+    std::string kind;
+    Endpoint endpoint;
+    /// Models of an engine, or the one service name.
+    std::vector<std::string> targets;
+    bool checksFencing = false;
+    int capacity = 0;
+};
+
+struct LimitSettings
+{
+    std::size_t headerBytes = 0;
+    std::size_t bodyBytes = 0;
+    std::size_t connections = 0;
+    milliseconds readTimeout{0};
+    std::size_t keptAnswerBytes = 0;
+};
+
+struct TimingSettings
+{
+    milliseconds heartbeat{0};
+    milliseconds silence{0};
+    milliseconds creditLife{0};
+    milliseconds leaveBound{0};
+    milliseconds settleBound{0};
+    milliseconds claimBatch{0};
+    milliseconds keyRetention{0};
+};
+
+/// Settings of one process, read from one JSON document and fixed until it restarts,
+/// but for the log level, tokens and seeds.
+struct Settings
+{
+    Role role = Role::Entry;
+    std::string name;
+    std::string dataCentre;
+    ListenerSettings caller;
+    ListenerSettings admin;
+    Endpoint peer;
+    std::string peerKey;
+    std::vector<SeedSettings> seeds;
+    std::optional<Endpoint> objectApi;
+    std::optional<Endpoint> hostList;
+    std::vector<TokenSettings> workspaces;
+    std::vector<TokenSettings> operators;
+    std::size_t threads = 0;
+    std::string logLevel;
+    std::string logFile;
+    UpstreamSettings upstream;
+    LimitSettings limits;
+    TimingSettings timing;
+};
+
+using SettingsResult = tl::expected<Settings, std::vector<DocumentFault>>;
+
+/// Checks the whole document and returns every fault, each with its path.
+SettingsResult parseSettings(std::string_view text);
+
+/// Reads and parses `path`; an unreadable file is a fault at path "(file)".
+SettingsResult loadSettings(const std::string &path);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/gate/DemandBook.cpp
@@ -0,0 +1,104 @@
+#include "gate/DemandBook.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace tamarack {
+
+namespace {
+
+/// Work by which an idle workspace may lag behind before it stops saving up.
+constexpr double savedWorkBound = 20'000;
+
+bool sameKey(const DemandRow &a, const DemandRow &b)
+{
+    return a.tier == b.tier && a.target == b.target && a.workspace == b.workspace;
+}
+
+} // namespace
+
+void DemandBook::addEntry(Incarnation entry, std::string dataCentre)
+{
+    m_entries[entry] = {std::move(dataCentre), {}};
+}
+
+void DemandBook::removeEntry(Incarnation entry)
+{
+    m_entries.erase(entry);
+}
+
+void DemandBook::replace(Incarnation entry, const Demand &demand)
+{
+    const auto found = m_entries.find(entry);
+    if (found != m_entries.end())
+        found->second.rows = demand.rows;
+}
+
+void DemandBook::take(const Choice &choice)
+{
+    const auto found = m_entries.find(choice.entry);
+    if (found == m_entries.end())
+        return;
+    for (DemandRow &row : found->second.rows) {
+        if (!sameKey(row, choice.row) || row.count == 0)
+            continue;
+        row.promptTokens -= row.promptTokens / row.count;
+        --row.count;
+        return;
+    }
+}
+
+double DemandBook::virtualTime(std::string_view workspace) const
+{
+    const auto found = m_virtualTime.find(workspace);
+    return found == m_virtualTime.end() ? m_floor : std::max(found->second, m_floor);
+}
+
+std::optional<DemandBook::Choice> DemandBook::next(std::span<const std::string> targets) const
+{
+    using Key = std::tuple<TierRank, double, bool, std::int64_t>;
+    std::optional<Choice> best;
+    Key bestKey;
+    for (const auto &[entry, demand] : m_entries) {
+        const bool remote = demand.dataCentre != m_dataCentre;
+        for (const DemandRow &row : demand.rows) {
+            if (row.count == 0 || std::ranges::find(targets, row.target) == targets.end())
+                continue;
+            const Key key{row.tier, virtualTime(row.workspace), remote,
+                          -static_cast<std::int64_t>(row.count)};
+            if (best && key >= bestKey)
+                continue;
+            best = Choice{entry, row};
+            bestKey = key;
+        }
+    }
+    return best;
+}
+
+void DemandBook::charge(std::string_view workspace, double work)
+{
+    const auto weight = m_weights.find(workspace);
+    const double share = work / (weight == m_weights.end() ? 1 : weight->second);
+    const double time = virtualTime(workspace) + share;
+    m_virtualTime.insert_or_assign(std::string(workspace), time);
+    m_floor = std::max(m_floor, time - savedWorkBound);
+}
+
+void DemandBook::setWeight(std::string_view workspace, double weight)
+{
+    m_weights.insert_or_assign(std::string(workspace), weight);
+}
+
+std::optional<TierRank> DemandBook::highestTier() const
+{
+    std::optional<TierRank> highest;
+    for (const auto &[entry, demand] : m_entries) {
+        for (const DemandRow &row : demand.rows) {
+            if (row.count > 0 && (!highest || row.tier < *highest))
+                highest = row.tier;
+        }
+    }
+    return highest;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/http/HttpMessage.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace tamarack {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// Value of a header by case-insensitive name.
+std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name);
+
+/// A received request, or one to be sent.
+struct HttpRequest
+{
+    std::string method;
+    /// Path and query.
+    std::string target;
+    HttpHeaders headers;
+    std::string body;
+
+    std::string_view path() const;
+    /// Value of a query parameter; empty optional when absent. Not percent-decoded.
+    std::optional<std::string_view> query(std::string_view name) const;
+};
+
+struct HttpResponse
+{
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+};
+
+/// Bounds on what a listener accepts from one connection.
+struct HttpLimits
+{
+    std::size_t headerBytes = 16 << 10;
+    std::size_t bodyBytes = 2 << 20;
+    std::size_t connections = 10'000;
+    int readTimeoutMs = 30'000;
+    int writeTimeoutMs = 60'000;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,371 @@
+#include "http/HttpServer.h"
+
+#include "base/AsioPch.h"
+#include "base/Log.h"
+
+#include <algorithm>
+#include <atomic>
+#include <optional>
+
+#include <boost/asio/ssl.hpp>
+#include <boost/beast/ssl.hpp>
+
+namespace tamarack {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::use_awaitable;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr int listenBacklog = 1024;
+constexpr auto useTuple = asio::as_tuple(use_awaitable);
+
+using PlainStream = beast::tcp_stream;
+using TlsStream = beast::ssl_stream<beast::tcp_stream>;
+
+HttpRequest toRequest(http::request<http::string_body> &&message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message)
+        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    request.body = std::move(message.body());
+    return request;
+}
+
+int statusOfReadError(beast::error_code error)
+{
+    if (error == http::error::body_limit)
+        return 413;
+    if (error == http::error::header_limit)
+        return 431;
+    return 400;
+}
+
+/// One connection; runs its requests one after the other.
+template <typename Stream>
+class Session final : public HttpExchange, public std::enable_shared_from_this<Session<Stream>>
+{
+public:
+    Session(Stream stream, HttpLimits limits, std::atomic<std::size_t> &connections)
+        : m_stream(std::move(stream))
+        , m_limits(limits)
+        , m_connections(connections)
+    {
+        ++m_connections;
+    }
+
+    ~Session() override { --m_connections; }
+
+    asio::awaitable<void> run(HttpHandler handler)
+    {
+        const auto self = this->shared_from_this();
+        if (!co_await handshake())
+            co_return;
+        while (co_await readRequest()) {
+            m_ended = false;
+            co_await handler(*this);
+            m_gone = nullptr;
+            if (!m_ended || !m_keepAlive || m_closed)
+                break;
+        }
+        close();
+    }
+
+    const HttpRequest &request() const override { return m_request; }
+    asio::any_io_executor executor() override { return m_stream.get_executor(); }
+
+    asio::awaitable<bool> respond(HttpResponse response) override
+    {
+        http::response<http::string_body> message(static_cast<http::status>(response.status),
+                                                  m_version);
+        for (const auto &[name, value] : response.headers)
+            message.insert(name, value);
+        message.keep_alive(m_keepAlive);
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+        armWrite();
+        const auto [error, size] = co_await http::async_write(m_stream, message, useTuple);
+        m_ended = !error;
+        co_return !error;
+    }
+
+    asio::awaitable<bool> startStream(int status, HttpHeaders headers) override
+    {
+        http::response<http::empty_body> message(static_cast<http::status>(status), m_version);
+        for (const auto &[name, value] : headers)
+            message.insert(name, value);
+        message.keep_alive(m_keepAlive);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer(message);
+        armWrite();
+        const auto [error, size] =
+            co_await http::async_write_header(m_stream, serializer, useTuple);
+        co_return !error;
+    }
+
+    asio::awaitable<bool> write(std::string_view bytes) override
+    {
+        if (bytes.empty())
+            co_return true;
+        armWrite();
+        const auto [error, size] = co_await asio::async_write(
+            m_stream, http::make_chunk(asio::buffer(bytes.data(), bytes.size())), useTuple);
+        co_return !error;
+    }
+
+    asio::awaitable<bool> finish() override
+    {
+        armWrite();
+        const auto [error, size] =
+            co_await asio::async_write(m_stream, http::make_chunk_last(), useTuple);
+        m_ended = !error;
+        co_return !error;
+    }
+
+    void abort() override { close(); }
+
+    void onGone(std::function<void()> callback) override
+    {
+        m_gone = std::move(callback);
+        watch();
+    }
+
+private:
+    asio::awaitable<bool> handshake()
+    {
+        if constexpr (std::is_same_v<Stream, TlsStream>) {
+            armRead();
+            const auto [error] =
+                co_await m_stream.async_handshake(asio::ssl::stream_base::server, useTuple);
+            co_return !error;
+        }
+        co_return true;
+    }
+
+    asio::awaitable<bool> readRequest()
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+        parser.body_limit(m_limits.bodyBytes);
+        armRead();
+        const auto [error, size] = co_await http::async_read(m_stream, m_buffer, parser, useTuple);
+        if (!error) {
+            m_version = parser.get().version();
+            m_keepAlive = parser.get().keep_alive();
+            m_request = toRequest(parser.release());
+            co_return true;
+        }
+        if (error != http::error::end_of_stream &&
+            error.category() == beast::error_code(http::error::bad_method).category())
+            co_await refuse(statusOfReadError(error), error.message());
+        co_return false;
+    }
+
+    asio::awaitable<void> refuse(int status, std::string reason)
+    {
+        m_keepAlive = false;
+        const boost::json::object fault{
+            {"kind", status == 413 ? "payload_too_large" : "bad_request"},
+            {"message", reason},
+            {"request_id", ""},
+            {"outcome", "not-run"}};
+        HttpResponse response{
+            status,
+            {{"Content-Type", "application/json"}, {"Tamarack-Outcome", "not-run"}},
+            boost::json::serialize(boost::json::object{{"error", fault}})};
+        co_await respond(std::move(response));
+        // The rest of an oversized request is not read; closing at once could lose the answer.
+        beast::get_lowest_layer(m_stream).socket().shutdown(tcp::socket::shutdown_send, m_ignored);
+    }
+
+    void watch()
+    {
+        auto &socket = beast::get_lowest_layer(m_stream).socket();
+        socket.async_wait(
+            tcp::socket::wait_read,
+            [self = this->shared_from_this()](beast::error_code error) { self->readable(error); });
+    }
+
+    void readable(beast::error_code error)
+    {
+        if (!m_gone || error)
+            return;
+        beast::error_code peekError;
+        char byte = 0;
+        auto &socket = beast::get_lowest_layer(m_stream).socket();
+        socket.non_blocking(true, peekError);
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+        const bool pipelined = !peekError;
+        if (pipelined || peekError == asio::error::would_block)
+            return;
+        m_closed = true;
+        const auto callback = std::exchange(m_gone, nullptr);
+        callback();
+    }
+
+    void armRead()
+    {
+        beast::get_lowest_layer(m_stream).expires_after(
+            std::chrono::milliseconds(m_limits.readTimeoutMs));
+    }
+
+    void armWrite()
+    {
+        beast::get_lowest_layer(m_stream).expires_after(
+            std::chrono::milliseconds(m_limits.writeTimeoutMs));
+    }
+
+    void close()
+    {
+        m_closed = true;
+        auto &socket = beast::get_lowest_layer(m_stream).socket();
+        socket.shutdown(tcp::socket::shutdown_both, m_ignored);
+        socket.close(m_ignored);
+    }
+
+    Stream m_stream;
+    HttpLimits m_limits;
+    std::atomic<std::size_t> &m_connections;
+    beast::flat_buffer m_buffer;
+    HttpRequest m_request;
+    std::function<void()> m_gone;
+    beast::error_code m_ignored;
+    unsigned m_version = 11;
+    bool m_keepAlive = true;
+    bool m_ended = false;
+    bool m_closed = false;
+};
+
+} // namespace
+
+struct HttpServer::Private : std::enable_shared_from_this<HttpServer::Private>
+{
+    Private(std::span<asio::io_context *const> pool, HttpLimits httpLimits, HttpHandler callback)
+        : contexts(pool.begin(), pool.end())
+        , limits(httpLimits)
+        , handler(std::move(callback))
+        , acceptor(*contexts.front())
+    {}
+
+    Result<void> open(const ListenerSettings &listener)
+    {
+        beast::error_code error;
+        const tcp::endpoint endpoint(asio::ip::make_address(listener.endpoint.address, error),
+                                     listener.endpoint.port);
+        if (!error)
+            acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        if (!error)
+            acceptor.bind(endpoint, error);
+        if (!error)
+            acceptor.listen(listenBacklog, error);
+        if (error)
+            return failure(ErrorKind::IoFailed, "cannot listen on " + toString(listener.endpoint) +
+                                                    ": " + error.message());
+        return listener.tls ? openTls(*listener.tls) : Result<void>();
+    }
+
+    Result<void> openTls(const TlsSettings &settings)
+    {
+        beast::error_code error;
+        tls.emplace(asio::ssl::context::tls_server);
+        tls->use_certificate_chain_file(settings.certificateFile, error);
+        if (!error)
+            tls->use_private_key_file(settings.keyFile, asio::ssl::context::pem, error);
+        if (error)
+            return failure(ErrorKind::IoFailed, "cannot use certificate: " + error.message());
+        return {};
+    }
+
+    asio::awaitable<void> acceptLoop()
+    {
+        const auto self = shared_from_this();
+        while (acceptor.is_open()) {
+            asio::io_context &context = *contexts[next++ % contexts.size()];
+            auto [error, socket] = co_await acceptor.async_accept(context, useTuple);
+            if (error == asio::error::operation_aborted || !acceptor.is_open())
+                co_return;
+            if (error || connections >= limits.connections)
+                continue;
+            beast::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            start(context, std::move(socket));
+        }
+    }
+
+    void start(asio::io_context &context, tcp::socket socket)
+    {
+        if (tls)
+            spawn(context, TlsStream(PlainStream(std::move(socket)), *tls));
+        else
+            spawn(context, PlainStream(std::move(socket)));
+    }
+
+    template <typename Stream>
+    void spawn(asio::io_context &context, Stream stream)
+    {
+        auto session = std::make_shared<Session<Stream>>(std::move(stream), limits, connections);
+        asio::co_spawn(
+            context, [self = shared_from_this(), session] { return session->run(self->handler); },
+            [](const std::exception_ptr &thrown) {
+                if (thrown)
+                    logEvent(LogLevel::Error, "http_session_failed", {});
+            });
+    }
+
+    std::vector<asio::io_context *> contexts;
+    HttpLimits limits;
+    HttpHandler handler;
+    tcp::acceptor acceptor;
+    std::optional<asio::ssl::context> tls;
+    std::size_t next = 0;
+    std::atomic<std::size_t> connections{0};
+};
+
+HttpServer::HttpServer(std::shared_ptr<Private> p)
+    : m_private(std::move(p))
+{}
+
+Result<std::unique_ptr<HttpServer>>
+HttpServer::makeServer(const ListenerSettings &listener, HttpLimits limits,
+                       std::span<asio::io_context *const> contexts, HttpHandler handler)
+{
+    auto p = std::make_shared<Private>(contexts, limits, std::move(handler));
+    if (auto opened = p->open(listener); !opened)
+        return tl::unexpected(opened.error());
+    asio::co_spawn(
+        *p->contexts.front(), [p] { return p->acceptLoop(); }, asio::detached);
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(p)));
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+unsigned short HttpServer::port() const
+{
+    beast::error_code error;
+    return m_private->acceptor.local_endpoint(error).port();
+}
+
+void HttpServer::stopAccepting()
+{
+    asio::post(*m_private->contexts.front(), [p = m_private] {
+        beast::error_code ignored;
+        p->acceptor.close(ignored);
+    });
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_private->connections;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/peer/Codec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "peer/Messages.h"
+
+#include <string>
+#include <string_view>
+
+#include "tamarackseam/Error.h"
+
+namespace tamarack {
+
+/// Encodes one message as a Cap'n Proto packed segment table.
+std::string encodePeerMessage(const PeerMessage &message);
+
+/// Decodes untrusted bytes. Any malformed input gives `BadRequest`.
+Result<PeerMessage> decodePeerMessage(std::string_view bytes);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/peer/peer.capnp
@@ -0,0 +1,127 @@
+@0xb1f0a9d8c7e65432;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("tamarack::wire");
+
+struct RequestId {
+    incarnation @0 :UInt64;
+    sequence @1 :UInt64;
+}
+
+struct EntryReport {
+    name @0 :Text;
+    incarnation @1 :UInt64;
+    generation @2 :UInt64;
+    queuedByTier @3 :List(UInt32);
+    inFlight @4 :UInt32;
+}
+
+struct FingerprintReport {
+    fingerprint @0 :UInt64;
+    crash @1 :UInt64;
+    cleared @2 :Bool;
+}
+
+struct DemandRow {
+    target @0 :Text;
+    tier @1 :UInt8;
+    workspace @2 :Text;
+    count @3 :UInt32;
+    promptTokens @4 :UInt32;
+}
+
+struct Credit {
+    id @0 :UInt64;
+    target @1 :Text;
+    tier @2 :UInt8;
+    workspace @3 :Text;
+    lifeMs @4 :UInt32;
+    expectedFirstTokenMs @5 :UInt32;
+}
+
+struct PeerMessage {
+    union {
+        entryHeartbeat :group {
+            report @0 :EntryReport;
+            wantedLevel @1 :UInt8;
+            closedLevel @2 :UInt8;
+        }
+        gateHeartbeat :group {
+            generation @3 :UInt64;
+            engineUp @4 :Bool;
+            leaving @5 :Bool;
+            targets @6 :List(Text);
+            inFlight @7 :UInt32;
+            limit @8 :UInt32;
+            wantedLevel @9 :UInt8;
+            closedLevel @10 :UInt8;
+            entries @11 :List(EntryReport);
+        }
+        demand @12 :List(DemandRow);
+        grant @13 :List(Credit);
+        returnCredits @14 :List(UInt64);
+        dispatch :group {
+            request @15 :RequestId;
+            credit @16 :UInt64;
+            gate @17 :UInt64;
+            target @18 :Text;
+            tier @19 :UInt8;
+            workspace @20 :Text;
+            fingerprint @21 :UInt64;
+            remainingMs @22 :UInt32;
+            promptTokens @23 :UInt32;
+            alone @24 :Bool;
+            keyed @25 :Bool;
+            method @26 :Text;
+            path @27 :Text;
+            contentType @28 :Text;
+            body @29 :Data;
+            stream @30 :Bool;
+            heldMs @59 :UInt32;
+        }
+        accepted @31 :RequestId;
+        refused :group {
+            request @32 :RequestId;
+            credit @33 :UInt64;
+            kind @34 :UInt8;
+        }
+        answerHead :group {
+            request @35 :RequestId;
+            status @36 :UInt16;
+            contentType @37 :Text;
+        }
+        answerChunk :group {
+            request @38 :RequestId;
+            offset @39 :UInt64;
+            bytes @40 :Data;
+        }
+        answerEnd :group {
+            request @41 :RequestId;
+            complete @42 :Bool;
+            length @43 :UInt64;
+            crc @44 :UInt32;
+            kind @45 :UInt8;
+        }
+        answerAck :group {
+            request @46 :RequestId;
+            offset @47 :UInt64;
+            final @48 :Bool;
+        }
+        cancel @49 :RequestId;
+        statusQuery :group {
+            request @50 :RequestId;
+            credit @51 :UInt64;
+            gate @52 :UInt64;
+            offset @53 :UInt64;
+        }
+        statusReply :group {
+            request @54 :RequestId;
+            fate @55 :UInt8;
+        }
+        configPush :group {
+            generation @56 :UInt64;
+            text @57 :Text;
+        }
+        fingerprintReports @58 :List(FingerprintReport);
+    }
+}
--- /dev/null
+++ b/src/platform/ClaimStore.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "claims/ClaimShard.h"
+#include "platform/ObjectStore.h"
+
+namespace tamarack {
+
+/// Makes one call of a claim shard at the object API.
+boost::asio::awaitable<ClaimCallResult> makeClaimCall(ObjectStore &store, ClaimCall call);
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE tamarackseam
+#include <boost/test/unit_test.hpp>
