--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -348,7 +348,7 @@
             if (host.peer.port != 0)
                 addGate(host.name, host.peer);
         }
-        core.setLeavingHosts(std::move(leaving));
+        core.setLeavingHosts(std::move(leaving), now());
         pump();
     }
 
--- a/src/gate/GateCore.cpp
+++ b/src/gate/GateCore.cpp
@@ -1,5 +1,6 @@
 #include "gate/GateCore.h"
 
+#include "config/ConfigIntake.h"
 #include "gate/ConcurrencyLimit.h"
 #include "gate/CreditLedger.h"
 #include "gate/DemandBook.h"
@@ -58,7 +59,11 @@
 
     bool leavingNow() const
     {
-        return leaving || (config && config->mark(options.name) != Mark::None);
+        const auto saysLeaving = [](const auto &row) {
+            return row.second.heartbeat.upstreamLeaving;
+        };
+        return leaving || (config && config->mark(options.name) != Mark::None) ||
+               std::ranges::any_of(links, saysLeaving);
     }
 
     bool grantable() const
@@ -477,6 +482,28 @@
             broadcast(FingerprintReports{added});
     }
 
+    // --- configuration ---
+
+    void configChanged(TimePoint now)
+    {
+        const bool wasLeaving = leavingNow();
+        config = intake.current();
+        limit.setTarget(config->preset().betweenTokensTarget);
+        for (const auto &[name, workspace] : config->workspaces)
+            demand.setWeight(name, workspace.weight);
+        if (!wasLeaving && leavingNow())
+            ledger.revokeAll(0);
+        sendHeartbeats(now);
+        grant(now);
+    }
+
+    void configPushed(const ConfigPush &push, TimePoint now)
+    {
+        const auto pushed = parseFleetConfig(push.text, push.generation);
+        if (pushed && intake.offerFromPeer(*pushed, now))
+            configChanged(now);
+    }
+
     // --- engine ---
 
     void crashed(TimePoint now)
@@ -598,6 +625,8 @@
     std::map<Incarnation, LinkId> linkByEntry;
     std::unordered_map<RequestId, GateRequest> requests;
     std::vector<GateAction> actions;
+    ConfigIntake intake;
+    /// The configuration in force; null before the first one.
     FleetConfigPtr config;
     GateCounters counters;
     std::size_t inFlight = 0;
@@ -677,10 +706,8 @@
         p.cancel(link, *cancel, now);
     else if (const auto *reports = std::get_if<FingerprintReports>(&message))
         p.learnFingerprints(reports->reports);
-    else if (const auto *push = std::get_if<ConfigPush>(&message)) {
-        if (const auto config = parseFleetConfig(push->text, push->generation))
-            applyConfig(*config, now);
-    }
+    else if (const auto *push = std::get_if<ConfigPush>(&message))
+        p.configPushed(*push, now);
     p.grant(now);
 }
 
@@ -815,19 +842,10 @@
 
 bool GateCore::applyConfig(const FleetConfigPtr &config, TimePoint now)
 {
-    auto &p = *m_private;
-    if (p.config && config->generation <= p.config->generation)
-        return false;
-    const bool wasLeaving = p.leavingNow();
-    p.config = config;
-    p.limit.setTarget(config->preset().betweenTokensTarget);
-    for (const auto &[name, workspace] : config->workspaces)
-        p.demand.setWeight(name, workspace.weight);
-    if (!wasLeaving && p.leavingNow())
-        p.ledger.revokeAll(0);
-    p.sendHeartbeats(now);
-    p.grant(now);
-    return true;
+    const bool newer = m_private->intake.offerStored(config);
+    if (newer)
+        m_private->configChanged(now);
+    return newer;
 }
 
 void GateCore::setLeaving(bool leaving, TimePoint now)
@@ -850,6 +868,8 @@
 void GateCore::tick(TimePoint now)
 {
     auto &p = *m_private;
+    if (p.intake.tick(now))
+        p.configChanged(now);
     p.ledger.expire(now);
     std::vector<LinkId> silent;
     for (const auto &[id, link] : p.links) {
--- a/src/peer/Codec.cpp
+++ b/src/peer/Codec.cpp
@@ -86,6 +86,7 @@
         write(group.initReport(), message.report);
         group.setWantedLevel(message.wantedLevel);
         group.setClosedLevel(message.closedLevel);
+        group.setUpstreamLeaving(message.upstreamLeaving);
     }
 
     void operator()(const GateHeartbeat &message)
@@ -245,7 +246,8 @@
 
 EntryHeartbeat readEntryHeartbeat(wire::PeerMessage::EntryHeartbeat::Reader from)
 {
-    return {read(from.getReport()), from.getWantedLevel(), from.getClosedLevel()};
+    return {read(from.getReport()), from.getWantedLevel(), from.getClosedLevel(),
+            from.getUpstreamLeaving()};
 }
 
 GateHeartbeat readGateHeartbeat(wire::PeerMessage::GateHeartbeat::Reader from)
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -51,6 +51,8 @@
     ShedLevel wantedLevel = 0;
     /// Level that this entry has closed: no request of those tiers waits or is admitted here.
     ShedLevel closedLevel = 0;
+    /// The host list shows the receiving upstream as leaving.
+    bool upstreamLeaving = false;
 
     bool operator==(const EntryHeartbeat &) const = default;
 };
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -45,6 +45,7 @@
             report @0 :EntryReport;
             wantedLevel @1 :UInt8;
             closedLevel @2 :UInt8;
+            upstreamLeaving @60 :Bool;
         }
         gateHeartbeat :group {
             generation @3 :UInt64;
--- a/src/sched/EntryCore.cpp
+++ b/src/sched/EntryCore.cpp
@@ -1,6 +1,7 @@
 #include "sched/EntryCore.h"
 
 #include "base/Hash.h"
+#include "config/ConfigIntake.h"
 #include "sched/AffinityMap.h"
 #include "sched/EntryRequest.h"
 #include "sched/ShedControl.h"
@@ -18,6 +19,8 @@
 constexpr milliseconds acceptBound{1000};
 constexpr milliseconds answerSilence{5000};
 constexpr milliseconds demandInterval{2};
+/// How long a request waits while no upstream of its target can take it.
+constexpr milliseconds noUpstreamBound{3000};
 constexpr int validityShareOfSilence = 2;
 /// Share of a credit's life after which the entry no longer relies on it.
 constexpr double usableShareOfLife = 0.8;
@@ -526,6 +529,28 @@
         }
     }
 
+    // --- configuration ---
+
+    void configChanged(TimePoint now)
+    {
+        config = intake.current();
+        shed.setTierCount(config->preset().tiers.size());
+        demandChanged = true;
+        updateShedding(now);
+        for (const auto &[incarnation, gate] : gates) {
+            if (gate.link != 0 && gate.heartbeat.generation < config->generation)
+                send(gate.link, ConfigPush{config->generation, config->text});
+        }
+        sendHeartbeats(now);
+    }
+
+    void configPushed(const ConfigPush &push, TimePoint now)
+    {
+        const auto pushed = parseFleetConfig(push.text, push.generation);
+        if (pushed && intake.offerFromPeer(*pushed, now))
+            configChanged(now);
+    }
+
     // --- periodic ---
 
     EntryReport report() const
@@ -543,13 +568,23 @@
         return message;
     }
 
+    bool hostLeaves(const Gate &gate) const
+    {
+        return std::ranges::find(leavingHosts, gate.identity.name) != leavingHosts.end();
+    }
+
+    EntryHeartbeat heartbeatFor(const Gate &gate, const EntryReport &own) const
+    {
+        return {own, shed.wantedLevel(), shed.closedLevel(), hostLeaves(gate)};
+    }
+
     void sendHeartbeats(TimePoint now)
     {
         lastHeartbeat = now;
-        const EntryHeartbeat message{report(), shed.wantedLevel(), shed.closedLevel()};
+        const EntryReport own = report();
         for (const auto &[incarnation, gate] : gates) {
             if (gate.link != 0)
-                send(gate.link, message);
+                send(gate.link, heartbeatFor(gate, own));
         }
         demandChanged = demandChanged || queue.size() > 0;
     }
@@ -599,11 +634,31 @@
     {
         if (now >= request.deadline)
             return request.dispatched() ? ErrorKind::DeadlineExceeded : ErrorKind::DeadlineUnmet;
+        if (request.state == EntryRequestState::Waiting &&
+            now - std::max(request.arrivedAt, lastServed(request)) >= noUpstreamBound)
+            return ErrorKind::NoUpstream;
         if (request.state == EntryRequestState::Settling && now >= request.settleBy)
             return request.following(id) ? ErrorKind::OutcomeUnknown : ErrorKind::UpstreamLost;
         return std::nullopt;
     }
 
+    /// When an upstream of the request's target was last usable.
+    TimePoint lastServed(const EntryRequest &request) const
+    {
+        const auto found = servedAt.find(request.submission.target);
+        return found == servedAt.end() ? TimePoint{} : found->second;
+    }
+
+    void noteServed(TimePoint now)
+    {
+        for (const auto &[incarnation, gate] : gates) {
+            if (!usable(gate))
+                continue;
+            for (const std::string &target : gate.heartbeat.targets)
+                servedAt[target] = now;
+        }
+    }
+
     void expireRequest(RequestId id, ErrorKind kind)
     {
         cancelUpstream(id);
@@ -675,6 +730,8 @@
     };
 
     EntryOptions options;
+    ConfigIntake intake;
+    /// The configuration in force; null before the first one.
     FleetConfigPtr config;
     ShedControl shed;
     AffinityMap affinity;
@@ -690,6 +747,7 @@
     std::map<std::string, std::vector<HeldCredit>, std::less<>> pool;
     std::map<GateLinkId, ReturnCredits> returns;
     std::vector<std::string> leavingHosts;
+    std::map<std::string, TimePoint, std::less<>> servedAt;
     std::vector<EntryAction> actions;
     EntryCounters counters;
     std::uint64_t sequence = 0;
@@ -796,7 +854,7 @@
     record.link = link;
     record.lastHeard = now;
     p.gateByLinkId[link] = gate.incarnation;
-    p.send(link, EntryHeartbeat{p.report(), p.shed.wantedLevel(), p.shed.closedLevel()});
+    p.send(link, p.heartbeatFor(record, p.report()));
     if (const auto rows = p.quarantineTable.rows(); !rows.empty())
         p.send(link, FingerprintReports{rows});
     for (const auto &[id, request] : p.requests) {
@@ -865,8 +923,7 @@
     } else if (const auto *reports = std::get_if<FingerprintReports>(&message)) {
         learnFingerprints(reports->reports, now);
     } else if (const auto *push = std::get_if<ConfigPush>(&message)) {
-        if (const auto config = parseFleetConfig(push->text, push->generation))
-            applyConfig(*config, now);
+        p.configPushed(*push, now);
     } else if (const auto *heartbeat = std::get_if<GateHeartbeat>(&message)) {
         const bool changed = gate->heartbeat.targets != heartbeat->targets ||
                              gate->heartbeat.engineUp != heartbeat->engineUp ||
@@ -884,25 +941,20 @@
 
 bool EntryCore::applyConfig(const FleetConfigPtr &config, TimePoint now)
 {
-    auto &p = *m_private;
-    if (p.config && config->generation <= p.config->generation)
-        return false;
-    p.config = config;
-    p.shed.setTierCount(config->preset().tiers.size());
-    p.demandChanged = true;
-    p.updateShedding(now);
-    for (const auto &[incarnation, gate] : p.gates) {
-        if (gate.link != 0 && gate.heartbeat.generation < config->generation)
-            p.send(gate.link, ConfigPush{config->generation, config->text});
-    }
-    p.sendHeartbeats(now);
-    return true;
+    const bool newer = m_private->intake.offerStored(config);
+    if (newer)
+        m_private->configChanged(now);
+    return newer;
 }
 
-void EntryCore::setLeavingHosts(std::vector<std::string> names)
+void EntryCore::setLeavingHosts(std::vector<std::string> names, TimePoint now)
 {
-    m_private->leavingHosts = std::move(names);
-    m_private->demandChanged = true;
+    auto &p = *m_private;
+    if (names == p.leavingHosts)
+        return;
+    p.leavingHosts = std::move(names);
+    p.demandChanged = true;
+    p.sendHeartbeats(now);
 }
 
 void EntryCore::setDraining(bool draining)
@@ -944,7 +996,10 @@
 void EntryCore::tick(TimePoint now)
 {
     auto &p = *m_private;
+    if (p.intake.tick(now))
+        p.configChanged(now);
     p.closeSilent(*this, now);
+    p.noteServed(now);
     p.expireRequests(now);
     p.expireCredits(now);
     p.queryQuiet(now);
--- a/src/sched/EntryCore.h
+++ b/src/sched/EntryCore.h
@@ -187,7 +187,7 @@
     /// Applies a configuration if it is newer; true when it was.
     bool applyConfig(const FleetConfigPtr &config, TimePoint now);
     /// Names of upstreams that the host list shows as leaving.
-    void setLeavingHosts(std::vector<std::string> names);
+    void setLeavingHosts(std::vector<std::string> names, TimePoint now);
     /// Refuses new requests; those already held are served.
     void setDraining(bool draining);
     void learnFingerprints(const std::vector<FingerprintReport> &reports, TimePoint now);
