--- a/src/control/ConfigChanger.h
+++ b/src/control/ConfigChanger.h
@@ -36,8 +36,9 @@
     /// Returns the new text for the present one, or why the change is refused.
     using Edit = std::function<Result<std::string>(const std::string &text)>;
 
-    explicit ConfigChanger(Store &store)
+    explicit ConfigChanger(Store &store, milliseconds retryDelay = milliseconds(150))
         : m_store(store)
+        , m_retryDelay(retryDelay)
     {}
 
     /// Applies `edit`. With `expected`, any other present version gives `VersionConflict`;
@@ -82,7 +83,6 @@
     };
 
     static constexpr int highestAttempts = 8;
-    static constexpr milliseconds retryDelay{150};
     static constexpr const char *objectKey = "config";
 
     static bool carries(const FleetConfig &config, const std::string &changeId)
@@ -90,9 +90,10 @@
         return std::ranges::find(config.changes, changeId) != config.changes.end();
     }
 
-    static boost::asio::awaitable<void> delay()
+    boost::asio::awaitable<void> delay()
     {
-        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, retryDelay);
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                        m_retryDelay);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
 
@@ -136,6 +137,7 @@
     }
 
     Store &m_store;
+    milliseconds m_retryDelay;
     std::uint64_t m_seen = 0;
 };
 
--- a/src/gate/GateCore.cpp
+++ b/src/gate/GateCore.cpp
@@ -355,13 +355,20 @@
 
     void statusQuery(LinkId link, const StatusQuery &query, TimePoint now)
     {
-        const auto found = requests.find(query.request);
+        auto found = requests.find(query.request);
+        const bool ofPredecessor = query.gate != options.incarnation;
+        if (found == requests.end() && ofPredecessor && options.engine
+            && health == EngineHealth::Up) {
+            // The engine may still hold the answer of a request that an earlier process started.
+            adopt({query.request, ""}, now);
+            found = requests.find(query.request);
+        }
         if (found == requests.end()) {
             send(link, StatusReply{query.request, fateWithoutRecord(query)});
             return;
         }
         GateRequest &request = found->second;
-        const bool gone = request.answerDropped || !request.answer.from(query.offset, 0);
+        const bool gone = request.answerDropped || query.offset < request.answer.firstOffset();
         if (gone) {
             send(link, StatusReply{query.request, RequestFate::AnswerGone});
             return;
@@ -371,6 +378,20 @@
         subscribe(link, request, query.offset, now);
     }
 
+    void adopt(const RunningStream &stream, TimePoint now)
+    {
+        GateRequest &request = requests[stream.request];
+        request.dispatch.request = stream.request;
+        request.dispatch.target = stream.target;
+        request.state = GateRequestState::Running;
+        request.startedAt = now;
+        request.lastTokenAt = now;
+        request.lastSubscribedAt = now;
+        request.firstByteSeen = true;
+        ++inFlight;
+        actions.emplace_back(gate::ResumeStream{stream.request, 0});
+    }
+
     RequestFate fateWithoutRecord(const StatusQuery &query)
     {
         if (query.gate != options.incarnation)
@@ -731,17 +752,7 @@
 
 void GateCore::adopt(const RunningStream &stream, TimePoint now)
 {
-    auto &p = *m_private;
-    GateRequest &request = p.requests[stream.request];
-    request.dispatch.request = stream.request;
-    request.dispatch.target = stream.target;
-    request.state = GateRequestState::Running;
-    request.startedAt = now;
-    request.lastTokenAt = now;
-    request.lastSubscribedAt = now;
-    request.firstByteSeen = true;
-    ++p.inFlight;
-    p.actions.emplace_back(gate::ResumeStream{stream.request, 0});
+    m_private->adopt(stream, now);
 }
 
 void GateCore::answerHead(RequestId request, std::uint16_t status, std::string_view contentType,
