--- a/src/control/ConfigChanger.h
+++ b/src/control/ConfigChanger.h
@@ -92,8 +92,7 @@
 
     boost::asio::awaitable<void> delay()
     {
-        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
-                                        m_retryDelay);
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, m_retryDelay);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
 
--- a/src/gate/GateCore.cpp
+++ b/src/gate/GateCore.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t spareCreditsPerEntry = 4;
 constexpr double prefillShareOfTarget = 0.6;
 constexpr double workPerAnswerByte = 0.5;
+constexpr milliseconds lostEntryLife{5000};
 constexpr milliseconds shortestStall{1000};
 constexpr int stallFactor = 4;
 constexpr milliseconds unclaimedAnswerLife{30'000};
@@ -36,7 +37,12 @@
         EntryIdentity entry;
         TimePoint lastHeard{};
         EntryHeartbeat heartbeat;
-        bool heartbeatSeen = false;
+    };
+
+    struct LostEntry
+    {
+        EntryHeartbeat heartbeat;
+        TimePoint until{};
     };
 
     explicit Private(GateOptions gateOptions)
@@ -357,8 +363,8 @@
     {
         auto found = requests.find(query.request);
         const bool ofPredecessor = query.gate != options.incarnation;
-        if (found == requests.end() && ofPredecessor && options.engine
-            && health == EngineHealth::Up) {
+        if (found == requests.end() && ofPredecessor && options.engine &&
+            health == EngineHealth::Up) {
             // The engine may still hold the answer of a request that an earlier process started.
             adopt({query.request, ""}, now);
             found = requests.find(query.request);
@@ -429,19 +435,39 @@
 
     // --- membership and levels ---
 
+    /// The latest word of every entry that counts: those linked, and for a while those whose
+    /// link was lost, because they may only be on their way back.
+    std::vector<EntryHeartbeat> entryWords() const
+    {
+        std::vector<EntryHeartbeat> words;
+        std::ranges::transform(links, std::back_inserter(words),
+                               [](const auto &row) { return row.second.heartbeat; });
+        std::ranges::transform(lostEntries, std::back_inserter(words),
+                               [](const auto &row) { return row.second.heartbeat; });
+        return words;
+    }
+
     ShedLevel wantedLevel() const
     {
         ShedLevel level = 0;
-        for (const auto &[id, link] : links)
-            level = std::max(level, link.heartbeat.wantedLevel);
+        for (const EntryHeartbeat &word : entryWords())
+            level = std::max(level, word.wantedLevel);
         return level;
     }
 
     ShedLevel closedLevel() const
+    {
+        ShedLevel level = 0;
+        for (const EntryHeartbeat &word : entryWords())
+            level = std::max(level, word.closedLevel);
+        return level;
+    }
+
+    ShedLevel promisedLevel() const
     {
         ShedLevel level = links.empty() ? 0 : std::numeric_limits<ShedLevel>::max();
-        for (const auto &[id, link] : links)
-            level = std::min(level, link.heartbeatSeen ? link.heartbeat.closedLevel : ShedLevel{0});
+        for (const EntryHeartbeat &word : entryWords())
+            level = std::min(level, word.promisedLevel);
         return level;
     }
 
@@ -456,6 +482,7 @@
         message.limit = static_cast<std::uint32_t>(currentLimit());
         message.wantedLevel = wantedLevel();
         message.closedLevel = closedLevel();
+        message.promisedLevel = promisedLevel();
         for (const auto &[id, link] : links)
             message.entries.push_back(link.heartbeat.report);
         return message;
@@ -469,13 +496,15 @@
 
     void entryHeartbeat(LinkId id, Link &link, const EntryHeartbeat &message, TimePoint now)
     {
-        const ShedLevel wantedBefore = wantedLevel();
-        const ShedLevel closedBefore = closedLevel();
+        const auto levels = [this] {
+            return std::tuple(wantedLevel(), closedLevel(), promisedLevel());
+        };
+        const auto levelsBefore = levels();
         link.heartbeat = message;
-        link.heartbeatSeen = true;
+        lostEntries.erase(link.entry.name);
         if (config && message.report.generation < config->generation)
             send(id, ConfigPush{config->generation, config->text});
-        if (wantedLevel() != wantedBefore || closedLevel() != closedBefore)
+        if (levels() != levelsBefore)
             sendHeartbeats(now);
     }
 
@@ -643,6 +672,7 @@
     QuarantineTable quarantine;
     std::vector<std::string> targets;
     std::map<LinkId, Link> links;
+    std::map<std::string, LostEntry> lostEntries;
     std::map<Incarnation, LinkId> linkByEntry;
     std::unordered_map<RequestId, GateRequest> requests;
     std::vector<GateAction> actions;
@@ -674,7 +704,7 @@
         linkDown(old, now);
         p.actions.emplace_back(gate::CloseLink{old});
     }
-    p.links[link] = {entry, now, {}, false};
+    p.links[link] = {entry, now, {}};
     p.linkByEntry[entry.incarnation] = link;
     p.demand.addEntry(entry.incarnation, entry.dataCentre);
     if (const auto rows = p.quarantine.rows(); !rows.empty())
@@ -690,6 +720,7 @@
     if (found == p.links.end())
         return;
     const Incarnation entry = found->second.entry.incarnation;
+    p.lostEntries[found->second.entry.name] = {found->second.heartbeat, now + lostEntryLife};
     p.ledger.revokeAll(entry);
     p.demand.removeEntry(entry);
     p.linkByEntry.erase(entry);
@@ -891,6 +922,7 @@
         linkDown(id, now);
         p.actions.emplace_back(gate::CloseLink{id});
     }
+    std::erase_if(p.lostEntries, [now](const auto &row) { return row.second.until <= now; });
     p.limit.evaluate(static_cast<int>(p.inFlight), now);
     p.updateStall(now);
     p.dropOld(now);
--- a/src/peer/Codec.cpp
+++ b/src/peer/Codec.cpp
@@ -86,6 +86,7 @@
         write(group.initReport(), message.report);
         group.setWantedLevel(message.wantedLevel);
         group.setClosedLevel(message.closedLevel);
+        group.setPromisedLevel(message.promisedLevel);
         group.setUpstreamLeaving(message.upstreamLeaving);
     }
 
@@ -102,6 +103,7 @@
         group.setLimit(message.limit);
         group.setWantedLevel(message.wantedLevel);
         group.setClosedLevel(message.closedLevel);
+        group.setPromisedLevel(message.promisedLevel);
         auto entries = group.initEntries(message.entries.size());
         for (unsigned i = 0; i < message.entries.size(); ++i)
             write(entries[i], message.entries[i]);
@@ -247,7 +249,7 @@
 EntryHeartbeat readEntryHeartbeat(wire::PeerMessage::EntryHeartbeat::Reader from)
 {
     return {read(from.getReport()), from.getWantedLevel(), from.getClosedLevel(),
-            from.getUpstreamLeaving()};
+            from.getPromisedLevel(), from.getUpstreamLeaving()};
 }
 
 GateHeartbeat readGateHeartbeat(wire::PeerMessage::GateHeartbeat::Reader from)
@@ -262,6 +264,7 @@
     message.limit = from.getLimit();
     message.wantedLevel = from.getWantedLevel();
     message.closedLevel = from.getClosedLevel();
+    message.promisedLevel = from.getPromisedLevel();
     for (const auto entry : from.getEntries())
         message.entries.push_back(read(entry));
     return message;
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -17,7 +17,7 @@
 /// Identifies a request by content: workspace and body digest.
 using Fingerprint = std::uint64_t;
 
-/// Number of tiers whose admission is closed, counted from the lowest.
+/// A number of tiers, counted from the lowest.
 using ShedLevel = std::uint8_t;
 
 /// What one entry tells of itself; gates relay it to operators.
@@ -47,10 +47,13 @@
 struct EntryHeartbeat
 {
     EntryReport report;
-    /// Level that this entry needs closed to stay within its queue limits.
+    /// One more than the number of lowest tiers that must be closed everywhere before this entry
+    /// may shed the tier above them; 0 when it needs to shed none but the lowest.
     ShedLevel wantedLevel = 0;
-    /// Level that this entry has closed: no request of those tiers waits or is admitted here.
+    /// Number of lowest tiers closed here: none of their requests waits or is admitted.
     ShedLevel closedLevel = 0;
+    /// Part of the closed level that stays closed while the wanted level it has heard lasts.
+    ShedLevel promisedLevel = 0;
     /// The host list shows the receiving upstream as leaving.
     bool upstreamLeaving = false;
 
@@ -68,8 +71,10 @@
     std::uint32_t limit = 0;
     /// Highest wanted level over the live entries linked to the gate.
     ShedLevel wantedLevel = 0;
-    /// Lowest closed level over the live entries linked to the gate.
+    /// Highest closed level over the live entries linked to the gate.
     ShedLevel closedLevel = 0;
+    /// Lowest promised level over the live entries linked to the gate.
+    ShedLevel promisedLevel = 0;
     std::vector<EntryReport> entries;
 
     bool operator==(const GateHeartbeat &) const = default;
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -46,6 +46,7 @@
             wantedLevel @1 :UInt8;
             closedLevel @2 :UInt8;
             upstreamLeaving @60 :Bool;
+            promisedLevel @61 :UInt8;
         }
         gateHeartbeat :group {
             generation @3 :UInt64;
@@ -56,6 +57,7 @@
             limit @8 :UInt32;
             wantedLevel @9 :UInt8;
             closedLevel @10 :UInt8;
+            promisedLevel @62 :UInt8;
             entries @11 :List(EntryReport);
         }
         demand @12 :List(DemandRow);
--- a/src/sched/EntryCore.cpp
+++ b/src/sched/EntryCore.cpp
@@ -282,10 +282,31 @@
         reconsider(id, request);
     }
 
-    /// Queues the request again unless its fingerprint is barred by now.
+    void admit(RequestId id, EntryRequest &request, TimePoint now)
+    {
+        reconsider(id, request);
+        if (queue.contains(id))
+            usePool(id, request, now);
+        updateShedding(now);
+    }
+
+    /// A fresh entry admits nothing before it has heard which tiers the fleet has closed.
+    void admitEarly(TimePoint now)
+    {
+        fleetHeard = true;
+        for (const RequestId id : std::exchange(early, {})) {
+            const auto found = requests.find(id);
+            if (found != requests.end())
+                admit(id, found->second, now);
+        }
+    }
+
+    /// Queues the request unless its tier is closed or its fingerprint is barred by now.
     void reconsider(RequestId id, EntryRequest &request)
     {
         const Submission &submission = request.submission;
+        if (shed.isClosed(submission.tier))
+            return fail(id, ErrorKind::Overloaded);
         const auto state = quarantineTable.state(submission.fingerprint);
         if (state == FingerprintState::Quarantined)
             return fail(id, ErrorKind::Quarantined);
@@ -498,13 +519,15 @@
             queued.push_back(queue.size(static_cast<TierRank>(tier)));
             limits.push_back(tiers[tier].queueLimit);
         }
-        const ShedLevel wantedBefore = shed.wantedLevel();
-        const ShedLevel closedBefore = shed.closedLevel();
+        const auto levels = [this] {
+            return std::tuple(shed.wantedLevel(), shed.closedLevel(), shed.promisedLevel());
+        };
+        const auto levelsBefore = levels();
         shed.update(queued, limits, now);
-        if (shed.closedLevel() > closedBefore)
+        if (shed.closedLevel() > std::get<1>(levelsBefore))
             evictClosed();
         shedOverLimit(limits, now);
-        if (shed.wantedLevel() != wantedBefore || shed.closedLevel() != closedBefore)
+        if (levels() != levelsBefore)
             sendHeartbeats(now);
     }
 
@@ -575,7 +598,8 @@
 
     EntryHeartbeat heartbeatFor(const Gate &gate, const EntryReport &own) const
     {
-        return {own, shed.wantedLevel(), shed.closedLevel(), hostLeaves(gate)};
+        return {own, shed.wantedLevel(), shed.closedLevel(), shed.promisedLevel(),
+                hostLeaves(gate)};
     }
 
     void sendHeartbeats(TimePoint now)
@@ -738,6 +762,7 @@
     WaitingQueue queue;
     QuarantineTable quarantineTable;
     std::vector<RequestId> suspects;
+    std::vector<RequestId> early;
     std::unordered_map<RequestId, EntryRequest> requests;
     /// Answer to the local requests that receive it.
     std::multimap<RequestId, RequestId> consumers;
@@ -753,6 +778,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t claimSequence = 0;
     bool draining = false;
+    bool fleetHeard = false;
     bool demandChanged = false;
     TimePoint lastDemand{};
     TimePoint lastHeartbeat{};
@@ -773,16 +799,14 @@
     request.arrivedAt = now;
     request.deadline = now + request.submission.timeToDeadline;
     request.answerOf = id;
-    if (p.draining) {
+    if (p.draining)
         p.fail(id, ErrorKind::Draining);
-    } else if (!p.config || p.shed.isClosed(request.submission.tier)) {
-        p.fail(id, p.config ? ErrorKind::Overloaded : ErrorKind::NoUpstream);
-    } else {
-        p.reconsider(id, request);
-        if (p.queue.contains(id))
-            p.usePool(id, request, now);
-        p.updateShedding(now);
-    }
+    else if (!p.config)
+        p.fail(id, ErrorKind::NoUpstream);
+    else if (!p.fleetHeard)
+        p.early.push_back(id);
+    else
+        p.admit(id, request, now);
     return id;
 }
 
@@ -931,8 +955,8 @@
         p.demandChanged = p.demandChanged || changed;
         gate->heartbeat = *heartbeat;
         gate->heartbeatSeen = true;
-        p.shed.observeGate(gate->identity.incarnation, heartbeat->wantedLevel,
-                           heartbeat->closedLevel, now);
+        p.shed.observeGate(gate->identity.incarnation, *heartbeat, now);
+        p.admitEarly(now);
         if (p.config && heartbeat->generation < p.config->generation)
             p.send(link, ConfigPush{p.config->generation, p.config->text});
         p.updateShedding(now);
--- a/src/sched/ShedControl.cpp
+++ b/src/sched/ShedControl.cpp
@@ -7,56 +7,109 @@
 namespace {
 
 constexpr milliseconds levelHold{1000};
+/// Time for an entry that was about to open a tier to be heard.
+constexpr milliseconds confirmDelay{250};
 constexpr double calmShare = 0.8;
 
 } // namespace
 
-void ShedControl::observeGate(Incarnation gate, ShedLevel wanted, ShedLevel closed, TimePoint now)
+void ShedControl::setTierCount(std::size_t count)
 {
-    m_gates[gate] = {wanted, closed, now};
+    m_tierCount = count;
+    m_wantedSince.assign(count + 1, TimePoint::max());
+}
+
+void ShedControl::observeGate(Incarnation gate, const GateHeartbeat &heartbeat, TimePoint now)
+{
+    m_gates[gate] = {heartbeat.wantedLevel, heartbeat.closedLevel, heartbeat.promisedLevel, now};
 }
 
 void ShedControl::update(std::span<const std::size_t> queued, std::span<const std::size_t> limits,
                          TimePoint now)
 {
-    ShedLevel wanted = 0;
+    updateWanted(ownWanted(queued, limits), now);
+    updateHeard(now);
+    updateClosed(now);
+}
+
+ShedLevel ShedControl::ownWanted(std::span<const std::size_t> queued,
+                                 std::span<const std::size_t> limits) const
+{
     for (std::size_t tier = 0; tier < queued.size(); ++tier) {
-        const ShedLevel level = levelAbove(static_cast<TierRank>(tier));
+        const ShedLevel below = tiersBelow(static_cast<TierRank>(tier));
         const double calm = static_cast<double>(limits[tier]) * calmShare;
-        const bool keeps = m_wanted >= level && static_cast<double>(queued[tier]) > calm;
-        if (queued[tier] > limits[tier] || keeps)
-            wanted = std::max(wanted, level);
+        const bool keeps = m_wanted > below && static_cast<double>(queued[tier]) > calm;
+        if (below > 0 && (queued[tier] > limits[tier] || keeps))
+            return static_cast<ShedLevel>(below + 1);
     }
+    return 0;
+}
+
+void ShedControl::updateWanted(ShedLevel wanted, TimePoint now)
+{
     if (wanted >= m_wanted) {
         m_wanted = wanted;
         m_wantedUntil = now + levelHold;
     } else if (now >= m_wantedUntil) {
         m_wanted = wanted;
     }
-    ShedLevel closed = m_wanted;
+}
+
+void ShedControl::updateHeard(TimePoint now)
+{
+    m_heardWanted = m_wanted;
     for (const auto &[gate, levels] : m_gates)
-        closed = std::max(closed, levels.wanted);
-    if (closed >= m_closed) {
-        m_closed = closed;
-        m_closedUntil = now + levelHold;
-    } else if (now >= m_closedUntil) {
-        m_closed = closed;
+        m_heardWanted = std::max(m_heardWanted, levels.wanted);
+    for (std::size_t level = 0; level < m_wantedSince.size(); ++level) {
+        if (m_heardWanted <= level)
+            m_wantedSince[level] = TimePoint::max();
+        else
+            m_wantedSince[level] = std::min(m_wantedSince[level], now);
     }
 }
 
-bool ShedControl::mayShed(TierRank tier, TimePoint now) const
+ShedLevel ShedControl::targetLevel() const
+{
+    return static_cast<ShedLevel>(std::max<int>(m_heardWanted, 1) - 1);
+}
+
+ShedLevel ShedControl::promisedLevel() const
+{
+    return std::min(m_closed, targetLevel());
+}
+
+void ShedControl::updateClosed(TimePoint now)
+{
+    const ShedLevel target = targetLevel();
+    if (target >= m_closed)
+        m_closedUntil = now + levelHold;
+    if (target > m_closed && permitted(m_closed, now))
+        ++m_closed;
+    if (target >= m_closed || now < m_closedUntil)
+        return;
+    // Without a gate that tells otherwise, another entry may still rely on this one.
+    const auto fresh = [this, now](const auto &row) {
+        return now - row.second.heardAt <= m_validity;
+    };
+    const auto above = [this](const auto &row) { return row.second.closed > m_closed; };
+    if (std::ranges::any_of(m_gates, fresh) && std::ranges::none_of(m_gates, above))
+        --m_closed;
+}
+
+bool ShedControl::permitted(ShedLevel below, TimePoint now) const
 {
-    const ShedLevel below = levelAbove(tier);
     if (below == 0)
         return true;
-    if (m_closed < below || m_wanted < below)
+    const bool heardLongEnough = below < m_wantedSince.size() && m_wantedSince[below] <= now &&
+                                 now - m_wantedSince[below] >= confirmDelay;
+    if (!heardLongEnough || promisedLevel() < below)
         return false;
     bool anyFresh = false;
     for (const auto &[gate, levels] : m_gates) {
         if (now - levels.heardAt > m_validity)
             continue;
         anyFresh = true;
-        if (levels.closed < below)
+        if (levels.promised < below)
             return false;
     }
     return anyFresh;
--- a/src/sched/ShedControl.h
+++ b/src/sched/ShedControl.h
@@ -5,22 +5,25 @@
 
 #include <map>
 #include <span>
+#include <vector>
 
 namespace tamarack {
 
 /// Decides which tiers an entry closes and whether it may shed one. A tier is shed only while
-/// every lower tier is known to be closed at every live entry of the fleet.
+/// every lower tier is known to be closed at every live entry of the fleet: levels rise one at a
+/// time, each after all entries have promised the one below, and fall one at a time, each after
+/// no entry is above it any more.
 class ShedControl
 {
 public:
-    /// Level reports older than `validity` do not permit shedding. Must be shorter than the
-    /// silence bound after which gates forget an entry.
+    /// Reports older than `validity` do not permit shedding. Must be shorter than the silence
+    /// bound after which gates forget an entry.
     explicit ShedControl(Duration validity)
         : m_validity(validity)
     {}
 
-    void setTierCount(std::size_t count) { m_tierCount = count; }
-    void observeGate(Incarnation gate, ShedLevel wanted, ShedLevel closed, TimePoint now);
+    void setTierCount(std::size_t count);
+    void observeGate(Incarnation gate, const GateHeartbeat &heartbeat, TimePoint now);
     void removeGate(Incarnation gate) { m_gates.erase(gate); }
 
     /// Re-evaluates the levels. Spans are indexed by tier.
@@ -29,33 +32,45 @@
 
     ShedLevel wantedLevel() const { return m_wanted; }
     ShedLevel closedLevel() const { return m_closed; }
+    ShedLevel promisedLevel() const;
 
-    bool isClosed(TierRank tier) const { return levelAbove(tier) < m_closed; }
+    bool isClosed(TierRank tier) const { return tiersBelow(tier) < m_closed; }
 
     /// Whether a request of the tier may be shed for overload now.
-    bool mayShed(TierRank tier, TimePoint now) const;
+    bool mayShed(TierRank tier, TimePoint now) const { return permitted(tiersBelow(tier), now); }
 
 private:
     struct GateLevels
     {
         ShedLevel wanted = 0;
         ShedLevel closed = 0;
+        ShedLevel promised = 0;
         TimePoint heardAt{};
     };
 
-    /// Number of tiers below `tier`.
-    ShedLevel levelAbove(TierRank tier) const
+    ShedLevel tiersBelow(TierRank tier) const
     {
         return static_cast<ShedLevel>(m_tierCount - 1 - tier);
     }
+    ShedLevel targetLevel() const;
+    ShedLevel ownWanted(std::span<const std::size_t> queued,
+                        std::span<const std::size_t> limits) const;
+    bool permitted(ShedLevel below, TimePoint now) const;
+    void updateWanted(ShedLevel wanted, TimePoint now);
+    void updateHeard(TimePoint now);
+    void updateClosed(TimePoint now);
 
     Duration m_validity;
     std::size_t m_tierCount = 1;
     std::map<Incarnation, GateLevels> m_gates;
     ShedLevel m_wanted = 0;
+    /// Highest wanted level of the fleet as far as this entry knows.
+    ShedLevel m_heardWanted = 0;
     ShedLevel m_closed = 0;
     TimePoint m_wantedUntil{};
     TimePoint m_closedUntil{};
+    /// Since when the heard level has been above each level without a break.
+    std::vector<TimePoint> m_wantedSince;
 };
 
 } // namespace tamarack
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -30,7 +30,7 @@
     heartbeat.engineUp = true;
     heartbeat.targets = {"model", "other"};
     heartbeat.entries = {report, report};
-    return {EntryHeartbeat{report, 1, 2, true},
+    return {EntryHeartbeat{report, 1, 2, 3, true},
             heartbeat,
             Demand{{{"model", 1, "kitchen", 4, 400}}},
             Grant{{{1, "model", 0, "kitchen", 1000, 12}}},
--- a/tests/ConfigSpreadTest.cpp
+++ b/tests/ConfigSpreadTest.cpp
@@ -40,8 +40,7 @@
     explicit ScriptedStore(standin::ObjectTable &table, std::string script)
         : m_table(table)
         , m_script(std::move(script))
-    {
-    }
+    {}
 
     boost::asio::awaitable<Result<standin::ObjectTable::Object>> read(std::string key,
                                                                       std::uint64_t)
@@ -59,8 +58,7 @@
         co_return write(key, value, standin::ObjectTable::Condition::Absent, 0);
     }
 
-    boost::asio::awaitable<Answer> update(std::string key, std::string value,
-                                          std::uint64_t version)
+    boost::asio::awaitable<Answer> update(std::string key, std::string value, std::uint64_t version)
     {
         co_return write(key, value, standin::ObjectTable::Condition::Version, version);
     }
@@ -87,7 +85,6 @@
     std::size_t m_calls = 0;
 };
 
-
 Result<FleetConfigPtr> usePreset(ScriptedStore &store, const std::string &preset,
                                  std::optional<Generation> expected)
 {
--- a/tests/ShedOrderTest.cpp
+++ b/tests/ShedOrderTest.cpp
@@ -91,9 +91,8 @@
         for (int i = 0; i < 8; ++i) {
             const int entry = static_cast<int>(random() % entryCount);
             const int gate = static_cast<int>(random() % 3);
-            harness.after(milliseconds(400 + random() % 3000), [&harness, entry, gate] {
-                harness.silenceLink(entry, gate);
-            });
+            harness.after(milliseconds(400 + random() % 3000),
+                          [&harness, entry, gate] { harness.silenceLink(entry, gate); });
         }
         harness.after(milliseconds(900), [&harness] { harness.pauseEntry(1, milliseconds(2500)); });
         harness.run(seconds(40));
