--- a/src/claims/ClaimShard.cpp
+++ b/src/claims/ClaimShard.cpp
@@ -415,6 +415,7 @@
 
 ClaimShard::~ClaimShard() = default;
 ClaimShard::ClaimShard(ClaimShard &&) noexcept = default;
+ClaimShard &ClaimShard::operator=(ClaimShard &&) noexcept = default;
 
 void ClaimShard::submit(ClaimRecord record, TimePoint now)
 {
--- a/src/claims/ClaimShard.h
+++ b/src/claims/ClaimShard.h
@@ -113,6 +113,7 @@
     explicit ClaimShard(ClaimShardOptions options);
     ~ClaimShard();
     ClaimShard(ClaimShard &&) noexcept;
+    ClaimShard &operator=(ClaimShard &&) noexcept;
 
     void submit(ClaimRecord record, TimePoint now);
     /// Answers the outstanding call.
