--- a/tests/support/CoreHarness.cpp
+++ b/tests/support/CoreHarness.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds serviceTime{5};
 constexpr milliseconds leaveBound{3000};
 constexpr std::chrono::microseconds upstreamDelay{300};
+constexpr milliseconds betweenTokensTarget{35};
+constexpr std::size_t gapBins = 500;
 constexpr std::size_t claimShards = 2;
 constexpr std::size_t listedObjects = 50;
 
@@ -564,6 +566,8 @@
             return;
         if (record->bytes.empty())
             record->firstByteAt = now;
+        else
+            noteGap(*record);
         record->lastByteAt = now;
         record->bytes += action.bytes;
         ++record->pieces;
@@ -571,6 +575,15 @@
             violation("bytes after the end of an answer");
     }
 
+    void noteGap(CallRecord &record)
+    {
+        const auto gap = static_cast<std::size_t>(toMs(now - record.lastByteAt));
+        auto &bins = gaps[record.submission.tier];
+        bins.resize(gapBins);
+        ++bins[std::min(gap, gapBins - 1)];
+        record.lateGaps += now - record.lastByteAt > betweenTokensTarget;
+    }
+
     void act(std::size_t e, const entry::Finish &action)
     {
         CallRecord *record = recordOf(e, action.request);
@@ -1002,6 +1015,7 @@
     std::string crashText;
     Duration crashRestart = std::chrono::seconds(5);
     std::vector<CallRecord> records;
+    std::map<TierRank, std::vector<std::uint64_t>> gaps;
     std::map<RequestId, std::size_t> callIndex;
     std::set<RequestId> ranIds;
     std::set<RequestId> toldNotRun;
@@ -1350,6 +1364,27 @@
     return tokens;
 }
 
+std::uint64_t CoreHarness::prefillTokens() const
+{
+    std::uint64_t tokens = 0;
+    for (const GateNode &gate : m_private->gates)
+        tokens += gate.core->counters().prefillTokens;
+    return tokens;
+}
+
+std::uint64_t CoreHarness::wastedPrefillTokens() const
+{
+    std::uint64_t tokens = 0;
+    for (const GateNode &gate : m_private->gates)
+        tokens += gate.core->counters().wastedPrefillTokens;
+    return tokens;
+}
+
+const std::vector<std::uint64_t> &CoreHarness::gapHistogram(TierRank tier) const
+{
+    return m_private->gaps[tier];
+}
+
 int CoreHarness::upstreamCrashes() const
 {
     std::uint64_t crashes = 0;
--- a/tests/support/CoreHarness.h
+++ b/tests/support/CoreHarness.h
@@ -66,6 +66,8 @@
     TimePoint endedAt{};
     std::string bytes;
     int pieces = 0;
+    /// Pieces that came later after the one before than the between-token target.
+    int lateGaps = 0;
     int ends = 0;
     bool whole = false;
     /// The caller's entry died before the answer ended.
@@ -146,6 +148,11 @@
     std::uint64_t startsAt(int gate) const;
     std::uint64_t generatedTokens(int gate) const;
     std::uint64_t computedPromptTokens() const;
+    /// Sum over the gates of the prompt tokens started, and of those for answers not taken whole.
+    std::uint64_t prefillTokens() const;
+    std::uint64_t wastedPrefillTokens() const;
+    /// Times between the tokens of one tier, in whole milliseconds, the last bin open.
+    const std::vector<std::uint64_t> &gapHistogram(TierRank tier) const;
     int upstreamCrashes() const;
     std::uint64_t messages() const;
     std::uint64_t messageBytes() const;
--- a/tools/model/EngineModel.cpp
+++ b/tools/model/EngineModel.cpp
@@ -9,11 +9,11 @@
     using std::chrono::microseconds;
     switch (generation) {
     case 1:
-        return {microseconds(14'000), microseconds(900), microseconds(110), 256, 40'000, 128};
+        return {microseconds(14'000), microseconds(900), microseconds(110), 64, 40'000, 128};
     case 2:
-        return {microseconds(9'000), microseconds(450), microseconds(55), 512, 60'000, 256};
+        return {microseconds(9'000), microseconds(450), microseconds(55), 192, 60'000, 256};
     default:
-        return {microseconds(6'000), microseconds(220), microseconds(25), 1024, 120'000, 512};
+        return {microseconds(6'000), microseconds(220), microseconds(25), 512, 120'000, 512};
     }
 }
 
--- /dev/null
+++ b/tools/mutate.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# Shows that the checks can fail: builds the tests with one deliberate fault at a time and
+# expects the named suites to find it. Works on a copy; usage: mutate.sh [SCRATCH_DIR]
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+scratch=${1:-$(mktemp -d)}
+mkdir -p "$scratch/tree"
+copy() { (cd "$root" && git ls-files -z | xargs -0 tar cf -) | tar xf - -C "$scratch/tree"; }
+copy
+cmake -S "$scratch/tree" -B "$scratch/build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+missed=0
+while IFS=$'\t' read -r name file expression suites; do
+    [[ -z $name || $name == \#* ]] && continue
+    cp "$root/$file" "$scratch/tree/$file"
+    sed -i -e "$expression" "$scratch/tree/$file"
+    if cmp -s "$root/$file" "$scratch/tree/$file"; then
+        echo "NOT APPLIED | $name"
+        missed=$((missed + 1))
+        continue
+    fi
+    if ! ninja -C "$scratch/build" unit-tests >"$scratch/build.log" 2>&1; then
+        echo "NO BUILD | $name"
+        missed=$((missed + 1))
+    elif "$scratch/build/unit-tests" --run_test="$suites" >"$scratch/run.log" 2>&1; then
+        echo "MISSED | $name | $suites"
+        missed=$((missed + 1))
+    else
+        echo "found | $name | $suites | $(grep -c 'error: in' "$scratch/run.log") failed checks"
+    fi
+    cp "$root/$file" "$scratch/tree/$file"
+done <"$root/tools/mutations.txt"
+exit $((missed > 0))
