--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -52,8 +52,8 @@
     return spec;
 }
 
-constexpr std::array allPolicies{Policy::Tamarack, Policy::FirstComeFirstServed,
-                                 Policy::RoundRobin, Policy::LeastReported, Policy::TwoChoices};
+constexpr std::array allPolicies{Policy::Tamarack, Policy::FirstComeFirstServed, Policy::RoundRobin,
+                                 Policy::LeastReported, Policy::TwoChoices};
 
 std::vector<Row> levelRows(const Workload &workload, double capacity)
 {
@@ -115,6 +115,7 @@
         {"order: arrival", entry([](EntryOptions &o) { o.order = QueueOrder::Arrival; })},
         {"order: deadline", entry([](EntryOptions &o) { o.order = QueueOrder::Deadline; })},
         {"no affinity", entry([](EntryOptions &o) { o.affinity = false; })},
+        {"no first-token fit", entry([](EntryOptions &o) { o.firstTokenFit = false; })},
         {"no spare credits", gate([](GateOptions &o) { o.spareCredits = false; })},
         {"fixed limit 64", gate([](GateOptions &o) { o.adaptiveLimit = false; })},
     };
@@ -181,8 +182,9 @@
         const auto &ttft = r.tiers[0].firstTokenMs;
         fmt::print(" | {:>7.1f} {:>5.1f}% | {:>6.2f} | {:>6.0f} {:>6.0f} {:>6.0f} | {:>4.0f} "
                    "{:>4.0f} | {:>5.1f} |{}{}\n",
-                   r.goodput(), 100 * r.goodput() / capacity, share(r.wastedTokens, r.prefillTokens),
-                   percentile(ttft, 0.5), percentile(ttft, 0.95), percentile(ttft, 0.99),
+                   r.goodput(), 100 * r.goodput() / capacity,
+                   share(r.wastedTokens, r.prefillTokens), percentile(ttft, 0.5),
+                   percentile(ttft, 0.95), percentile(ttft, 0.99),
                    percentileOfBins(r.gapsTopTier, 0.5), percentileOfBins(r.gapsTopTier, 0.95),
                    unfairness(r), refusalText(r),
                    r.violations > 0 ? fmt::format(" VIOLATIONS={}", r.violations) : "");
@@ -249,8 +251,8 @@
         std::cerr << workload.error().message << '\n';
         return 2;
     }
-    const double capacity =
-        capacityOf(*workload, betweenTokensTarget, static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed)));
+    const double capacity = capacityOf(*workload, betweenTokensTarget,
+                                       static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed)));
     fmt::print("workload {}, seed {}: the engines can serve {:.1f} requests a second\n",
                workload->name, absl::GetFlag(FLAGS_seed), capacity);
     const std::string scenario = absl::GetFlag(FLAGS_scenario);
--- a/bench/PolicyRun.cpp
+++ b/bench/PolicyRun.cpp
@@ -89,8 +89,8 @@
             const Arrival &arrival = spec.arrivals[i];
             calls[i] = harness.callModel(arrival.entry, tiers ? arrival.tier : TierRank{0},
                                          arrival.workspace, fmt::format("request {}", i),
-                                         arrival.promptTokens, arrival.outputTokens,
-                                         callerPatience, arrival.prefix, arrival.prefixTokens);
+                                         arrival.promptTokens, arrival.outputTokens, callerPatience,
+                                         arrival.prefix, arrival.prefixTokens);
         });
     for (const EngineEvent &event : spec.events)
         harness.after(event.at, [&harness, event] { apply(harness, event); });
@@ -177,14 +177,14 @@
 
 bool isGood(const Served &served, TierRank tier)
 {
-    return served.whole && served.firstToken <= firstTokenTarget(tier)
-           && served.meanGap <= betweenTokensTarget;
+    return served.whole && served.firstToken <= firstTokenTarget(tier) &&
+           served.meanGap <= betweenTokensTarget;
 }
 
 RunReport runExperiment(const RunSpec &spec)
 {
-    const bool push = spec.policy == Policy::RoundRobin || spec.policy == Policy::LeastReported
-                      || spec.policy == Policy::TwoChoices;
+    const bool push = spec.policy == Policy::RoundRobin || spec.policy == Policy::LeastReported ||
+                      spec.policy == Policy::TwoChoices;
     RunReport report = push ? runPush(spec) : runHarness(spec);
     report.seconds = std::chrono::duration<double>(spec.measureUntil - spec.measureFrom).count();
     return report;
@@ -201,11 +201,11 @@
     json::object workspaces;
     for (const WorkloadWorkspace &workspace : workload.workspaces)
         workspaces[workspace.name] = json::object{{"weight", 1}};
-    return json::serialize(json::object{
-        {"presetInForce", "ordinary"},
-        {"presets", json::object{{"ordinary", json::object{{"tiers", tiers}}}}},
-        {"workspaces", workspaces},
-        {"models", json::array{"model"}}});
+    return json::serialize(
+        json::object{{"presetInForce", "ordinary"},
+                     {"presets", json::object{{"ordinary", json::object{{"tiers", tiers}}}}},
+                     {"workspaces", workspaces},
+                     {"models", json::array{"model"}}});
 }
 
 } // namespace tamarack::bench
--- a/bench/PushSimulation.cpp
+++ b/bench/PushSimulation.cpp
@@ -29,9 +29,10 @@
 std::size_t PushSimulation::reportedLoad(std::size_t engine) const
 {
     const auto &reports = m_engines[engine].reports;
-    const auto known = std::ranges::find_if(
-        reports.rbegin(), reports.rend(),
-        [this](const auto &report) { return report.first <= m_now - reportAge; });
+    const auto known =
+        std::ranges::find_if(reports.rbegin(), reports.rend(), [this](const auto &report) {
+            return report.first <= m_now - reportAge;
+        });
     return known == reports.rend() ? 0 : known->second;
 }
 
@@ -56,8 +57,8 @@
     std::ranges::shuffle(candidates, m_random);
     if (m_spec.policy == Policy::TwoChoices)
         candidates.resize(std::min<std::size_t>(2, candidates.size()));
-    return *std::ranges::min_element(
-        candidates, {}, [this](std::size_t engine) { return reportedLoad(engine); });
+    return *std::ranges::min_element(candidates, {},
+                                     [this](std::size_t engine) { return reportedLoad(engine); });
 }
 
 void PushSimulation::arrive(std::size_t index)
@@ -66,8 +67,11 @@
     const std::size_t engine = choose();
     m_progress[index].engine = engine;
     m_prefill += arrival.promptTokens;
-    m_engines[engine].model.submit({{1, index}, arrival.promptTokens, arrival.outputTokens,
-                                    arrival.prefix, arrival.prefixTokens});
+    m_engines[engine].model.submit({{1, index},
+                                    arrival.promptTokens,
+                                    arrival.outputTokens,
+                                    arrival.prefix,
+                                    arrival.prefixTokens});
     startStep(engine);
 }
 
@@ -123,8 +127,8 @@
     record.model.clear();
     for (std::size_t index = 0; index < m_progress.size(); ++index) {
         Progress &progress = m_progress[index];
-        const bool lost = m_spec.arrivals[index].at < m_now && progress.engine == engine
-                          && !progress.ended;
+        const bool lost =
+            m_spec.arrivals[index].at < m_now && progress.engine == engine && !progress.ended;
         if (!lost)
             continue;
         progress.ended = true;
@@ -152,8 +156,8 @@
 {
     for (Engine &engine : m_engines) {
         engine.reports.emplace_back(m_now, engine.model.running());
-        while (engine.reports.size() > 2
-               && engine.reports[1].first <= m_now - reportAge - reportInterval)
+        while (engine.reports.size() > 2 &&
+               engine.reports[1].first <= m_now - reportAge - reportInterval)
             engine.reports.pop_front();
     }
     m_nextReport = m_now + reportInterval;
--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -71,7 +71,10 @@
     std::uint64_t next = 0;
     const auto add = [&] {
         const Arrival arrival = makeArrival(workload, random);
-        engine.submit({{1, ++next}, arrival.promptTokens, arrival.outputTokens, arrival.prefix,
+        engine.submit({{1, ++next},
+                       arrival.promptTokens,
+                       arrival.outputTokens,
+                       arrival.prefix,
                        arrival.prefixTokens});
     };
     for (int i = 0; i < kept; ++i)
@@ -141,7 +144,8 @@
     if (const auto *workspaces = reader.array("workspaces"))
         for (const auto &item : *workspaces) {
             JsonObjectReader row(item, "workspaces", faults);
-            workload.workspaces.push_back({row.requiredString("name"), row.number("share", 0, 0, 1)});
+            workload.workspaces.push_back(
+                {row.requiredString("name"), row.number("share", 0, 0, 1)});
             row.finish();
         }
     if (const auto *classes = reader.array("classes"))
@@ -182,8 +186,8 @@
             continue;
         double highest = 0;
         for (int kept = 1; kept <= 160; kept += kept < 20 ? 1 : 4)
-            highest = std::max(highest, closedLoopRate(workload, generation, kept,
-                                                       betweenTokensTarget, seed));
+            highest = std::max(
+                highest, closedLoopRate(workload, generation, kept, betweenTokensTarget, seed));
         best[generation] = highest;
     }
     double total = 0;
--- a/src/gate/GateCore.cpp
+++ b/src/gate/GateCore.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t readAheadBytes = 1 << 20;
 constexpr std::size_t spareCreditsPerEntry = 4;
 constexpr double prefillShareOfTarget = 0.6;
+/// Prompt for which a spare credit should be good.
+constexpr std::uint32_t sparePromptTokens = 128;
 constexpr double workPerAnswerByte = 0.5;
 constexpr milliseconds lostEntryLife{5000};
 constexpr milliseconds shortestStall{1000};
@@ -129,8 +131,9 @@
         credit.tier = row.tier;
         credit.workspace = row.workspace;
         credit.lifeMs = static_cast<std::uint32_t>(toMs(options.creditLife));
-        credit.expectedFirstTokenMs = static_cast<std::uint32_t>(
-            toMs(prefill.expected(std::max<std::uint32_t>(promptTokens, 1))));
+        credit.backlogMs = static_cast<std::uint32_t>(toMs(prefill.expected(0)));
+        credit.microsPerPromptToken = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(prefill.perToken()).count());
         return credit;
     }
 
@@ -160,7 +163,8 @@
 
     void grantSpare(std::map<LinkId, Grant> &grants, TimePoint now)
     {
-        if (linkByEntry.empty() || targets.empty() || available() <= 0)
+        if (linkByEntry.empty() || targets.empty() || available() <= 0 ||
+            !prefillAllows(sparePromptTokens))
             return;
         std::map<Incarnation, std::size_t> spares;
         for (const auto &[id, credit] : ledger.open())
@@ -176,6 +180,23 @@
         }
     }
 
+    /// Takes spare credits back once the engine has enough prompts before it: a request that
+    /// spent one would wait at the engine, where no tier order holds.
+    void recallSpare()
+    {
+        if (prefillAllows(sparePromptTokens))
+            return;
+        std::map<LinkId, RecallCredits> recalls;
+        for (const auto &[id, credit] : ledger.open()) {
+            if (credit.spare)
+                recalls[linkOf(credit.entry)].credits.push_back(id);
+        }
+        for (auto &[link, message] : recalls) {
+            std::ranges::for_each(message.credits, [this](CreditId id) { ledger.revoke(id); });
+            send(link, std::move(message));
+        }
+    }
+
     // --- dispatch ---
 
     void refuse(LinkId link, const Dispatch &dispatch, ErrorKind kind, std::uint64_t &counter)
@@ -239,6 +260,7 @@
         send(link, Accepted{message.request});
         if (!message.alone || inFlight == 1)
             start(request, now);
+        recallSpare();
     }
 
     void start(GateRequest &request, TimePoint now)
--- a/src/gate/PrefillEstimator.h
+++ b/src/gate/PrefillEstimator.h
@@ -21,6 +21,9 @@
     /// Expected time to the first token if a prompt of that size were started now.
     Duration expected(std::uint32_t promptTokens) const;
 
+    /// Time for one prompt token; zero before the first observation.
+    Duration perToken() const;
+
     /// Whether one more prompt keeps the expected first token within the target.
     bool allows(std::uint32_t promptTokens, Duration target) const;
 
--- a/src/peer/Codec.cpp
+++ b/src/peer/Codec.cpp
@@ -132,15 +132,25 @@
             credits[i].setTier(credit.tier);
             credits[i].setWorkspace(credit.workspace);
             credits[i].setLifeMs(credit.lifeMs);
-            credits[i].setExpectedFirstTokenMs(credit.expectedFirstTokenMs);
+            credits[i].setBacklogMs(credit.backlogMs);
+            credits[i].setMicrosPerPromptToken(credit.microsPerPromptToken);
         }
     }
 
+    void operator()(const RecallCredits &message)
+    {
+        writeIds(to.initRecallCredits(message.credits.size()), message.credits);
+    }
+
     void operator()(const ReturnCredits &message)
     {
-        auto credits = to.initReturnCredits(message.credits.size());
-        for (unsigned i = 0; i < message.credits.size(); ++i)
-            credits.set(i, message.credits[i]);
+        writeIds(to.initReturnCredits(message.credits.size()), message.credits);
+    }
+
+    static void writeIds(capnp::List<std::uint64_t>::Builder to, const std::vector<CreditId> &ids)
+    {
+        for (unsigned i = 0; i < ids.size(); ++i)
+            to.set(i, ids[i]);
     }
 
     void operator()(const Dispatch &message)
@@ -286,16 +296,16 @@
     for (const auto credit : from)
         message.credits.push_back({credit.getId(), stringOf(credit.getTarget()), credit.getTier(),
                                    stringOf(credit.getWorkspace()), credit.getLifeMs(),
-                                   credit.getExpectedFirstTokenMs()});
+                                   credit.getBacklogMs(), credit.getMicrosPerPromptToken()});
     return message;
 }
 
-ReturnCredits readReturnCredits(capnp::List<std::uint64_t>::Reader from)
+std::vector<CreditId> readIds(capnp::List<std::uint64_t>::Reader from)
 {
-    ReturnCredits message;
-    for (const auto credit : from)
-        message.credits.push_back(credit);
-    return message;
+    std::vector<CreditId> ids;
+    for (const auto id : from)
+        ids.push_back(id);
+    return ids;
 }
 
 Dispatch readDispatch(wire::PeerMessage::Dispatch::Reader from)
@@ -348,7 +358,9 @@
     case wire::PeerMessage::GRANT:
         return readGrant(from.getGrant());
     case wire::PeerMessage::RETURN_CREDITS:
-        return readReturnCredits(from.getReturnCredits());
+        return ReturnCredits{readIds(from.getReturnCredits())};
+    case wire::PeerMessage::RECALL_CREDITS:
+        return RecallCredits{readIds(from.getRecallCredits())};
     case wire::PeerMessage::DISPATCH:
         return readDispatch(from.getDispatch());
     case wire::PeerMessage::ACCEPTED:
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -109,8 +109,10 @@
     TierRank tier = 0;
     std::string workspace;
     std::uint32_t lifeMs = 0;
-    /// Expected time to the first token of an average prompt, from observations of the gate.
-    std::uint32_t expectedFirstTokenMs = 0;
+    /// Expected time until the engine starts a further prompt; see `expectedFirstToken`.
+    std::uint32_t backlogMs = 0;
+    /// Time that the engine takes for one prompt token; 0 while unknown.
+    std::uint32_t microsPerPromptToken = 0;
 
     bool operator==(const Credit &) const = default;
 };
@@ -122,6 +124,14 @@
     bool operator==(const Grant &) const = default;
 };
 
+/// Gate to entry: the credits are void. One spent meanwhile is refused and its request waits on.
+struct RecallCredits
+{
+    std::vector<CreditId> credits;
+
+    bool operator==(const RecallCredits &) const = default;
+};
+
 struct ReturnCredits
 {
     std::vector<CreditId> credits;
@@ -279,8 +289,8 @@
 
 /// Every message between an entry and a gate.
 using PeerMessage =
-    std::variant<EntryHeartbeat, GateHeartbeat, Demand, Grant, ReturnCredits, Dispatch, Accepted,
-                 Refused, AnswerHead, AnswerChunk, AnswerEnd, AnswerAck, Cancel, StatusQuery,
-                 StatusReply, ConfigPush, FingerprintReports>;
+    std::variant<EntryHeartbeat, GateHeartbeat, Demand, Grant, RecallCredits, ReturnCredits,
+                 Dispatch, Accepted, Refused, AnswerHead, AnswerChunk, AnswerEnd, AnswerAck, Cancel,
+                 StatusQuery, StatusReply, ConfigPush, FingerprintReports>;
 
 } // namespace tamarack
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -36,7 +36,8 @@
     tier @2 :UInt8;
     workspace @3 :Text;
     lifeMs @4 :UInt32;
-    expectedFirstTokenMs @5 :UInt32;
+    backlogMs @5 :UInt32;
+    microsPerPromptToken @6 :UInt32;
 }
 
 struct PeerMessage {
@@ -126,5 +127,6 @@
             text @57 :Text;
         }
         fingerprintReports @58 :List(FingerprintReport);
+        recallCredits @63 :List(UInt64);
     }
 }
--- a/src/sched/EntryCore.cpp
+++ b/src/sched/EntryCore.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds acceptBound{1000};
 constexpr milliseconds answerSilence{5000};
 constexpr milliseconds demandInterval{2};
+/// Share of the first-token target that an engine may be expected to take.
+constexpr double suitedShareOfTarget = 0.7;
+/// Share of the first-token target after which a request takes any engine.
+constexpr double patienceShareOfTarget = 0.4;
 /// How long a request waits while no upstream of its target can take it.
 constexpr milliseconds noUpstreamBound{3000};
 constexpr int validityShareOfSilence = 2;
@@ -173,11 +177,10 @@
             return giveBack(held);
         if (const auto suspect = suspectFor(held))
             return spend(*suspect, std::move(held), now);
-        const auto prefers = [this, &gate](std::uint64_t prefix) {
-            return options.affinity && prefix != 0 && affinity.matches(prefix, gate.identity.name);
-        };
         const Credit &credit = held.credit;
-        const auto id = queue.best(credit.target, credit.tier, credit.workspace, prefers);
+        const auto id =
+            queue.best(credit.target, credit.tier, credit.workspace,
+                       [&](const WaitingRequest &waiting) { return match(waiting, held, now); });
         if (id)
             return spend(*id, std::move(held), now);
         if (credit.workspace.empty())
@@ -186,6 +189,40 @@
             giveBack(held);
     }
 
+    /// Expected time from now to the first token if the prompt were sent on this credit.
+    static Duration expectedFirstToken(std::uint32_t promptTokens, const Credit &credit)
+    {
+        return milliseconds(credit.backlogMs) +
+               promptTokens * std::chrono::microseconds(credit.microsPerPromptToken);
+    }
+
+    Duration firstTokenTarget(TierRank tier) const
+    {
+        return config->preset().tiers[tier].firstTokenTarget;
+    }
+
+    /// A slow engine does not suit a long prompt that a faster one could still serve in time.
+    bool suits(TierRank tier, std::uint32_t promptTokens, Duration waited,
+               const Credit &credit) const
+    {
+        const Duration target = firstTokenTarget(tier);
+        const Duration expected = expectedFirstToken(promptTokens, credit);
+        return !options.firstTokenFit || expected <= target * suitedShareOfTarget ||
+               waited >= target * patienceShareOfTarget;
+    }
+
+    WaitingQueue::Match match(const WaitingRequest &waiting, const HeldCredit &held,
+                              TimePoint now) const
+    {
+        using Match = WaitingQueue::Match;
+        const Duration waited = now - requests.at(waiting.id).arrivedAt;
+        if (!suits(waiting.tier, waiting.promptTokens, waited, held.credit))
+            return Match::Unsuited;
+        const bool cached = options.affinity && waiting.prefix != 0 &&
+                            affinity.matches(waiting.prefix, held.gateName);
+        return cached ? Match::Preferred : Match::Suited;
+    }
+
     std::optional<RequestId> suspectFor(const HeldCredit &held) const
     {
         const auto found = std::ranges::find_if(suspects, [this, &held](RequestId id) {
@@ -328,13 +365,18 @@
         });
         if (credits.empty())
             return false;
-        const auto rank = [this, &request](const HeldCredit &held) {
-            const bool matches = options.affinity && request.submission.prefix != 0 &&
-                                 affinity.matches(request.submission.prefix, held.gateName);
+        const Submission &submission = request.submission;
+        const auto rank = [this, &submission](const HeldCredit &held) {
+            const bool cached = options.affinity && submission.prefix != 0 &&
+                                affinity.matches(submission.prefix, held.gateName);
+            const Duration expected = expectedFirstToken(submission.promptTokens, held.credit);
+            const bool late = expected > firstTokenTarget(submission.tier) * suitedShareOfTarget;
             const bool remote = gates.at(held.gate).identity.dataCentre != options.dataCentre;
-            return std::tuple(!matches, held.credit.expectedFirstTokenMs, remote, held.expires);
+            return std::tuple(late, !cached, expected, remote, held.expires);
         };
         const auto best = std::ranges::min_element(credits, {}, rank);
+        if (!suits(submission.tier, submission.promptTokens, now - request.arrivedAt, best->credit))
+            return false;
         HeldCredit held = std::move(*best);
         credits.erase(best);
         spend(id, std::move(held), now);
@@ -734,6 +776,28 @@
         }
     }
 
+    void recall(Incarnation gate, const RecallCredits &message)
+    {
+        for (auto &[target, credits] : pool)
+            std::erase_if(credits, [&](const HeldCredit &held) {
+                return held.gate == gate &&
+                       std::ranges::find(message.credits, held.credit.id) != message.credits.end();
+            });
+    }
+
+    /// Offers the pooled credits again to requests that have become less choosy by waiting.
+    void retryPool(TimePoint now)
+    {
+        if (queue.size() == 0)
+            return;
+        for (auto &[target, credits] : pool) {
+            for (HeldCredit &held : std::exchange(credits, {})) {
+                if (held.expires > now && gates.contains(held.gate))
+                    useCredit(std::move(held), now);
+            }
+        }
+    }
+
     void expireCredits(TimePoint now)
     {
         for (auto &[target, credits] : pool)
@@ -930,6 +994,8 @@
             p.useCredit({credit, gate->identity.incarnation, gate->identity.name, now, now + life},
                         now);
         }
+    } else if (const auto *recalled = std::get_if<RecallCredits>(&message)) {
+        p.recall(gate->identity.incarnation, *recalled);
     } else if (const auto *chunk = std::get_if<AnswerChunk>(&message)) {
         p.chunk(*chunk, now);
     } else if (const auto *head = std::get_if<AnswerHead>(&message)) {
@@ -1026,6 +1092,7 @@
     p.noteServed(now);
     p.expireRequests(now);
     p.expireCredits(now);
+    p.retryPool(now);
     p.queryQuiet(now);
     p.updateShedding(now);
     if (now - p.lastHeartbeat >= p.options.heartbeat)
--- a/src/sched/EntryCore.h
+++ b/src/sched/EntryCore.h
@@ -35,6 +35,8 @@
     Duration settleBound = milliseconds(5000);
     QueueOrder order = QueueOrder::ShortestWork;
     bool affinity = true;
+    /// Keep long prompts off engines that are too slow for them; off for experiments.
+    bool firstTokenFit = true;
 };
 
 /// Who is at the other end of a link.
--- a/src/sched/WaitingQueue.cpp
+++ b/src/sched/WaitingQueue.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int affinityCandidates = 8;
+constexpr int examinedCandidates = 8;
 
 } // namespace
 
@@ -38,37 +38,54 @@
     return true;
 }
 
-std::optional<RequestId>
-WaitingQueue::bestIn(const Lane &lane, const std::function<bool(std::uint64_t)> &prefers) const
+std::optional<RequestId> WaitingQueue::bestIn(const Lane &lane, const Matcher &matcher) const
 {
-    if (lane.empty())
-        return std::nullopt;
+    std::optional<RequestId> suited;
     int examined = 0;
     for (const Place &place : lane) {
-        if (prefers(m_requests.find(place.id)->second.request.prefix))
+        const Match match = matcher(m_requests.find(place.id)->second.request);
+        if (match == Match::Preferred)
             return place.id;
-        if (++examined == affinityCandidates)
+        if (match == Match::Suited && !suited)
+            suited = place.id;
+        if (++examined == examinedCandidates)
             break;
     }
-    return lane.begin()->id;
+    return suited;
+}
+
+std::optional<RequestId> WaitingQueue::bestInTier(const Workspaces &workspaces,
+                                                  std::string_view granted,
+                                                  const Matcher &matcher) const
+{
+    if (const auto lane = workspaces.find(granted); lane != workspaces.end()) {
+        if (const auto id = bestIn(lane->second, matcher))
+            return id;
+    }
+    std::vector<const Lane *> lanes;
+    for (const auto &[workspace, lane] : workspaces)
+        lanes.push_back(&lane);
+    std::ranges::sort(lanes, {}, [](const Lane *lane) { return *lane->begin(); });
+    for (const Lane *lane : lanes) {
+        if (const auto id = bestIn(*lane, matcher))
+            return id;
+    }
+    return std::nullopt;
 }
 
 std::optional<RequestId> WaitingQueue::best(std::string_view target, TierRank tier,
                                             std::string_view workspace,
-                                            const std::function<bool(std::uint64_t)> &prefers) const
+                                            const Matcher &matcher) const
 {
     const auto tiers = m_targets.find(target);
-    if (tiers == m_targets.end() || tiers->second.empty())
+    if (tiers == m_targets.end())
         return std::nullopt;
-    const auto &[highest, workspaces] = *tiers->second.begin();
-    if (highest == tier) {
-        const auto lane = workspaces.find(workspace);
-        if (lane != workspaces.end())
-            return bestIn(lane->second, prefers);
+    for (const auto &[rank, workspaces] : tiers->second) {
+        const std::string_view granted = rank == tier ? workspace : std::string_view();
+        if (const auto id = bestInTier(workspaces, granted, matcher))
+            return id;
     }
-    const auto first = std::ranges::min_element(
-        workspaces, {}, [](const auto &row) { return *row.second.begin(); });
-    return bestIn(first->second, prefers);
+    return std::nullopt;
 }
 
 std::optional<RequestId> WaitingQueue::newest(TierRank tier) const
--- a/src/sched/WaitingQueue.h
+++ b/src/sched/WaitingQueue.h
@@ -40,12 +40,15 @@
     bool remove(RequestId id);
     bool contains(RequestId id) const { return m_requests.contains(id); }
 
-    /// The request that a credit for `target` should serve: the highest tier first, then the
-    /// workspace the credit was granted for, then queue order. Among the first few candidates,
-    /// one for which `prefers` holds goes first.
+    /// How well a credit suits a waiting request.
+    enum class Match : std::uint8_t { Unsuited, Suited, Preferred };
+    using Matcher = std::function<Match(const WaitingRequest &)>;
+
+    /// The request that a credit for `target` should serve: the highest tier with a suited
+    /// request, in it the workspace the credit was granted for, then queue order. A preferred
+    /// request among the first few goes before suited ones.
     std::optional<RequestId> best(std::string_view target, TierRank tier,
-                                  std::string_view workspace,
-                                  const std::function<bool(std::uint64_t)> &prefers) const;
+                                  std::string_view workspace, const Matcher &matcher) const;
 
     /// The request of `tier` that was queued last; empty when none waits.
     std::optional<RequestId> newest(TierRank tier) const;
@@ -73,8 +76,9 @@
     using Workspaces = std::map<std::string, Lane, std::less<>>;
     using Tiers = std::map<TierRank, Workspaces>;
 
-    std::optional<RequestId> bestIn(const Lane &lane,
-                                    const std::function<bool(std::uint64_t)> &prefers) const;
+    std::optional<RequestId> bestIn(const Lane &lane, const Matcher &matcher) const;
+    std::optional<RequestId> bestInTier(const Workspaces &workspaces, std::string_view granted,
+                                        const Matcher &matcher) const;
 
     std::uint64_t m_sequence = 0;
     std::unordered_map<RequestId, Entry> m_requests;
--- a/tests/AnswerTest.cpp
+++ b/tests/AnswerTest.cpp
@@ -21,7 +21,8 @@
 class DispatchedRequest
 {
 public:
-    DispatchedRequest() : m_core(options())
+    DispatchedRequest()
+        : m_core(options())
     {
         m_core.applyConfig(*parseFleetConfig(defaultConfig(), 1), m_now);
         m_core.linkUp(link, {"up-0", "dc", gate}, m_now);
@@ -31,9 +32,9 @@
         m_core.receive(link, heartbeat, m_now);
         m_first = submit();
         m_second = submit();
-        m_core.receive(link,
-                       Grant{{{1, "model", 0, "ws", 60'000, 0}, {2, "model", 0, "ws", 60'000, 0}}},
-                       m_now);
+        m_core.receive(
+            link, Grant{{{1, "model", 0, "ws", 60'000, 0, 0}, {2, "model", 0, "ws", 60'000, 0, 0}}},
+            m_now);
         collect();
     }
 
--- a/tests/ClaimShardTest.cpp
+++ b/tests/ClaimShardTest.cpp
@@ -131,8 +131,8 @@
     {
         if (m_random() % 50 == 0)
             m_replica = m_table;
-        const bool stale = static_cast<int>(m_random() % 100) < m_faults.stale
-                           && notOlderThan <= m_replica.lastVersion();
+        const bool stale = static_cast<int>(m_random() % 100) < m_faults.stale &&
+                           notOlderThan <= m_replica.lastVersion();
         return stale ? m_replica : m_table;
     }
 
@@ -210,8 +210,7 @@
         BOOST_TEST(answered.insert(answer.token).second);
         if (answer.result.status != ClaimStatus::Claimed)
             continue;
-        const auto [holder, inserted] =
-            holders.emplace(answer.result.holder.key, answer.token);
+        const auto [holder, inserted] = holders.emplace(answer.result.holder.key, answer.token);
         BOOST_TEST(inserted, "two holders of " << holder->first);
     }
 }
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -33,7 +33,8 @@
     return {EntryHeartbeat{report, 1, 2, 3, true},
             heartbeat,
             Demand{{{"model", 1, "kitchen", 4, 400}}},
-            Grant{{{1, "model", 0, "kitchen", 1000, 12}}},
+            Grant{{{1, "model", 0, "kitchen", 1000, 12, 55}}},
+            RecallCredits{{4, 5}},
             ReturnCredits{{1, 2, 3}},
             dispatch,
             Accepted{request},
@@ -66,10 +67,10 @@
 
 BOOST_AUTO_TEST_CASE(truncatedMessagesAreRefused)
 {
-    const std::string bytes = encodePeerMessage(allMessages()[5]);
+    const std::string bytes = encodePeerMessage(allMessages()[6]);
     for (std::size_t size = 0; size + 8 < bytes.size(); size += 8) {
         const auto decoded = decodePeerMessage(bytes.substr(0, size));
-        BOOST_TEST((!decoded || *decoded != allMessages()[5]));
+        BOOST_TEST((!decoded || *decoded != allMessages()[6]));
     }
 }
 
--- a/tests/DrainTest.cpp
+++ b/tests/DrainTest.cpp
@@ -22,7 +22,8 @@
 
 /// A load under which one upstream is told to leave after a second in the given way.
 template <typename Leave>
-void requireCleanLeave(Leave leave, void (*prepare)(CoreHarness &) = [](CoreHarness &) {})
+void requireCleanLeave(
+    Leave leave, void (*prepare)(CoreHarness &) = [](CoreHarness &) {})
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         HarnessOptions options;
@@ -64,17 +65,14 @@
 
 BOOST_AUTO_TEST_CASE(aMarkStopsNewWorkAndCutsNothing)
 {
-    requireCleanLeave([](CoreHarness &harness) {
-        harness.acceptConfig(markedConfig("up-1", Mark::Stop), 0);
-    });
+    requireCleanLeave(
+        [](CoreHarness &harness) { harness.acceptConfig(markedConfig("up-1", Mark::Stop), 0); });
 }
 
 BOOST_AUTO_TEST_CASE(aMarkReachesAGateThatOneEntryCannotReach)
 {
     requireCleanLeave(
-        [](CoreHarness &harness) {
-            harness.acceptConfig(markedConfig("up-1", Mark::Leave), 0);
-        },
+        [](CoreHarness &harness) { harness.acceptConfig(markedConfig("up-1", Mark::Leave), 0); },
         [](CoreHarness &harness) { harness.partition(0, 1, seconds(30)); });
 }
 
