--- a/bench/PolicyRun.cpp
+++ b/bench/PolicyRun.cpp
@@ -177,14 +177,14 @@
 
 bool isGood(const Served &served, TierRank tier)
 {
-    return served.whole && served.firstToken <= firstTokenTarget(tier) &&
-           served.meanGap <= betweenTokensTarget;
+    return served.whole && served.firstToken <= firstTokenTarget(tier)
+           && served.meanGap <= betweenTokensTarget;
 }
 
 RunReport runExperiment(const RunSpec &spec)
 {
-    const bool push = spec.policy == Policy::RoundRobin || spec.policy == Policy::LeastReported ||
-                      spec.policy == Policy::TwoChoices;
+    const bool push = spec.policy == Policy::RoundRobin || spec.policy == Policy::LeastReported
+                      || spec.policy == Policy::TwoChoices;
     RunReport report = push ? runPush(spec) : runHarness(spec);
     report.seconds = std::chrono::duration<double>(spec.measureUntil - spec.measureFrom).count();
     return report;
--- a/bench/PushSimulation.cpp
+++ b/bench/PushSimulation.cpp
@@ -156,8 +156,8 @@
 {
     for (Engine &engine : m_engines) {
         engine.reports.emplace_back(m_now, engine.model.running());
-        while (engine.reports.size() > 2 &&
-               engine.reports[1].first <= m_now - reportAge - reportInterval)
+        while (engine.reports.size() > 2
+               && engine.reports[1].first <= m_now - reportAge - reportInterval)
             engine.reports.pop_front();
     }
     m_nextReport = m_now + reportInterval;
--- a/ctl/Commands.cpp
+++ b/ctl/Commands.cpp
@@ -313,8 +313,8 @@
 
 bool matches(const Command &command, Words words)
 {
-    return words.size() == command.words.size() + command.argumentCount &&
-           std::ranges::equal(command.words, words.first(command.words.size()));
+    return words.size() == command.words.size() + command.argumentCount
+           && std::ranges::equal(command.words, words.first(command.words.size()));
 }
 
 } // namespace
--- a/src/config/FleetConfig.cpp
+++ b/src/config/FleetConfig.cpp
@@ -108,8 +108,8 @@
         workspace.highestTier = item.optionalString("highestTier", "");
         for (const string_view key : {"defaultTier", "highestTier"}) {
             const auto &tier = key == "defaultTier" ? workspace.defaultTier : workspace.highestTier;
-            if (!tier.empty() && config.presets.contains(config.presetInForce) &&
-                !config.tierRank(tier))
+            if (!tier.empty() && config.presets.contains(config.presetInForce)
+                && !config.tierRank(tier))
                 item.fault(key, "names no tier");
         }
         item.finish();
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -73,8 +73,8 @@
                             ""};
         if (withRole)
             token.role = reader.choice("role", "admin", roles);
-        if (!token.tokenSha256.empty() &&
-            (token.tokenSha256.size() != digestHexDigits || !isLowerHex(token.tokenSha256)))
+        if (!token.tokenSha256.empty()
+            && (token.tokenSha256.size() != digestHexDigits || !isLowerHex(token.tokenSha256)))
             reader.fault("tokenSha256", "must be 64 lower-case hex digits");
         if (!token.name.empty() && !names.insert(token.name).second)
             reader.fault("name", "is used twice");
--- a/src/control/ConfigChanger.h
+++ b/src/control/ConfigChanger.h
@@ -60,14 +60,14 @@
                 co_return present->config;
             if (expected && present->generation != *expected)
                 co_return failure(ErrorKind::VersionConflict,
-                                  "the configuration has generation " +
-                                      std::to_string(present->generation));
+                                  "the configuration has generation "
+                                      + std::to_string(present->generation));
             const auto written = co_await write(edit, *present, changeId);
             if (written)
                 co_return written;
             last = written.error();
-            const bool retry = last.kind == ErrorKind::StoreUnavailable ||
-                               (last.kind == ErrorKind::VersionConflict);
+            const bool retry = last.kind == ErrorKind::StoreUnavailable
+                               || (last.kind == ErrorKind::VersionConflict);
             if (!retry)
                 co_return written;
         }
--- a/src/entry/CallerApi.cpp
+++ b/src/entry/CallerApi.cpp
@@ -125,8 +125,8 @@
     bool isSchedulable(const HttpRequest &request) const
     {
         const std::string_view path = request.path();
-        return path.starts_with("/v1/services/") || path == "/v1/chat/completions" ||
-               path == "/v1/completions";
+        return path.starts_with("/v1/services/") || path == "/v1/chat/completions"
+               || path == "/v1/completions";
     }
 
     asio::awaitable<void> serveSchedulable(HttpExchange &exchange, std::string workspace)
@@ -257,8 +257,9 @@
         const Duration firstToken = progress.firstByteAt - progress.startedAt;
         const int gaps = std::max(1, progress.pieces - 1);
         const Duration gap = (total - firstToken) / gaps;
-        const bool inTime = !progress.stream || (firstToken <= progress.firstTokenTarget &&
-                                                 gap <= progress.betweenTokensTarget);
+        const bool inTime =
+            !progress.stream
+            || (firstToken <= progress.firstTokenTarget && gap <= progress.betweenTokensTarget);
         if (sent && inTime)
             metrics.add("tamarack_goodput_total", tierLabel(progress));
     }
--- a/src/entry/CallerRequest.cpp
+++ b/src/entry/CallerRequest.cpp
@@ -51,8 +51,8 @@
         return tier.defaultDeadline;
     std::int64_t value = 0;
     const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
-    if (error != std::errc() || end != text->data() + text->size() || value < 1 ||
-        value > longestDeadlineMs)
+    if (error != std::errc() || end != text->data() + text->size() || value < 1
+        || value > longestDeadlineMs)
         return failure(ErrorKind::BadRequest,
                        "Tamarack-Deadline-Ms must be a whole number from 1 to 86400000");
     return milliseconds(value);
@@ -105,8 +105,8 @@
     const std::string_view needed = chat ? "messages" : "prompt";
     const auto *input = object->if_contains(needed);
     if (!input || !(chat ? input->is_array() : input->is_string()))
-        return failure(ErrorKind::BadRequest, std::string(needed) + ": is required and must be " +
-                                                  (chat ? "an array" : "a string"));
+        return failure(ErrorKind::BadRequest, std::string(needed) + ": is required and must be "
+                                                  + (chat ? "an array" : "a string"));
     const auto *stream = object->if_contains("stream");
     if (stream && !stream->is_bool())
         return failure(ErrorKind::BadRequest, "stream: must be true or false");
@@ -115,6 +115,7 @@
     submission.promptTokens = static_cast<std::uint32_t>(prompt.size() / bytesPerToken + 1);
     submission.expectedWork =
         submission.promptTokens * workPerPromptToken + outputBound(*object) * workPerOutputToken;
+    submission.outputTokens = static_cast<std::uint32_t>(outputBound(*object));
     submission.prefix = fnv1a(std::string_view(prompt).substr(0, prefixBytes)) | 1;
     submission.body.path = std::string(request.path());
     return {};
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -169,8 +169,8 @@
 
     bool knowsUpstream(std::string_view name) const
     {
-        return gateNames.contains(std::string(name)) ||
-               (core.config() && core.config()->marks.contains(name));
+        return gateNames.contains(std::string(name))
+               || (core.config() && core.config()->marks.contains(name));
     }
 
     // --- actions ---
--- a/src/gate/GateCore.cpp
+++ b/src/gate/GateCore.cpp
@@ -70,8 +70,8 @@
         const auto saysLeaving = [](const auto &row) {
             return row.second.heartbeat.upstreamLeaving;
         };
-        return leaving || (config && config->mark(options.name) != Mark::None) ||
-               std::ranges::any_of(links, saysLeaving);
+        return leaving || (config && config->mark(options.name) != Mark::None)
+               || std::ranges::any_of(links, saysLeaving);
     }
 
     bool grantable() const
@@ -163,8 +163,8 @@
 
     void grantSpare(std::map<LinkId, Grant> &grants, TimePoint now)
     {
-        if (linkByEntry.empty() || targets.empty() || available() <= 0 ||
-            !prefillAllows(sparePromptTokens))
+        if (linkByEntry.empty() || targets.empty() || available() <= 0
+            || !prefillAllows(sparePromptTokens))
             return;
         std::map<Incarnation, std::size_t> spares;
         for (const auto &[id, credit] : ledger.open())
@@ -327,8 +327,8 @@
             send(subscriber.link, *request.head);
             subscriber.headSent = true;
         }
-        while (subscriber.sent < request.answer.length() &&
-               subscriber.sent < subscriber.acked + sendWindowBytes) {
+        while (subscriber.sent < request.answer.length()
+               && subscriber.sent < subscriber.acked + sendWindowBytes) {
             const auto bytes = request.answer.from(subscriber.sent, chunkBytes);
             if (!bytes)
                 return;
@@ -385,8 +385,8 @@
     {
         auto found = requests.find(query.request);
         const bool ofPredecessor = query.gate != options.incarnation;
-        if (found == requests.end() && ofPredecessor && options.engine &&
-            health == EngineHealth::Up) {
+        if (found == requests.end() && ofPredecessor && options.engine
+            && health == EngineHealth::Up) {
             // The engine may still hold the answer of a request that an earlier process started.
             adopt({query.request, ""}, now);
             found = requests.find(query.request);
@@ -536,8 +536,8 @@
             if (credit.entry != entry || credit.spare)
                 continue;
             const auto row = std::ranges::find_if(message.rows, [&c = credit](const auto &r) {
-                return r.count > 0 && r.tier == c.tier && r.target == c.target &&
-                       r.workspace == c.workspace;
+                return r.count > 0 && r.tier == c.tier && r.target == c.target
+                       && r.workspace == c.workspace;
             });
             if (row == message.rows.end())
                 continue;
@@ -622,8 +622,8 @@
     void dropOld(TimePoint now)
     {
         for (auto &[id, request] : requests) {
-            const bool orphan = request.subscribers.empty() && !request.dispatch.keyed &&
-                                now - request.lastSubscribedAt > unclaimedAnswerLife;
+            const bool orphan = request.subscribers.empty() && !request.dispatch.keyed
+                                && now - request.lastSubscribedAt > unclaimedAnswerLife;
             if (orphan && options.engine && request.running())
                 abandon(request, now);
             if (request.done() && now - request.lastSubscribedAt > unclaimedAnswerLife)
@@ -962,8 +962,8 @@
 bool GateCore::answerIsAhead(RequestId request) const
 {
     const auto found = m_private->requests.find(request);
-    return found != m_private->requests.end() && !found->second.dispatch.keyed &&
-           found->second.answer.heldBytes() > readAheadBytes;
+    return found != m_private->requests.end() && !found->second.dispatch.keyed
+           && found->second.answer.heldBytes() > readAheadBytes;
 }
 
 bool GateCore::idle() const
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -160,8 +160,8 @@
             m_request = toRequest(parser.release());
             co_return true;
         }
-        if (error != http::error::end_of_stream &&
-            error.category() == beast::error_code(http::error::bad_method).category())
+        if (error != http::error::end_of_stream
+            && error.category() == beast::error_code(http::error::bad_method).category())
             co_await refuse(statusOfReadError(error), error.message());
         co_return false;
     }
@@ -266,8 +266,8 @@
         if (!error)
             acceptor.listen(listenBacklog, error);
         if (error)
-            return failure(ErrorKind::IoFailed, "cannot listen on " + toString(listener.endpoint) +
-                                                    ": " + error.message());
+            return failure(ErrorKind::IoFailed, "cannot listen on " + toString(listener.endpoint)
+                                                    + ": " + error.message());
         return listener.tls ? openTls(*listener.tls) : Result<void>();
     }
 
--- a/src/platform/ObjectStore.cpp
+++ b/src/platform/ObjectStore.cpp
@@ -159,8 +159,8 @@
 asio::awaitable<Result<StoredObject>> ObjectStore::watch(std::string key, ObjectVersion after,
                                                          Duration wait)
 {
-    std::string target = "/objects/" + key + "?watch=" + std::to_string(after) +
-                         "&wait=" + std::to_string(toMs(wait));
+    std::string target = "/objects/" + key + "?watch=" + std::to_string(after)
+                         + "&wait=" + std::to_string(toMs(wait));
     return m_private->fetch(std::move(target), wait + watchMargin);
 }
 
--- a/src/sched/EntryCore.cpp
+++ b/src/sched/EntryCore.cpp
@@ -71,9 +71,9 @@
     bool usable(const Gate &gate) const
     {
         const auto &name = gate.identity.name;
-        return gate.heartbeatSeen && gate.heartbeat.engineUp && !gate.heartbeat.leaving &&
-               (!config || config->mark(name) == Mark::None) &&
-               std::ranges::find(leavingHosts, name) == leavingHosts.end();
+        return gate.heartbeatSeen && gate.heartbeat.engineUp && !gate.heartbeat.leaving
+               && (!config || config->mark(name) == Mark::None)
+               && std::ranges::find(leavingHosts, name) == leavingHosts.end();
     }
 
     bool serves(const Gate &gate, std::string_view target) const
@@ -192,8 +192,8 @@
     /// Expected time from now to the first token if the prompt were sent on this credit.
     static Duration expectedFirstToken(std::uint32_t promptTokens, const Credit &credit)
     {
-        return milliseconds(credit.backlogMs) +
-               promptTokens * std::chrono::microseconds(credit.microsPerPromptToken);
+        return milliseconds(credit.backlogMs)
+               + promptTokens * std::chrono::microseconds(credit.microsPerPromptToken);
     }
 
     Duration firstTokenTarget(TierRank tier) const
@@ -207,8 +207,8 @@
     {
         const Duration target = firstTokenTarget(tier);
         const Duration expected = expectedFirstToken(promptTokens, credit);
-        return !options.firstTokenFit || expected <= target * suitedShareOfTarget ||
-               waited >= target * patienceShareOfTarget;
+        return !options.firstTokenFit || expected <= target * suitedShareOfTarget
+               || waited >= target * patienceShareOfTarget;
     }
 
     WaitingQueue::Match match(const WaitingRequest &waiting, const HeldCredit &held,
@@ -218,8 +218,8 @@
         const Duration waited = now - requests.at(waiting.id).arrivedAt;
         if (!suits(waiting.tier, waiting.promptTokens, waited, held.credit))
             return Match::Unsuited;
-        const bool cached = options.affinity && waiting.prefix != 0 &&
-                            affinity.matches(waiting.prefix, held.gateName);
+        const bool cached = options.affinity && waiting.prefix != 0
+                            && affinity.matches(waiting.prefix, held.gateName);
         return cached ? Match::Preferred : Match::Suited;
     }
 
@@ -227,8 +227,8 @@
     {
         const auto found = std::ranges::find_if(suspects, [this, &held](RequestId id) {
             const Submission &submission = requests.at(id).submission;
-            return submission.target == held.credit.target &&
-                   trialGate(submission.fingerprint, submission.target) == held.gate;
+            return submission.target == held.credit.target
+                   && trialGate(submission.fingerprint, submission.target) == held.gate;
         });
         if (found == suspects.end())
             return std::nullopt;
@@ -367,8 +367,8 @@
             return false;
         const Submission &submission = request.submission;
         const auto rank = [this, &submission](const HeldCredit &held) {
-            const bool cached = options.affinity && submission.prefix != 0 &&
-                                affinity.matches(submission.prefix, held.gateName);
+            const bool cached = options.affinity && submission.prefix != 0
+                                && affinity.matches(submission.prefix, held.gateName);
             const Duration expected = expectedFirstToken(submission.promptTokens, held.credit);
             const bool late = expected > firstTokenTarget(submission.tier) * suitedShareOfTarget;
             const bool remote = gates.at(held.gate).identity.dataCentre != options.dataCentre;
@@ -509,8 +509,8 @@
     void refused(const Refused &message)
     {
         const auto found = requests.find(message.request);
-        if (found == requests.end() || !found->second.dispatched() ||
-            found->second.credit.credit.id != message.credit)
+        if (found == requests.end() || !found->second.dispatched()
+            || found->second.credit.credit.id != message.credit)
             return;
         EntryRequest &request = found->second;
         if (message.kind == ErrorKind::Quarantined || message.kind == ErrorKind::DeadlineUnmet)
@@ -700,14 +700,26 @@
     {
         if (now >= request.deadline)
             return request.dispatched() ? ErrorKind::DeadlineExceeded : ErrorKind::DeadlineUnmet;
-        if (request.state == EntryRequestState::Waiting &&
-            now - std::max(request.arrivedAt, lastServed(request)) >= noUpstreamBound)
+        if (request.state == EntryRequestState::Waiting && isHopeless(request, now))
+            return ErrorKind::DeadlineUnmet;
+        if (request.state == EntryRequestState::Waiting
+            && now - std::max(request.arrivedAt, lastServed(request)) >= noUpstreamBound)
             return ErrorKind::NoUpstream;
         if (request.state == EntryRequestState::Settling && now >= request.settleBy)
             return request.following(id) ? ErrorKind::OutcomeUnknown : ErrorKind::UpstreamLost;
         return std::nullopt;
     }
 
+    /// Whether the whole answer would come after the deadline even if it were started now.
+    bool isHopeless(const EntryRequest &request, TimePoint now) const
+    {
+        if (!options.refuseHopeless || !config)
+            return false;
+        const Duration answerTime =
+            request.submission.outputTokens * config->preset().betweenTokensTarget;
+        return now + answerTime > request.deadline;
+    }
+
     /// When an upstream of the request's target was last usable.
     TimePoint lastServed(const EntryRequest &request) const
     {
@@ -754,8 +766,8 @@
         for (auto &[id, request] : requests) {
             const bool unaccepted =
                 request.state == EntryRequestState::Sent && now - request.lastHeardAt > acceptBound;
-            const bool quiet = request.state == EntryRequestState::Answering &&
-                               now - request.lastHeardAt > answerSilence;
+            const bool quiet = request.state == EntryRequestState::Answering
+                               && now - request.lastHeardAt > answerSilence;
             if (!unaccepted && !quiet)
                 continue;
             request.lastHeardAt = now;
@@ -780,8 +792,9 @@
     {
         for (auto &[target, credits] : pool)
             std::erase_if(credits, [&](const HeldCredit &held) {
-                return held.gate == gate &&
-                       std::ranges::find(message.credits, held.credit.id) != message.credits.end();
+                return held.gate == gate
+                       && std::ranges::find(message.credits, held.credit.id)
+                              != message.credits.end();
             });
     }
 
@@ -947,8 +960,8 @@
         p.send(link, FingerprintReports{rows});
     for (const auto &[id, request] : p.requests) {
         const auto endpoint = p.endpoints.find(request.answerOf);
-        if (request.state == EntryRequestState::Settling && endpoint != p.endpoints.end() &&
-            endpoint->second.gateName == gate.name)
+        if (request.state == EntryRequestState::Settling && endpoint != p.endpoints.end()
+            && endpoint->second.gateName == gate.name)
             p.askFate(request);
     }
     p.demandChanged = true;
@@ -971,8 +984,8 @@
     p.returns.erase(link);
     for (auto &[id, request] : p.requests) {
         const auto endpoint = p.endpoints.find(request.answerOf);
-        const bool affected = request.dispatched() && endpoint != p.endpoints.end() &&
-                              endpoint->second.gateName == gateName;
+        const bool affected = request.dispatched() && endpoint != p.endpoints.end()
+                              && endpoint->second.gateName == gateName;
         if (!affected || request.state == EntryRequestState::Settling)
             continue;
         request.state = EntryRequestState::Settling;
@@ -989,8 +1002,8 @@
     gate->lastHeard = now;
     if (const auto *grant = std::get_if<Grant>(&message)) {
         for (const Credit &credit : grant->credits) {
-            const auto life = std::chrono::duration_cast<Duration>(milliseconds(credit.lifeMs) *
-                                                                   usableShareOfLife);
+            const auto life = std::chrono::duration_cast<Duration>(milliseconds(credit.lifeMs)
+                                                                   * usableShareOfLife);
             p.useCredit({credit, gate->identity.incarnation, gate->identity.name, now, now + life},
                         now);
         }
@@ -1015,9 +1028,10 @@
     } else if (const auto *push = std::get_if<ConfigPush>(&message)) {
         p.configPushed(*push, now);
     } else if (const auto *heartbeat = std::get_if<GateHeartbeat>(&message)) {
-        const bool changed = gate->heartbeat.targets != heartbeat->targets ||
-                             gate->heartbeat.engineUp != heartbeat->engineUp ||
-                             gate->heartbeat.leaving != heartbeat->leaving || !gate->heartbeatSeen;
+        const bool changed = gate->heartbeat.targets != heartbeat->targets
+                             || gate->heartbeat.engineUp != heartbeat->engineUp
+                             || gate->heartbeat.leaving != heartbeat->leaving
+                             || !gate->heartbeatSeen;
         p.demandChanged = p.demandChanged || changed;
         gate->heartbeat = *heartbeat;
         gate->heartbeatSeen = true;
--- a/src/sched/EntryCore.h
+++ b/src/sched/EntryCore.h
@@ -35,6 +35,8 @@
     Duration settleBound = milliseconds(5000);
     QueueOrder order = QueueOrder::ShortestWork;
     bool affinity = true;
+    /// Refuse a request that could not end by its deadline any more; off for experiments.
+    bool refuseHopeless = true;
     /// Keep long prompts off engines that are too slow for them; off for experiments.
     bool firstTokenFit = true;
 };
@@ -58,6 +60,8 @@
     std::uint32_t promptTokens = 0;
     /// Estimate of the engine time, for the order within a tier.
     Duration expectedWork{};
+    /// Expected length of the answer; 0 when it does not come token by token.
+    std::uint32_t outputTokens = 0;
     std::uint64_t prefix = 0;
     /// Empty without an `Idempotency-Key`.
     std::string key;
--- a/src/sched/EntryRequest.h
+++ b/src/sched/EntryRequest.h
@@ -54,8 +54,8 @@
     bool following(RequestId own) const { return answerOf != own; }
     bool dispatched() const
     {
-        return state == EntryRequestState::Sent || state == EntryRequestState::Answering ||
-               state == EntryRequestState::Settling;
+        return state == EntryRequestState::Sent || state == EntryRequestState::Answering
+               || state == EntryRequestState::Settling;
     }
 };
 
--- a/src/sched/ShedControl.cpp
+++ b/src/sched/ShedControl.cpp
@@ -100,8 +100,8 @@
 {
     if (below == 0)
         return true;
-    const bool heardLongEnough = below < m_wantedSince.size() && m_wantedSince[below] <= now &&
-                                 now - m_wantedSince[below] >= confirmDelay;
+    const bool heardLongEnough = below < m_wantedSince.size() && m_wantedSince[below] <= now
+                                 && now - m_wantedSince[below] >= confirmDelay;
     if (!heardLongEnough || promisedLevel() < below)
         return false;
     bool anyFresh = false;
--- a/tests/ClaimShardTest.cpp
+++ b/tests/ClaimShardTest.cpp
@@ -131,8 +131,8 @@
     {
         if (m_random() % 50 == 0)
             m_replica = m_table;
-        const bool stale = static_cast<int>(m_random() % 100) < m_faults.stale &&
-                           notOlderThan <= m_replica.lastVersion();
+        const bool stale = static_cast<int>(m_random() % 100) < m_faults.stale
+                           && notOlderThan <= m_replica.lastVersion();
         return stale ? m_replica : m_table;
     }
 
--- a/tests/support/CoreHarness.cpp
+++ b/tests/support/CoreHarness.cpp
@@ -378,8 +378,8 @@
     void connect(std::size_t e, std::size_t g)
     {
         Link &record = link(e, g);
-        if (record.up || record.blockedUntil > now || !responsive(entries[e]) ||
-            !responsive(gates[g]))
+        if (record.up || record.blockedUntil > now || !responsive(entries[e])
+            || !responsive(gates[g]))
             return;
         record = {++linkSequence, true, false, {}, now, now};
         const std::uint64_t id = record.id;
@@ -422,8 +422,8 @@
         ++messageCount;
         if (options.checkAlways)
             return;
-        if (!std::holds_alternative<AnswerChunk>(message) &&
-            !std::holds_alternative<Dispatch>(message))
+        if (!std::holds_alternative<AnswerChunk>(message)
+            && !std::holds_alternative<Dispatch>(message))
             controlBytes += encodePeerMessage(message).size() + 20;
     }
 
@@ -1064,6 +1064,7 @@
     submission.promptTokens = promptTokens;
     submission.expectedWork =
         std::chrono::microseconds(200) * promptTokens + milliseconds(2) * outputTokens;
+    submission.outputTokens = outputTokens;
     submission.prefix = prefix;
     submission.body = {"POST", "/v1/completions", "application/json", body, true};
     return call(entry, std::move(submission), outputTokens, prefixTokens);
--- a/tools/fleetplan/main.cpp
+++ b/tools/fleetplan/main.cpp
@@ -106,10 +106,9 @@
         const std::string name = "engine-" + std::to_string(index + 1);
         const int generations = std::clamp(absl::GetFlag(FLAGS_generations), 1, 3);
         const int generation = generations == 1 ? 2 : 1 + index % generations;
-        std::string command = "standin-engine --models=" + std::string(modelName) +
-                              " --generation=" + std::to_string(generation) +
-                              " --listen=" + address +
-                              " --seed=" + std::to_string(absl::GetFlag(FLAGS_seed) + index);
+        std::string command = "standin-engine --models=" + std::string(modelName) + " --generation="
+                              + std::to_string(generation) + " --listen=" + address
+                              + " --seed=" + std::to_string(absl::GetFlag(FLAGS_seed) + index);
         if (index % 2 == 0)
             command += " --check_fencing";
         if (absl::GetFlag(FLAGS_instant))
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -80,9 +80,9 @@
 
     asio::awaitable<void> openLoop(double rate)
     {
-        const auto end =
-            Clock::now() + std::chrono::duration_cast<Clock::duration>(
-                               std::chrono::duration<double>(absl::GetFlag(FLAGS_seconds)));
+        const auto end = Clock::now()
+                         + std::chrono::duration_cast<Clock::duration>(
+                             std::chrono::duration<double>(absl::GetFlag(FLAGS_seconds)));
         auto next = Clock::now();
         std::exponential_distribution<double> gap(rate);
         asio::steady_timer timer(m_context);
@@ -98,9 +98,9 @@
 
     asio::awaitable<void> closedLoop()
     {
-        const auto end =
-            Clock::now() + std::chrono::duration_cast<Clock::duration>(
-                               std::chrono::duration<double>(absl::GetFlag(FLAGS_seconds)));
+        const auto end = Clock::now()
+                         + std::chrono::duration_cast<Clock::duration>(
+                             std::chrono::duration<double>(absl::GetFlag(FLAGS_seconds)));
         while (Clock::now() < end)
             co_await one();
     }
--- a/tools/model/EngineModel.cpp
+++ b/tools/model/EngineModel.cpp
@@ -63,8 +63,8 @@
     }
     m_computedPromptTokens += prefill;
     const auto sequences = static_cast<int>(m_decoding.size());
-    const Duration time = m_speed.stepBase + sequences * m_speed.stepPerSequence +
-                          static_cast<int>(prefill) * m_speed.perPromptToken;
+    const Duration time = m_speed.stepBase + sequences * m_speed.stepPerSequence
+                          + static_cast<int>(prefill) * m_speed.perPromptToken;
     return std::chrono::duration_cast<Duration>(time * m_slowdown);
 }
 
