--- a/src/sched/EntryCore.cpp
+++ b/src/sched/EntryCore.cpp
@@ -550,25 +550,38 @@
 
     // --- load ---
 
-    void updateShedding(TimePoint now)
+    bool isOverdue(RequestId id, TimePoint now) const
+    {
+        const EntryRequest &request = requests.at(id);
+        return now - request.arrivedAt > firstTokenTarget(request.submission.tier);
+    }
+
+    std::vector<TierQueue> tierQueues(TimePoint now) const
     {
-        if (!config)
-            return;
         const auto &tiers = config->preset().tiers;
-        std::vector<std::size_t> queued;
-        std::vector<std::size_t> limits;
+        std::vector<TierQueue> queues;
         for (std::size_t tier = 0; tier < tiers.size(); ++tier) {
-            queued.push_back(queue.size(static_cast<TierRank>(tier)));
-            limits.push_back(tiers[tier].queueLimit);
+            const auto rank = static_cast<TierRank>(tier);
+            const auto oldest = queue.oldest(rank);
+            const bool overdue = options.shedOverdue && oldest && isOverdue(*oldest, now);
+            queues.push_back({queue.size(rank), tiers[tier].queueLimit, overdue});
         }
+        return queues;
+    }
+
+    void updateShedding(TimePoint now)
+    {
+        if (!config)
+            return;
         const auto levels = [this] {
             return std::tuple(shed.wantedLevel(), shed.closedLevel(), shed.promisedLevel());
         };
         const auto levelsBefore = levels();
-        shed.update(queued, limits, now);
+        const std::vector<TierQueue> queues = tierQueues(now);
+        shed.update(queues, now);
         if (shed.closedLevel() > std::get<1>(levelsBefore))
             evictClosed();
-        shedOverLimit(limits, now);
+        shedExcess(queues, now);
         if (levels() != levelsBefore)
             sendHeartbeats(now);
     }
@@ -583,13 +596,18 @@
         }
     }
 
-    void shedOverLimit(const std::vector<std::size_t> &limits, TimePoint now)
+    /// Refuses what has waited too long, then the newest over the limit, lowest tier first.
+    void shedExcess(const std::vector<TierQueue> &queues, TimePoint now)
     {
-        for (int tier = static_cast<int>(limits.size()) - 1; tier >= 0; --tier) {
+        for (int tier = static_cast<int>(queues.size()) - 1; tier >= 0; --tier) {
             const auto rank = static_cast<TierRank>(tier);
+            const TierQueue &state = queues[static_cast<std::size_t>(tier)];
             if (!shed.mayShed(rank, now))
                 return;
-            while (queue.size(rank) > limits[static_cast<std::size_t>(tier)])
+            for (auto oldest = queue.oldest(rank); state.overdue && oldest && isOverdue(*oldest, now);
+                 oldest = queue.oldest(rank))
+                fail(*oldest, ErrorKind::Overloaded);
+            while (queue.size(rank) > state.limit)
                 fail(*queue.newest(rank), ErrorKind::Overloaded);
         }
     }
--- a/src/sched/EntryCore.h
+++ b/src/sched/EntryCore.h
@@ -37,6 +37,8 @@
     bool affinity = true;
     /// Refuse a request that could not end by its deadline any more; off for experiments.
     bool refuseHopeless = true;
+    /// Shed what has waited longer than its first token may take; off for experiments.
+    bool shedOverdue = true;
     /// Keep long prompts off engines that are too slow for them; off for experiments.
     bool firstTokenFit = true;
 };
--- a/src/sched/ShedControl.cpp
+++ b/src/sched/ShedControl.cpp
@@ -24,22 +24,21 @@
     m_gates[gate] = {heartbeat.wantedLevel, heartbeat.closedLevel, heartbeat.promisedLevel, now};
 }
 
-void ShedControl::update(std::span<const std::size_t> queued, std::span<const std::size_t> limits,
-                         TimePoint now)
+void ShedControl::update(std::span<const TierQueue> queues, TimePoint now)
 {
-    updateWanted(ownWanted(queued, limits), now);
+    updateWanted(ownWanted(queues), now);
     updateHeard(now);
     updateClosed(now);
 }
 
-ShedLevel ShedControl::ownWanted(std::span<const std::size_t> queued,
-                                 std::span<const std::size_t> limits) const
+ShedLevel ShedControl::ownWanted(std::span<const TierQueue> queues) const
 {
-    for (std::size_t tier = 0; tier < queued.size(); ++tier) {
+    for (std::size_t tier = 0; tier < queues.size(); ++tier) {
+        const TierQueue &queue = queues[tier];
         const ShedLevel below = tiersBelow(static_cast<TierRank>(tier));
-        const double calm = static_cast<double>(limits[tier]) * calmShare;
-        const bool keeps = m_wanted > below && static_cast<double>(queued[tier]) > calm;
-        if (below > 0 && (queued[tier] > limits[tier] || keeps))
+        const double calm = static_cast<double>(queue.limit) * calmShare;
+        const bool keeps = m_wanted > below && static_cast<double>(queue.waiting) > calm;
+        if (below > 0 && (queue.overdue || queue.waiting > queue.limit || keeps))
             return static_cast<ShedLevel>(below + 1);
     }
     return 0;
--- a/src/sched/ShedControl.h
+++ b/src/sched/ShedControl.h
@@ -9,6 +9,15 @@
 
 namespace tamarack {
 
+/// State of one tier's queue at this entry.
+struct TierQueue
+{
+    std::size_t waiting = 0;
+    std::size_t limit = 0;
+    /// A request has waited for longer than its first token may take.
+    bool overdue = false;
+};
+
 /// Decides which tiers an entry closes and whether it may shed one. A tier is shed only while
 /// every lower tier is known to be closed at every live entry of the fleet: levels rise one at a
 /// time, each after all entries have promised the one below, and fall one at a time, each after
@@ -26,9 +35,8 @@
     void observeGate(Incarnation gate, const GateHeartbeat &heartbeat, TimePoint now);
     void removeGate(Incarnation gate) { m_gates.erase(gate); }
 
-    /// Re-evaluates the levels. Spans are indexed by tier.
-    void update(std::span<const std::size_t> queued, std::span<const std::size_t> limits,
-                TimePoint now);
+    /// Re-evaluates the levels. `queues` is indexed by tier.
+    void update(std::span<const TierQueue> queues, TimePoint now);
 
     ShedLevel wantedLevel() const { return m_wanted; }
     ShedLevel closedLevel() const { return m_closed; }
@@ -53,8 +61,7 @@
         return static_cast<ShedLevel>(m_tierCount - 1 - tier);
     }
     ShedLevel targetLevel() const;
-    ShedLevel ownWanted(std::span<const std::size_t> queued,
-                        std::span<const std::size_t> limits) const;
+    ShedLevel ownWanted(std::span<const TierQueue> queues) const;
     bool permitted(ShedLevel below, TimePoint now) const;
     void updateWanted(ShedLevel wanted, TimePoint now);
     void updateHeard(TimePoint now);
--- a/src/sched/WaitingQueue.cpp
+++ b/src/sched/WaitingQueue.cpp
@@ -96,6 +96,14 @@
     return found->second.rbegin()->second;
 }
 
+std::optional<RequestId> WaitingQueue::oldest(TierRank tier) const
+{
+    const auto found = m_byArrival.find(tier);
+    if (found == m_byArrival.end() || found->second.empty())
+        return std::nullopt;
+    return found->second.begin()->second;
+}
+
 std::vector<RequestId> WaitingQueue::ofTier(TierRank tier) const
 {
     std::vector<RequestId> ids;
--- a/src/sched/WaitingQueue.h
+++ b/src/sched/WaitingQueue.h
@@ -53,6 +53,9 @@
     /// The request of `tier` that was queued last; empty when none waits.
     std::optional<RequestId> newest(TierRank tier) const;
 
+    /// The request of `tier` that was queued first; empty when none waits.
+    std::optional<RequestId> oldest(TierRank tier) const;
+
     std::vector<RequestId> ofTier(TierRank tier) const;
     std::size_t size() const { return m_requests.size(); }
     std::size_t size(TierRank tier) const;
