--- a/src/gate/ConcurrencyLimit.cpp
+++ b/src/gate/ConcurrencyLimit.cpp
@@ -8,8 +8,9 @@
 
 constexpr double initialLimit = 8;
 constexpr double lowestLimit = 1;
-constexpr double allowedOverShare = 0.04;
-constexpr double decreaseFactor = 0.92;
+constexpr double allowedOverShare = 0.03;
+constexpr double weightOfWindow = 0.15;
+constexpr double decreaseFactor = 0.97;
 constexpr double strongDecreaseFactor = 0.6;
 constexpr double slowStartFactor = 1.3;
 constexpr double increaseStep = 1;
@@ -45,7 +46,9 @@
         return;
     const double overShare = static_cast<double>(m_overTarget) / m_samples;
     const double farOverShare = static_cast<double>(m_farOverTarget) / m_samples;
-    if (overShare > allowedOverShare) {
+    // All tokens of one engine step are late together, so a single window says little.
+    m_overShare += weightOfWindow * (overShare - m_overShare);
+    if (m_overShare > allowedOverShare || farOverShare > allowedOverShare) {
         m_slowStart = false;
         const double factor =
             farOverShare > allowedOverShare ? strongDecreaseFactor : decreaseFactor;
--- a/src/gate/ConcurrencyLimit.h
+++ b/src/gate/ConcurrencyLimit.h
@@ -34,6 +34,8 @@
     TimePoint m_windowStart{};
     int m_samples = 0;
     int m_overTarget = 0;
+    /// Share of late tokens, averaged over the latest windows.
+    double m_overShare = 0;
     int m_farOverTarget = 0;
     int m_peakUse = 0;
 };
--- a/src/sched/EntryCore.cpp
+++ b/src/sched/EntryCore.cpp
@@ -604,8 +604,8 @@
             const TierQueue &state = queues[static_cast<std::size_t>(tier)];
             if (!shed.mayShed(rank, now))
                 return;
-            for (auto oldest = queue.oldest(rank); state.overdue && oldest && isOverdue(*oldest, now);
-                 oldest = queue.oldest(rank))
+            for (auto oldest = queue.oldest(rank);
+                 state.overdue && oldest && isOverdue(*oldest, now); oldest = queue.oldest(rank))
                 fail(*oldest, ErrorKind::Overloaded);
             while (queue.size(rank) > state.limit)
                 fail(*queue.newest(rank), ErrorKind::Overloaded);
