--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -13,12 +13,14 @@
 #include "platform/ClaimStore.h"
 #include "platform/HostList.h"
 #include "platform/ObjectStore.h"
+#include "platform/QuarantineStore.h"
 #include "process/Contexts.h"
 #include "process/Supervisor.h"
 #include "sched/EntryCore.h"
 
 #include <algorithm>
 #include <atomic>
+#include <limits>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -36,6 +38,7 @@
 constexpr milliseconds configRetry{300};
 constexpr milliseconds configWatch{10'000};
 constexpr milliseconds hostListInterval{500};
+constexpr milliseconds quarantineInterval{1000};
 constexpr milliseconds handshakeBound{2000};
 constexpr milliseconds connectBound{1000};
 constexpr milliseconds reconnectDelay{200};
@@ -326,6 +329,24 @@
         pump();
     }
 
+    /// Keeps the quarantine in the object API; reads it when the process starts.
+    asio::awaitable<void> quarantineLoop()
+    {
+        std::size_t storedRows = std::numeric_limits<std::size_t>::max();
+        while (true) {
+            std::vector<FingerprintReport> known = core.quarantine().rows();
+            if (known.size() != storedRows) {
+                const auto stored = co_await syncQuarantine(*store, std::move(known));
+                if (stored) {
+                    storedRows = stored->size();
+                    core.learnFingerprints(*stored, now());
+                    pump();
+                }
+            }
+            co_await pause(quarantineInterval);
+        }
+    }
+
     asio::awaitable<void> hostListLoop()
     {
         HostList list(contexts.control().get_executor(), *settings.hostList);
@@ -452,6 +473,7 @@
         if (settings.objectApi) {
             store = std::make_unique<ObjectStore>(contexts.control().get_executor(),
                                                   *settings.objectApi, storeTimeout);
+            supervisor.start("quarantine", [self] { return self->quarantineLoop(); });
             supervisor.start("config", [self] { return self->configLoop(); });
         }
         supervisor.start("ticker", [self] { return self->tickLoop(); });
--- a/src/upstream/UpstreamProcess.cpp
+++ b/src/upstream/UpstreamProcess.cpp
@@ -12,6 +12,7 @@
 #include "platform/ObjectStore.h"
 #include "process/Contexts.h"
 #include "process/Supervisor.h"
+#include "upstream/EngineOrders.h"
 #include "upstream/UpstreamClient.h"
 
 #include <map>
@@ -29,6 +30,7 @@
 constexpr milliseconds storeTimeout{1000};
 constexpr milliseconds handshakeBound{2000};
 constexpr milliseconds hostListInterval{500};
+constexpr milliseconds orderInterval{500};
 constexpr std::string_view servicePrefix = "service:";
 
 GateOptions gateOptions(const Settings &settings)
@@ -132,8 +134,10 @@
                      {{"up", result.health == EngineHealth::Up}, {"boot", hex64(result.boot)}});
         lastHealth = result.health;
         core.engineHealth(result.health, result.boot, now());
-        if (options.engine && !result.models.empty())
+        if (options.engine && !result.models.empty()) {
+            servedModels = result.models;
             core.setTargets(result.models);
+        }
         pump();
     }
 
@@ -276,6 +280,23 @@
         pump();
     }
 
+    asio::awaitable<void> orderLoop()
+    {
+        EngineOrders::Ports ports;
+        ports.config = [this] { return core.config(); };
+        ports.applyConfig = [this](const FleetConfigPtr &config) {
+            core.applyConfig(config, now());
+            pump();
+        };
+        ports.servedModels = [this] { return servedModels; };
+        EngineOrders orders({settings.name, options.incarnation}, settings.upstream.checksFencing,
+                            std::move(ports), *store, client);
+        while (true) {
+            co_await orders.reconcile();
+            co_await pause(orderInterval);
+        }
+    }
+
     asio::awaitable<void> hostListLoop()
     {
         HostList list(contexts.control().get_executor(), *settings.hostList);
@@ -355,6 +376,8 @@
                                                   *settings.objectApi, storeTimeout);
         supervisor.start("start-up", [self] { return self->startUp(); });
         supervisor.start("probe", [self] { return self->probeLoop(); });
+        if (store && options.engine)
+            supervisor.start("orders", [self] { return self->orderLoop(); });
         supervisor.start("ticker", [self] { return self->tickLoop(); });
         if (settings.hostList)
             supervisor.start("host-list", [self] { return self->hostListLoop(); });
@@ -370,6 +393,7 @@
     std::unique_ptr<ObjectStore> store;
     std::unique_ptr<HttpServer> admin;
     Supervisor supervisor;
+    std::vector<std::string> servedModels;
     std::map<LinkId, std::shared_ptr<PeerLink>> links;
     std::set<RequestId> paused;
     std::function<void()> onDrained;
