Peer messages: names keep NUL bytes, small messages cannot expand; latency measured

Found by 100000 inputs of the peer-frame fuzz target: names and texts with a NUL byte were cut when sent on, and a list of empty structs of a few bytes became a million rows that could not be encoded again. The reader may now visit four times the words that were received, plus 1024.

--- a/src/peer/Codec.cpp
+++ b/src/peer/Codec.cpp
@@ -15,7 +15,9 @@
 using Builder = wire::PeerMessage::Builder;
 using Reader = wire::PeerMessage::Reader;
 
-constexpr std::uint64_t traversalLimitWords = 16ULL << 20;
+/// Bounds what a small message can make the reader visit, such as lists of empty structs.
+constexpr std::uint64_t traversalFactor = 4;
+constexpr std::uint64_t traversalFloorWords = 1024;
 constexpr int nestingLimit = 8;
 
 capnp::Data::Reader dataOf(const std::string &bytes)
@@ -23,6 +25,12 @@
     return {reinterpret_cast<const capnp::byte *>(bytes.data()), bytes.size()};
 }
 
+/// Keeps the whole text, NUL bytes included.
+capnp::Text::Reader textOf(const std::string &text)
+{
+    return {text.c_str(), text.size()};
+}
+
 std::string stringOf(capnp::Data::Reader data)
 {
     return {reinterpret_cast<const char *>(data.begin()), data.size()};
@@ -46,7 +54,7 @@
 
 void write(wire::EntryReport::Builder to, const EntryReport &report)
 {
-    to.setName(report.name);
+    to.setName(textOf(report.name));
     to.setIncarnation(report.incarnation);
     to.setGeneration(report.generation);
     auto queued = to.initQueuedByTier(report.queuedByTier.size());
@@ -98,8 +106,7 @@
         group.setLeaving(message.leaving);
         auto targets = group.initTargets(message.targets.size());
         for (unsigned i = 0; i < message.targets.size(); ++i)
-            targets.set(i,
-                        capnp::Text::Reader(message.targets[i].c_str(), message.targets[i].size()));
+            targets.set(i, textOf(message.targets[i]));
         group.setInFlight(message.inFlight);
         group.setLimit(message.limit);
         group.setWantedLevel(message.wantedLevel);
@@ -115,9 +122,9 @@
         auto rows = to.initDemand(message.rows.size());
         for (unsigned i = 0; i < message.rows.size(); ++i) {
             const DemandRow &row = message.rows[i];
-            rows[i].setTarget(row.target);
+            rows[i].setTarget(textOf(row.target));
             rows[i].setTier(row.tier);
-            rows[i].setWorkspace(row.workspace);
+            rows[i].setWorkspace(textOf(row.workspace));
             rows[i].setCount(row.count);
             rows[i].setPromptTokens(row.promptTokens);
         }
@@ -129,9 +136,9 @@
         for (unsigned i = 0; i < message.credits.size(); ++i) {
             const Credit &credit = message.credits[i];
             credits[i].setId(credit.id);
-            credits[i].setTarget(credit.target);
+            credits[i].setTarget(textOf(credit.target));
             credits[i].setTier(credit.tier);
-            credits[i].setWorkspace(credit.workspace);
+            credits[i].setWorkspace(textOf(credit.workspace));
             credits[i].setLifeMs(credit.lifeMs);
             credits[i].setBacklogMs(credit.backlogMs);
             credits[i].setMicrosPerPromptToken(credit.microsPerPromptToken);
@@ -160,18 +167,18 @@
         write(group.initRequest(), message.request);
         group.setCredit(message.credit);
         group.setGate(message.gate);
-        group.setTarget(message.target);
+        group.setTarget(textOf(message.target));
         group.setTier(message.tier);
-        group.setWorkspace(message.workspace);
+        group.setWorkspace(textOf(message.workspace));
         group.setFingerprint(message.fingerprint);
         group.setRemainingMs(message.remainingMs);
         group.setHeldMs(message.heldMs);
         group.setPromptTokens(message.promptTokens);
         group.setAlone(message.alone);
         group.setKeyed(message.keyed);
-        group.setMethod(message.body.method);
-        group.setPath(message.body.path);
-        group.setContentType(message.body.contentType);
+        group.setMethod(textOf(message.body.method));
+        group.setPath(textOf(message.body.path));
+        group.setContentType(textOf(message.body.contentType));
         group.setBody(dataOf(message.body.body));
         group.setStream(message.body.stream);
     }
@@ -191,7 +198,7 @@
         auto group = to.initAnswerHead();
         write(group.initRequest(), message.request);
         group.setStatus(message.status);
-        group.setContentType(message.contentType);
+        group.setContentType(textOf(message.contentType));
     }
 
     void operator()(const AnswerChunk &message)
@@ -242,7 +249,7 @@
     {
         auto group = to.initConfigPush();
         group.setGeneration(message.generation);
-        group.setText(message.text);
+        group.setText(textOf(message.text));
     }
 
     void operator()(const FingerprintReports &message)
@@ -428,7 +435,7 @@
     std::memcpy(words.begin(), bytes.data(), bytes.size());
     try {
         capnp::ReaderOptions options;
-        options.traversalLimitInWords = traversalLimitWords;
+        options.traversalLimitInWords = traversalFactor * words.size() + traversalFloorWords;
         options.nestingLimit = nestingLimit;
         capnp::FlatArrayMessageReader reader(words, options);
         return readMessage(reader.getRoot<wire::PeerMessage>());
--- a/tools/latency.sh
+++ b/tools/latency.sh
@@ -28,7 +28,7 @@
     sent=$(awk '$1 == "live" { print $3 }' "$dir/load.txt")
     awk -v n="$name" -v s="$seconds" -v c=$((after - before)) -v w="$sent" '$1 == "live" {
         printf "%-34s %8.0f/s  first token p50 %6.2f ms  p99 %6.2f ms  cpu %5.2f s  %6.0f requests a cpu second\n",
-            n, w / s, $8, $9, c / 100, c > 0 ? w * 100 / c : 0 }' "$dir/load.txt"
+            n, w / s, $8, $9, c / 100, (c > 0 ? w * 100 / c : 0) }' "$dir/load.txt"
 }
 entry_pid=$(awk '$1 == "entry-1" { print $2 }' "$dir/pids")
 measure "engine alone, 200/s" "$relay" --target="$engine" --rate=200
