--- a/src/gate/GateCore.cpp
+++ b/src/gate/GateCore.cpp
@@ -25,6 +25,7 @@
 /// Prompt for which a spare credit should be good.
 constexpr std::uint32_t sparePromptTokens = 128;
 constexpr double workPerAnswerByte = 0.5;
+constexpr milliseconds reportInterval{2000};
 constexpr milliseconds lostEntryLife{5000};
 constexpr milliseconds shortestStall{1000};
 constexpr int stallFactor = 4;
@@ -505,15 +506,25 @@
         message.wantedLevel = wantedLevel();
         message.closedLevel = closedLevel();
         message.promisedLevel = promisedLevel();
+        return message;
+    }
+
+    /// Only operators need the reports of the other entries, so they go out less often.
+    void addEntryReports(GateHeartbeat &message, TimePoint now)
+    {
+        if (now - lastReports < reportInterval)
+            return;
+        lastReports = now;
         for (const auto &[id, link] : links)
             message.entries.push_back(link.heartbeat.report);
-        return message;
     }
 
     void sendHeartbeats(TimePoint now)
     {
         lastHeartbeat = now;
-        broadcast(heartbeat());
+        GateHeartbeat message = heartbeat();
+        addEntryReports(message, now);
+        broadcast(message);
     }
 
     void entryHeartbeat(LinkId id, Link &link, const EntryHeartbeat &message, TimePoint now)
@@ -711,6 +722,7 @@
     bool stalled = false;
     TimePoint lastProgress{};
     TimePoint lastHeartbeat{};
+    TimePoint lastReports{};
 };
 
 GateCore::GateCore(GateOptions options)
--- a/src/peer/Codec.cpp
+++ b/src/peer/Codec.cpp
@@ -6,7 +6,8 @@
 #include <cstring>
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
 
 namespace tamarack {
 
@@ -16,7 +17,7 @@
 using Reader = wire::PeerMessage::Reader;
 
 /// Bounds what a small message can make the reader visit, such as lists of empty structs.
-constexpr std::uint64_t traversalFactor = 4;
+constexpr std::uint64_t traversalWordsPerByte = 512;
 constexpr std::uint64_t traversalFloorWords = 1024;
 constexpr int nestingLimit = 8;
 
@@ -421,23 +422,22 @@
 {
     capnp::MallocMessageBuilder builder;
     std::visit(Writer{builder.initRoot<wire::PeerMessage>()}, message);
-    const auto words = capnp::messageToFlatArray(builder);
-    const auto bytes = words.asBytes();
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, builder);
+    const auto bytes = stream.getArray();
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
 }
 
 Result<tamarack::PeerMessage> decodePeerMessage(std::string_view bytes)
 {
-    if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0)
-        return failure(ErrorKind::BadRequest, "peer message is not a whole number of words");
-    // The reader needs word alignment, which a slice of a receive buffer does not have.
-    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
-    std::memcpy(words.begin(), bytes.data(), bytes.size());
     try {
         capnp::ReaderOptions options;
-        options.traversalLimitInWords = traversalFactor * words.size() + traversalFloorWords;
+        options.traversalLimitInWords =
+            traversalWordsPerByte * bytes.size() + traversalFloorWords;
         options.nestingLimit = nestingLimit;
-        capnp::FlatArrayMessageReader reader(words, options);
+        kj::ArrayInputStream stream(
+            {reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()});
+        capnp::PackedMessageReader reader(stream, options);
         return readMessage(reader.getRoot<wire::PeerMessage>());
     } catch (const kj::Exception &error) {
         return failure(ErrorKind::BadRequest, error.getDescription().cStr());
--- a/src/peer/Codec.h
+++ b/src/peer/Codec.h
@@ -9,7 +9,7 @@
 
 namespace tamarack {
 
-/// Encodes one message as a Cap'n Proto packed segment table.
+/// Encodes one message in Cap'n Proto's packed form.
 std::string encodePeerMessage(const PeerMessage &message);
 
 /// Decodes untrusted bytes. Any malformed input gives `BadRequest`.
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -75,6 +75,7 @@
     ShedLevel closedLevel = 0;
     /// Lowest promised level over the live entries linked to the gate.
     ShedLevel promisedLevel = 0;
+    /// Empty in most heartbeats; the last list stays valid.
     std::vector<EntryReport> entries;
 
     bool operator==(const GateHeartbeat &) const = default;
--- a/src/sched/EntryCore.cpp
+++ b/src/sched/EntryCore.cpp
@@ -1051,7 +1051,10 @@
                              || gate->heartbeat.leaving != heartbeat->leaving
                              || !gate->heartbeatSeen;
         p.demandChanged = p.demandChanged || changed;
+        auto reports = std::move(gate->heartbeat.entries);
         gate->heartbeat = *heartbeat;
+        if (gate->heartbeat.entries.empty())
+            gate->heartbeat.entries = std::move(reports);
         gate->heartbeatSeen = true;
         p.shed.observeGate(gate->identity.incarnation, *heartbeat, now);
         p.admitEarly(now);
