--- a/bench/ClaimBench.cpp
+++ b/bench/ClaimBench.cpp
@@ -1,4 +1,5 @@
 #include "claims/ClaimBook.h"
+#include "model/ClaimCalls.h"
 #include "model/ObjectTable.h"
 
 #include <algorithm>
@@ -24,6 +25,7 @@
 using standin::ObjectTable;
 
 constexpr milliseconds storeTime{3};
+constexpr std::size_t listedObjects = 200;
 
 /// Claims of several entries against one object API on a virtual clock.
 class ClaimRun
@@ -65,7 +67,8 @@
                                            share * static_cast<double>(m_latencies.size() - 1))];
         };
         fmt::print("{:<28} {:>8} {:>9.0f} {:>9.0f} {:>9.1f} {:>9.1f}\n", name, m_latencies.size(),
-                   m_writes / seconds, m_reads / seconds, at(0.5), at(0.99));
+                   static_cast<double>(m_calls.writes()) / seconds,
+                   static_cast<double>(m_calls.reads()) / seconds, at(0.5), at(0.99));
     }
 
 private:
@@ -121,9 +124,7 @@
             if (!call)
                 continue;
             auto result = std::make_shared<ClaimCallResult>();
-            in(storeTime / 2, [this, call = *call, result] {
-                *result = std::visit([this](const auto &item) { return perform(item); }, call);
-            });
+            in(storeTime / 2, [this, call = *call, result] { *result = m_calls.perform(call); });
             in(storeTime, [this, entry, shard, result] {
                 m_books[entry].shard(shard).callDone(*result, m_now);
                 pump(entry);
@@ -135,59 +136,17 @@
                     .count());
     }
 
-    ClaimCallResult written(std::optional<std::uint64_t> version)
-    {
-        ++m_writes;
-        return {version ? StoreStatus::Done : StoreStatus::Refused, "", version.value_or(0), {}};
-    }
-
-    ClaimCallResult perform(const claims::Create &call)
-    {
-        return written(m_table.put(call.key, call.value, ObjectTable::Condition::Absent, 0));
-    }
-
-    ClaimCallResult perform(const claims::Update &call)
-    {
-        const auto condition =
-            call.version == 0 ? ObjectTable::Condition::Absent : ObjectTable::Condition::Version;
-        return written(m_table.put(call.key, call.value, condition, call.version));
-    }
-
-    ClaimCallResult perform(const claims::Remove &call)
-    {
-        m_table.remove(call.key);
-        return written(1);
-    }
-
-    ClaimCallResult perform(const claims::Read &call)
-    {
-        ++m_reads;
-        const auto object = m_table.find(call.key);
-        if (!object)
-            return {StoreStatus::Refused, "", 0, {}};
-        return {StoreStatus::Done, object->value, object->version, {}};
-    }
-
-    ClaimCallResult perform(const claims::List &call)
-    {
-        ++m_reads;
-        ClaimCallResult result{StoreStatus::Done, "", 0, {}};
-        for (const auto &object : m_table.list(call.prefix, call.after, 200))
-            result.objects.push_back({object.key, object.value, object.version});
-        return result;
-    }
-
     TimePoint m_now{std::chrono::seconds(1000)};
     std::mt19937_64 m_random;
     std::vector<ClaimBook> m_books;
     ObjectTable m_table;
+    standin::ClaimCalls m_calls{
+        m_table, [this](std::uint64_t) -> const ObjectTable & { return m_table; }, listedObjects};
     std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
     std::unordered_map<ClaimToken, TimePoint> m_sentAt;
     std::vector<double> m_latencies;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_keys = 0;
-    double m_writes = 0;
-    double m_reads = 0;
 };
 
 } // namespace
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -16,6 +16,7 @@
 #include "platform/QuarantineStore.h"
 #include "process/Contexts.h"
 #include "process/Supervisor.h"
+#include "process/Timers.h"
 #include "sched/EntryCore.h"
 
 #include <algorithm>
@@ -46,23 +47,12 @@
 /// How long a draining entry goes on showing that it is not ready before it stops accepting.
 constexpr milliseconds drainNotice{1000};
 
-TimePoint now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::int64_t wallSeconds()
 {
     const auto time = std::chrono::system_clock::now().time_since_epoch();
     return std::chrono::duration_cast<std::chrono::seconds>(time).count();
 }
 
-asio::awaitable<void> pause(Duration duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 EntryOptions entryOptions(const Settings &settings)
 {
     EntryOptions options;
@@ -123,7 +113,7 @@
         CallerPorts ports;
         ports.submit = [this](Submission submission, std::shared_ptr<CallerChannel> channel) {
             onControl([this, submission = std::move(submission), channel]() mutable {
-                const RequestId id = core.submit(std::move(submission), now());
+                const RequestId id = core.submit(std::move(submission), steadyNow());
                 channel->push({CallerSubmitted{id}});
                 callers[id] = channel;
             });
@@ -131,11 +121,11 @@
         ports.callerGone = [this](RequestId id) {
             onControl([this, id] {
                 callers.erase(id);
-                core.callerGone(id, now());
+                core.callerGone(id, steadyNow());
             });
         };
         ports.callerTook = [this](RequestId id, std::uint64_t bytes) {
-            onControl([this, id, bytes] { core.callerTook(id, bytes, now()); });
+            onControl([this, id, bytes] { core.callerTook(id, bytes, steadyNow()); });
         };
         ports.config = [this] { return sharedConfig.load(); };
         ports.ready = [this] { return sharedConfig.load() && linkCount > 0 && !draining; };
@@ -163,7 +153,7 @@
         ports.store = [this] { return store.get(); };
         ports.applyConfig = [this](const FleetConfigPtr &config) { applyConfig(config); };
         ports.release = [this](Fingerprint fingerprint) {
-            const bool released = core.release(fingerprint, now());
+            const bool released = core.release(fingerprint, steadyNow());
             pump();
             return released;
         };
@@ -181,7 +171,7 @@
 
     void pump()
     {
-        for (const EntryAction &action : core.takeActions(now()))
+        for (const EntryAction &action : core.takeActions(steadyNow()))
             std::visit([this](const auto &item) { act(item); }, action);
         for (auto &[id, events] : std::exchange(outbox, {})) {
             const auto caller = callers.find(id);
@@ -238,9 +228,9 @@
     void act(const entry::Claim &action)
     {
         if (store)
-            claims.submit(action.record, now());
+            claims.submit(action.record, steadyNow());
         else
-            core.claimResult(action.request, {}, now());
+            core.claimResult(action.request, {}, steadyNow());
     }
 
     void act(const entry::CloseLink &action)
@@ -254,11 +244,11 @@
     void runClaims()
     {
         for (std::size_t index = 0; store && index < claims.size(); ++index) {
-            if (auto call = claims.shard(index).takeCall(now()))
+            if (auto call = claims.shard(index).takeCall(steadyNow()))
                 spawnClaimCall(index, std::move(*call));
         }
         for (const claims::Answer &answer : claims.takeAnswers())
-            core.claimResult(answer.request, answer.result, now());
+            core.claimResult(answer.request, answer.result, steadyNow());
     }
 
     void spawnClaimCall(std::size_t index, ClaimCall call)
@@ -273,7 +263,7 @@
     asio::awaitable<void> claimCall(std::size_t index, std::shared_ptr<ClaimCall> call)
     {
         const ClaimCallResult result = co_await makeClaimCall(*store, *call);
-        claims.shard(index).callDone(result, now());
+        claims.shard(index).callDone(result, steadyNow());
         pump();
     }
 
@@ -282,8 +272,8 @@
     asio::awaitable<void> tickLoop()
     {
         while (true) {
-            core.tick(now());
-            claims.tick(now(), wallSeconds());
+            core.tick(steadyNow());
+            claims.tick(steadyNow(), wallSeconds());
             pump();
             const Duration interval = core.requestCount() > 0 ? busyTick : idleTick;
             co_await pause(interval);
@@ -327,7 +317,7 @@
 
     void applyConfig(const FleetConfigPtr &config)
     {
-        core.applyConfig(config, now());
+        core.applyConfig(config, steadyNow());
         pump();
     }
 
@@ -341,7 +331,7 @@
                 const auto stored = co_await syncQuarantine(*store, std::move(known));
                 if (stored) {
                     storedRows = stored->size();
-                    core.learnFingerprints(*stored, now());
+                    core.learnFingerprints(*stored, steadyNow());
                     pump();
                 }
             }
@@ -371,7 +361,7 @@
             if (host.peer.port != 0)
                 addGate(host.name, host.peer);
         }
-        core.setLeavingHosts(std::move(leaving), now());
+        core.setLeavingHosts(std::move(leaving), steadyNow());
         pump();
     }
 
@@ -430,21 +420,21 @@
         links[id] = link;
         ++linkCount;
         logEvent(LogLevel::Info, "link_up", {{"peer", peer.name}, {"link", id}});
-        core.linkUp(id, {peer.name, peer.dataCentre, peer.incarnation}, now());
+        core.linkUp(id, {peer.name, peer.dataCentre, peer.incarnation}, steadyNow());
         pump();
         while (true) {
             const auto messages = co_await link->receive();
             if (!messages)
                 break;
             for (const PeerMessage &message : *messages)
-                core.receive(id, message, now());
+                core.receive(id, message, steadyNow());
             pump();
         }
         logEvent(LogLevel::Info, "link_down", {{"peer", peer.name}, {"link", id}});
         link->close();
         links.erase(id);
         --linkCount;
-        core.linkDown(id, now());
+        core.linkDown(id, steadyNow());
         pump();
     }
 
--- a/src/upstream/UpstreamProcess.cpp
+++ b/src/upstream/UpstreamProcess.cpp
@@ -12,6 +12,7 @@
 #include "platform/ObjectStore.h"
 #include "process/Contexts.h"
 #include "process/Supervisor.h"
+#include "process/Timers.h"
 #include "upstream/EngineOrders.h"
 #include "upstream/UpstreamClient.h"
 
@@ -55,17 +56,6 @@
     return options;
 }
 
-TimePoint now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-asio::awaitable<void> pause(Duration duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 } // namespace
 
 struct UpstreamProcess::Private : std::enable_shared_from_this<UpstreamProcess::Private>
@@ -87,11 +77,11 @@
     {
         UpstreamEvents events;
         events.head = [this](RequestId id, std::uint16_t status, const std::string &type) {
-            core.answerHead(id, status, type, now());
+            core.answerHead(id, status, type, steadyNow());
             pump();
         };
         events.bytes = [this](RequestId id, const std::string &bytes, int tokens) {
-            core.answerBytes(id, bytes, tokens, now());
+            core.answerBytes(id, bytes, tokens, steadyNow());
             if (core.answerIsAhead(id)) {
                 paused.insert(id);
                 client.setPaused(id, true);
@@ -99,15 +89,15 @@
             pump();
         };
         events.end = [this](RequestId id, bool complete) {
-            core.answerEnd(id, complete, now());
+            core.answerEnd(id, complete, steadyNow());
             pump();
         };
         events.refused = [this](RequestId id) {
-            core.engineRefused(id, now());
+            core.engineRefused(id, steadyNow());
             pump();
         };
         events.startFailed = [this](RequestId id) {
-            core.startFailed(id, now());
+            core.startFailed(id, steadyNow());
             pump();
         };
         events.broken = [this](RequestId id) { probeAfterLoss(id); };
@@ -121,7 +111,7 @@
             contexts.control(),
             [self = shared_from_this(), id]() -> asio::awaitable<void> {
                 co_await self->probeOnce();
-                self->core.streamBroken(id, now());
+                self->core.streamBroken(id, steadyNow());
                 self->pump();
             },
             asio::detached);
@@ -134,7 +124,7 @@
             logEvent(LogLevel::Warning, "upstream_health",
                      {{"up", result.health == EngineHealth::Up}, {"boot", hex64(result.boot)}});
         lastHealth = result.health;
-        core.engineHealth(result.health, result.boot, now());
+        core.engineHealth(result.health, result.boot, steadyNow());
         if (options.engine && !result.models.empty()) {
             servedModels = result.models;
             core.setTargets(result.models);
@@ -153,7 +143,7 @@
     asio::awaitable<void> tickLoop()
     {
         while (true) {
-            core.tick(now());
+            core.tick(steadyNow());
             std::erase_if(paused, [this](RequestId id) {
                 if (core.answerIsAhead(id))
                     return false;
@@ -203,12 +193,12 @@
         links[id] = *link;
         const PeerIdentity &peer = (*link)->peer();
         logEvent(LogLevel::Info, "link_up", {{"peer", peer.name}, {"link", id}});
-        core.linkUp(id, {peer.name, peer.dataCentre, peer.incarnation}, now());
+        core.linkUp(id, {peer.name, peer.dataCentre, peer.incarnation}, steadyNow());
         pump();
         co_await readLoop(id, *link);
         logEvent(LogLevel::Info, "link_down", {{"peer", peer.name}, {"link", id}});
         links.erase(id);
-        core.linkDown(id, now());
+        core.linkDown(id, steadyNow());
         pump();
     }
 
@@ -224,7 +214,7 @@
                 co_return;
             }
             for (const PeerMessage &message : *messages)
-                core.receive(id, message, now());
+                core.receive(id, message, steadyNow());
             pump();
         }
     }
@@ -278,7 +268,7 @@
             co_return;
         const auto config = parseFleetConfig(object->value, object->version);
         if (config)
-            core.applyConfig(*config, now());
+            core.applyConfig(*config, steadyNow());
         pump();
     }
 
@@ -287,7 +277,7 @@
         EngineOrders::Ports ports;
         ports.config = [this] { return core.config(); };
         ports.applyConfig = [this](const FleetConfigPtr &config) {
-            core.applyConfig(config, now());
+            core.applyConfig(config, steadyNow());
             pump();
         };
         ports.servedModels = [this] { return servedModels; };
@@ -306,7 +296,7 @@
             const auto hosts = co_await list.fetch();
             if (hosts) {
                 hostLeaves = isLeaving(*hosts, settings.name);
-                core.setLeaving(hostLeaves || stopping, now());
+                core.setLeaving(hostLeaves || stopping, steadyNow());
                 pump();
             }
             co_await pause(hostListInterval);
@@ -317,7 +307,7 @@
     {
         if (options.engine) {
             for (const RunningStream &stream : co_await client.runningStreams())
-                core.adopt(stream, now());
+                core.adopt(stream, steadyNow());
         }
         co_await readConfig();
         asio::co_spawn(
@@ -426,7 +416,7 @@
     auto &p = *m_private;
     p.stopping = true;
     p.onDrained = std::move(done);
-    p.core.setLeaving(true, now());
+    p.core.setLeaving(true, steadyNow());
     logEvent(LogLevel::Info, "drain_started", {{"in_flight", p.core.status().inFlight}});
     p.pump();
 }
--- a/tests/ClaimShardTest.cpp
+++ b/tests/ClaimShardTest.cpp
@@ -1,4 +1,5 @@
 #include "claims/ClaimShard.h"
+#include "model/ClaimCalls.h"
 #include "model/ObjectTable.h"
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr std::int64_t wallStart = 1'000'000;
+constexpr std::size_t listedObjects = 20;
 
 /// How the store treats calls, in percent.
 struct StoreFaults
@@ -84,7 +86,7 @@
 
     const std::vector<claims::Answer> &answers() const { return m_answers; }
     ObjectTable &table() { return m_table; }
-    std::uint64_t writes() const { return m_writes; }
+    std::uint64_t writes() const { return m_calls.writes(); }
     ClaimShard &writer(std::size_t index) { return m_writers[index]; }
     TimePoint now() const { return m_now; }
 
@@ -114,7 +116,7 @@
         ClaimCallResult result;
         const int dice = static_cast<int>(m_random() % 100);
         if (dice >= m_faults.notDone)
-            result = std::visit([this](const auto &call) { return perform(call); }, item.call);
+            result = m_calls.perform(item.call);
         if (dice >= m_faults.notDone && dice < m_faults.notDone + m_faults.lostAnswers)
             result = {};
         if (item.generation == m_generation[item.writer])
@@ -136,68 +138,22 @@
         return stale ? m_replica : m_table;
     }
 
-    ClaimCallResult written(std::optional<std::uint64_t> version)
-    {
-        ++m_writes;
-        ClaimCallResult result;
-        result.status = version ? StoreStatus::Done : StoreStatus::Refused;
-        result.version = version.value_or(0);
-        return result;
-    }
-
-    ClaimCallResult perform(const claims::Create &call)
-    {
-        return written(m_table.put(call.key, call.value, ObjectTable::Condition::Absent, 0));
-    }
-
-    ClaimCallResult perform(const claims::Update &call)
-    {
-        const auto condition =
-            call.version == 0 ? ObjectTable::Condition::Absent : ObjectTable::Condition::Version;
-        return written(m_table.put(call.key, call.value, condition, call.version));
-    }
-
-    ClaimCallResult perform(const claims::Read &call)
-    {
-        const auto object = readTable(call.notOlderThan).find(call.key);
-        ClaimCallResult result;
-        result.status = object ? StoreStatus::Done : StoreStatus::Refused;
-        if (object) {
-            result.value = object->value;
-            result.version = object->version;
-        }
-        return result;
-    }
-
-    ClaimCallResult perform(const claims::List &call)
-    {
-        ClaimCallResult result;
-        result.status = StoreStatus::Done;
-        for (const auto &object : readTable(call.notOlderThan).list(call.prefix, call.after, 20))
-            result.objects.push_back({object.key, object.value, object.version});
-        return result;
-    }
-
-    ClaimCallResult perform(const claims::Remove &call)
-    {
-        ++m_writes;
-        ClaimCallResult result;
-        result.status = m_table.remove(call.key) ? StoreStatus::Done : StoreStatus::Refused;
-        return result;
-    }
-
     std::mt19937_64 m_random;
     StoreFaults m_faults;
     std::uint64_t m_compactEvery;
     ObjectTable m_table;
     ObjectTable m_replica;
+    standin::ClaimCalls m_calls{m_table,
+                                [this](std::uint64_t notOlderThan) -> const ObjectTable & {
+                                    return readTable(notOlderThan);
+                                },
+                                listedObjects};
     std::vector<ClaimShard> m_writers;
     std::vector<std::uint64_t> m_generation;
     std::vector<InFlight> m_inFlight;
     std::vector<claims::Answer> m_answers;
     std::uint64_t m_incarnations = 0;
     std::uint64_t m_tokens = 0;
-    std::uint64_t m_writes = 0;
     TimePoint m_now{seconds(1000)};
 };
 
--- a/tests/support/CoreHarness.cpp
+++ b/tests/support/CoreHarness.cpp
@@ -1,6 +1,7 @@
 #include "support/CoreHarness.h"
 
 #include "base/Hash.h"
+#include "model/ClaimCalls.h"
 #include "peer/Codec.h"
 
 #include <algorithm>
@@ -684,7 +685,7 @@
         in(delay / 2, [this, call, result] {
             if (isStoreDown())
                 return;
-            *result = std::visit([this](const auto &item) { return perform(item); }, call);
+            *result = claimCalls.perform(call);
             const bool lost = loseUntil > now && static_cast<int>(random() % 100) < losePercent;
             if (lost)
                 *result = {};
@@ -711,60 +712,6 @@
         return stale ? replica : store;
     }
 
-    ClaimCallResult written(std::optional<std::uint64_t> version)
-    {
-        ++storeWrites;
-        ClaimCallResult result;
-        result.status = version ? StoreStatus::Done : StoreStatus::Refused;
-        result.version = version.value_or(0);
-        return result;
-    }
-
-    ClaimCallResult perform(const claims::Create &call)
-    {
-        return written(store.put(call.key, call.value, standin::ObjectTable::Condition::Absent, 0));
-    }
-
-    ClaimCallResult perform(const claims::Update &call)
-    {
-        const auto condition = call.version == 0 ? standin::ObjectTable::Condition::Absent
-                                                 : standin::ObjectTable::Condition::Version;
-        return written(store.put(call.key, call.value, condition, call.version));
-    }
-
-    ClaimCallResult perform(const claims::Read &call)
-    {
-        ++storeReads;
-        ClaimCallResult result;
-        const auto object = tableFor(call.notOlderThan).find(call.key);
-        result.status = object ? StoreStatus::Done : StoreStatus::Refused;
-        if (object) {
-            result.value = object->value;
-            result.version = object->version;
-        }
-        return result;
-    }
-
-    ClaimCallResult perform(const claims::List &call)
-    {
-        ++storeReads;
-        ClaimCallResult result;
-        result.status = StoreStatus::Done;
-        const auto objects =
-            tableFor(call.notOlderThan).list(call.prefix, call.after, listedObjects);
-        for (const auto &object : objects)
-            result.objects.push_back({object.key, object.value, object.version});
-        return result;
-    }
-
-    ClaimCallResult perform(const claims::Remove &call)
-    {
-        ++storeWrites;
-        ClaimCallResult result;
-        result.status = store.remove(call.key) ? StoreStatus::Done : StoreStatus::Refused;
-        return result;
-    }
-
     // --- gate actions ---
 
     void pumpGate(std::size_t g)
@@ -1009,8 +956,12 @@
     TimePoint loseUntil{};
     int losePercent = 0;
     TimePoint staleUntil{};
-    std::uint64_t storeWrites = 0;
-    std::uint64_t storeReads = 0;
+    standin::ClaimCalls claimCalls{
+        store,
+        [this](std::uint64_t notOlderThan) -> const standin::ObjectTable & {
+            return tableFor(notOlderThan);
+        },
+        listedObjects};
     std::vector<std::string> leavingHosts;
     std::string crashText;
     Duration crashRestart = std::chrono::seconds(5);
@@ -1406,12 +1357,12 @@
 
 std::uint64_t CoreHarness::storeWrites() const
 {
-    return m_private->storeWrites;
+    return m_private->claimCalls.writes();
 }
 
 std::uint64_t CoreHarness::storeReads() const
 {
-    return m_private->storeReads;
+    return m_private->claimCalls.reads();
 }
 
 bool CoreHarness::ranAnywhere(RequestId id) const
--- a/tools/mutate.sh
+++ b/tools/mutate.sh
@@ -9,6 +9,8 @@
 cp -r "$scratch/tree" "$scratch/original"
 cmake -S "$scratch/tree" -B "$scratch/build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 missed=0
+# A fault may also show as a test that never ends.
+bound=120
 while IFS=$'\t' read -r name file expression suites; do
     [[ -z $name || $name == \#* ]] && continue
     cp "$scratch/original/$file" "$scratch/tree/$file"
@@ -21,7 +23,7 @@
     if ! ninja -C "$scratch/build" unit-tests >"$scratch/build.log" 2>&1; then
         echo "NO BUILD | $name"
         missed=$((missed + 1))
-    elif "$scratch/build/unit-tests" --run_test="$suites" >"$scratch/run.log" 2>&1; then
+    elif timeout "$bound" "$scratch/build/unit-tests" --run_test="$suites" >"$scratch/run.log" 2>&1; then
         echo "MISSED | $name | $suites"
         missed=$((missed + 1))
     else
