Idempotent keyed work goes on without claims while the object API is out

Change: after an unanswered claim, idempotent requests spend their next credits without one for a second before one is tried again, counted as before.

--- a/src/sched/EntryCore.cpp
+++ b/src/sched/EntryCore.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t rememberedPrefixes = 20'000;
 constexpr milliseconds ageingBound{2000};
+/// How long idempotent work goes on without claims after one was not answered.
+constexpr milliseconds storeOutage{1000};
 constexpr milliseconds acceptBound{1000};
 constexpr milliseconds answerSilence{5000};
 constexpr milliseconds demandInterval{2};
@@ -249,8 +251,11 @@
         unqueue(id);
         EntryRequest &request = requests.at(id);
         request.credit = std::move(held);
-        if (request.submission.key.empty())
+        const bool mayGoUnclaimed = request.submission.idempotent && now < storeOutUntil;
+        if (request.submission.key.empty() || mayGoUnclaimed) {
+            counters.unclaimedIdempotent += mayGoUnclaimed;
             return dispatch(id, request, now);
+        }
         request.state = EntryRequestState::Claiming;
         request.claim = options.incarnation ^ (++claimSequence << 20);
         actions.push_back(entry::Claim{id, claimRecord(id, request)});
@@ -876,6 +881,7 @@
     bool fleetHeard = false;
     bool demandChanged = false;
     TimePoint lastDemand{};
+    TimePoint storeOutUntil{};
     TimePoint lastHeartbeat{};
 };
 
@@ -947,8 +953,10 @@
     if (result.status == ClaimStatus::Claimed)
         return p.dispatch(id, request, now);
     if (request.submission.idempotent) {
-        ++p.counters.unclaimedIdempotent;
-        return p.dispatch(id, request, now);
+        // By now the credit has expired; the request takes the next one without a claim.
+        p.storeOutUntil = now + storeOutage;
+        p.giveBack(request.credit);
+        return p.requeue(id, request, ErrorKind::StoreUnavailable);
     }
     p.giveBack(request.credit);
     p.fail(id, ErrorKind::StoreUnavailable);
--- a/tests/KeyedTest.cpp
+++ b/tests/KeyedTest.cpp
@@ -1,6 +1,7 @@
 #include "support/CoreHarness.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 #include <boost/test/unit_test.hpp>
@@ -83,4 +84,47 @@
     BOOST_TEST(harness.serviceRuns("key") == 1);
 }
 
+BOOST_AUTO_TEST_CASE(idempotentKeyedWorkGoesOnWithoutTheObjectApi)
+{
+    CoreHarness harness({});
+    harness.run(seconds(1));
+    harness.storeDown(seconds(60));
+    for (int i = 0; i < 20; ++i)
+        harness.after(milliseconds(200) * i, [&harness, i] {
+            Submission submission;
+            submission.target = "model";
+            submission.workspace = "ws";
+            submission.timeToDeadline = seconds(20);
+            submission.key = "key-" + std::to_string(i);
+            submission.body = {"POST", "/v1/completions", "", submission.key, true};
+            submission.fingerprint = static_cast<Fingerprint>(i + 1);
+            harness.call(i % 2, std::move(submission), 5);
+        });
+    harness.run(seconds(12));
+    harness.checkAtRest();
+    BOOST_TEST(std::ranges::none_of(harness.calls(), &CallRecord::connectionLost));
+    for (const CallRecord &call : harness.calls()) {
+        BOOST_TEST(!call.failure.has_value());
+        BOOST_TEST(toMs(call.endedAt - call.sentAt) < 4000);
+    }
+}
+
+/// The credit outlives the outage, so nothing but the missing claim keeps the call from running.
+BOOST_AUTO_TEST_CASE(aCallWithEffectsNeverRunsUnclaimed)
+{
+    HarnessOptions options;
+    options.adjustGate = [](GateOptions &gate) { gate.creditLife = seconds(8); };
+    CoreHarness harness(options);
+    harness.run(seconds(1));
+    harness.storeDown(seconds(3));
+    const auto first = harness.callService(0, "key", "body", seconds(20));
+    harness.after(milliseconds(3500), [&] { harness.callService(1, "key", "body", seconds(20)); });
+    harness.run(seconds(12));
+    harness.checkAtRest();
+    BOOST_TEST((harness.calls()[first].failure == ErrorKind::StoreUnavailable));
+    BOOST_TEST(harness.calls()[first + 1].whole);
+    BOOST_TEST(harness.serviceRuns("key") == 1);
+    BOOST_TEST(harness.violations().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
