--- a/tools/mutate.sh
+++ b/tools/mutate.sh
@@ -6,6 +6,7 @@
 scratch=${1:-$(mktemp -d)}
 mkdir -p "$scratch/tree"
 (cd "$root" && git ls-files -z | xargs -0 tar cf -) | tar xf - -C "$scratch/tree"
+rm -rf "$scratch/original"
 cp -r "$scratch/tree" "$scratch/original"
 cmake -S "$scratch/tree" -B "$scratch/build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 missed=0
