Clean-up after reading the change again; behaviour unchanged

The gate copied every entry's heartbeat, reports included, six times for each heartbeat it received, to compare three numbers; one pass now gives them without a copy. The tests for a cached prefix and for a first token in time stood twice at the entry; a member of the upstream process could be derived; two functions had no callers any more.

--- a/src/gate/DemandBook.cpp
+++ b/src/gate/DemandBook.cpp
@@ -89,16 +89,4 @@
     m_weights.insert_or_assign(std::string(workspace), weight);
 }
 
-std::optional<TierRank> DemandBook::highestTier() const
-{
-    std::optional<TierRank> highest;
-    for (const auto &[entry, demand] : m_entries) {
-        for (const DemandRow &row : demand.rows) {
-            if (row.count > 0 && (!highest || row.tier < *highest))
-                highest = row.tier;
-        }
-    }
-    return highest;
-}
-
 } // namespace tamarack
--- a/src/gate/DemandBook.h
+++ b/src/gate/DemandBook.h
@@ -42,9 +42,6 @@
     void charge(std::string_view workspace, double work);
     void setWeight(std::string_view workspace, double weight);
 
-    /// Highest tier with demand at any entry; empty without demand.
-    std::optional<TierRank> highestTier() const;
-
 private:
     struct EntryDemand
     {
--- a/src/gate/GateCore.cpp
+++ b/src/gate/GateCore.cpp
@@ -42,6 +42,15 @@
         EntryHeartbeat heartbeat;
     };
 
+    struct FleetLevels
+    {
+        ShedLevel wanted = 0;
+        ShedLevel closed = 0;
+        ShedLevel promised = 0;
+
+        bool operator==(const FleetLevels &) const = default;
+    };
+
     struct LostEntry
     {
         EntryHeartbeat heartbeat;
@@ -458,40 +467,21 @@
 
     // --- membership and levels ---
 
-    /// The latest word of every entry that counts: those linked, and for a while those whose
-    /// link was lost, because they may only be on their way back.
-    std::vector<EntryHeartbeat> entryWords() const
-    {
-        std::vector<EntryHeartbeat> words;
-        std::ranges::transform(links, std::back_inserter(words),
-                               [](const auto &row) { return row.second.heartbeat; });
-        std::ranges::transform(lostEntries, std::back_inserter(words),
-                               [](const auto &row) { return row.second.heartbeat; });
-        return words;
-    }
-
-    ShedLevel wantedLevel() const
-    {
-        ShedLevel level = 0;
-        for (const EntryHeartbeat &word : entryWords())
-            level = std::max(level, word.wantedLevel);
-        return level;
-    }
-
-    ShedLevel closedLevel() const
-    {
-        ShedLevel level = 0;
-        for (const EntryHeartbeat &word : entryWords())
-            level = std::max(level, word.closedLevel);
-        return level;
-    }
-
-    ShedLevel promisedLevel() const
-    {
-        ShedLevel level = links.empty() ? 0 : std::numeric_limits<ShedLevel>::max();
-        for (const EntryHeartbeat &word : entryWords())
-            level = std::min(level, word.promisedLevel);
-        return level;
+    /// Levels over every entry that counts: those linked, and for a while those whose link was
+    /// lost, because they may only be on their way back.
+    FleetLevels fleetLevels() const
+    {
+        FleetLevels levels;
+        levels.promised = links.empty() ? 0 : std::numeric_limits<ShedLevel>::max();
+        const auto include = [&levels](const auto &row) {
+            const EntryHeartbeat &word = row.second.heartbeat;
+            levels.wanted = std::max(levels.wanted, word.wantedLevel);
+            levels.closed = std::max(levels.closed, word.closedLevel);
+            levels.promised = std::min(levels.promised, word.promisedLevel);
+        };
+        std::ranges::for_each(links, include);
+        std::ranges::for_each(lostEntries, include);
+        return levels;
     }
 
     GateHeartbeat heartbeat() const
@@ -503,9 +493,10 @@
         message.targets = targets;
         message.inFlight = static_cast<std::uint32_t>(inFlight);
         message.limit = static_cast<std::uint32_t>(currentLimit());
-        message.wantedLevel = wantedLevel();
-        message.closedLevel = closedLevel();
-        message.promisedLevel = promisedLevel();
+        const FleetLevels levels = fleetLevels();
+        message.wantedLevel = levels.wanted;
+        message.closedLevel = levels.closed;
+        message.promisedLevel = levels.promised;
         return message;
     }
 
@@ -529,15 +520,12 @@
 
     void entryHeartbeat(LinkId id, Link &link, const EntryHeartbeat &message, TimePoint now)
     {
-        const auto levels = [this] {
-            return std::tuple(wantedLevel(), closedLevel(), promisedLevel());
-        };
-        const auto levelsBefore = levels();
+        const FleetLevels levelsBefore = fleetLevels();
         link.heartbeat = message;
         lostEntries.erase(link.entry.name);
         if (config && message.report.generation < config->generation)
             send(id, ConfigPush{config->generation, config->text});
-        if (levels() != levelsBefore)
+        if (fleetLevels() != levelsBefore)
             sendHeartbeats(now);
     }
 
--- a/src/gate/PrefillEstimator.cpp
+++ b/src/gate/PrefillEstimator.cpp
@@ -44,9 +44,4 @@
     return Duration(static_cast<Duration::rep>(m_nanosecondsPerToken));
 }
 
-bool PrefillEstimator::allows(std::uint32_t promptTokens, Duration target) const
-{
-    return m_outstanding == 0 || expected(promptTokens) <= target;
-}
-
 } // namespace tamarack
--- a/src/gate/PrefillEstimator.h
+++ b/src/gate/PrefillEstimator.h
@@ -24,9 +24,6 @@
     /// Time for one prompt token; zero before the first observation.
     Duration perToken() const;
 
-    /// Whether one more prompt keeps the expected first token within the target.
-    bool allows(std::uint32_t promptTokens, Duration target) const;
-
 private:
     std::uint64_t m_outstanding = 0;
     double m_nanosecondsPerToken = 0;
--- a/src/sched/EntryCore.cpp
+++ b/src/sched/EntryCore.cpp
@@ -203,14 +203,24 @@
         return config->preset().tiers[tier].firstTokenTarget;
     }
 
+    bool isExpectedInTime(TierRank tier, std::uint32_t promptTokens, const Credit &credit) const
+    {
+        return expectedFirstToken(promptTokens, credit)
+               <= firstTokenTarget(tier) * suitedShareOfTarget;
+    }
+
+    /// Whether the start of the prompt is likely to be cached at the upstream.
+    bool isCached(std::uint64_t prefix, std::string_view upstream) const
+    {
+        return options.affinity && prefix != 0 && affinity.matches(prefix, upstream);
+    }
+
     /// A slow engine does not suit a long prompt that a faster one could still serve in time.
     bool suits(TierRank tier, std::uint32_t promptTokens, Duration waited,
                const Credit &credit) const
     {
-        const Duration target = firstTokenTarget(tier);
-        const Duration expected = expectedFirstToken(promptTokens, credit);
-        return !options.firstTokenFit || expected <= target * suitedShareOfTarget
-               || waited >= target * patienceShareOfTarget;
+        return !options.firstTokenFit || isExpectedInTime(tier, promptTokens, credit)
+               || waited >= firstTokenTarget(tier) * patienceShareOfTarget;
     }
 
     WaitingQueue::Match match(const WaitingRequest &waiting, const HeldCredit &held,
@@ -220,9 +230,7 @@
         const Duration waited = now - requests.at(waiting.id).arrivedAt;
         if (!suits(waiting.tier, waiting.promptTokens, waited, held.credit))
             return Match::Unsuited;
-        const bool cached = options.affinity && waiting.prefix != 0
-                            && affinity.matches(waiting.prefix, held.gateName);
-        return cached ? Match::Preferred : Match::Suited;
+        return isCached(waiting.prefix, held.gateName) ? Match::Preferred : Match::Suited;
     }
 
     std::optional<RequestId> suspectFor(const HeldCredit &held) const
@@ -372,10 +380,10 @@
             return false;
         const Submission &submission = request.submission;
         const auto rank = [this, &submission](const HeldCredit &held) {
-            const bool cached = options.affinity && submission.prefix != 0
-                                && affinity.matches(submission.prefix, held.gateName);
+            const bool cached = isCached(submission.prefix, held.gateName);
             const Duration expected = expectedFirstToken(submission.promptTokens, held.credit);
-            const bool late = expected > firstTokenTarget(submission.tier) * suitedShareOfTarget;
+            const bool late =
+                !isExpectedInTime(submission.tier, submission.promptTokens, held.credit);
             const bool remote = gates.at(held.gate).identity.dataCentre != options.dataCentre;
             return std::tuple(late, !cached, expected, remote, held.expires);
         };
--- a/src/upstream/UpstreamProcess.cpp
+++ b/src/upstream/UpstreamProcess.cpp
@@ -295,8 +295,7 @@
         while (true) {
             const auto hosts = co_await list.fetch();
             if (hosts) {
-                hostLeaves = isLeaving(*hosts, settings.name);
-                core.setLeaving(hostLeaves || stopping, steadyNow());
+                core.setLeaving(stopping || isLeaving(*hosts, settings.name), steadyNow());
                 pump();
             }
             co_await pause(hostListInterval);
@@ -391,7 +390,6 @@
     std::function<void()> onDrained;
     EngineHealth lastHealth = EngineHealth::Down;
     LinkId lastLink = 0;
-    bool hostLeaves = false;
     bool stopping = false;
 };
 
