--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,10 +1,11 @@
 #include "base/Log.h"
 
+#include "base/StdoutSink.h"
+
 #include <algorithm>
 #include <memory>
 
 #include <spdlog/sinks/basic_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 namespace tamarack {
@@ -67,17 +68,22 @@
 {
     std::shared_ptr<spdlog::sinks::sink> sink;
     if (file.empty())
-        sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+        sink = std::make_shared<StdoutSink>();
     else
         sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(file);
     auto logger = std::make_shared<spdlog::logger>(std::string(processName), std::move(sink));
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l process=%n %v",
                         spdlog::pattern_time_type::utc);
-    logger->flush_on(spdlog::level::info);
+    logger->flush_on(file.empty() ? spdlog::level::warn : spdlog::level::info);
     spdlog::set_default_logger(std::move(logger));
     setLogLevel(level);
 }
 
+void flushLog()
+{
+    spdlog::default_logger_raw()->flush();
+}
+
 void setLogLevel(std::string_view level)
 {
     spdlog::set_level(spdlog::level::from_str(std::string(level)));
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -26,9 +26,14 @@
     std::string value;
 };
 
-/// Routes log lines to `file`, or to standard error when empty. `level`: debug, info, warn, error.
+/// Routes log lines to `file`, or to standard output when empty. Lines for standard output are
+/// kept in a bounded buffer until `flushLog`, or a warning, writes them; they are dropped and
+/// counted when its reader does not keep up. `level`: debug, info, warn, error.
 void openLog(std::string_view processName, std::string_view level, const std::string &file);
 
+/// Writes what is buffered. Never blocks.
+void flushLog();
+
 /// Changes the level at run time.
 void setLogLevel(std::string_view level);
 
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -177,6 +177,39 @@
         reader.fault("seeds", "must not be empty without hostList");
 }
 
+RetryBounds readRetryBounds(JsonObjectReader &reader)
+{
+    constexpr double highestRatio = 10;
+    constexpr double highestSlack = 1e6;
+    constexpr std::int64_t longestWindowSeconds = 3600;
+    const RetryBounds defaults;
+    RetryBounds bounds;
+    bounds.ratio = reader.number("retryRatio", defaults.ratio, 0, highestRatio);
+    bounds.window = std::chrono::seconds(
+        reader.integer("retryWindowSeconds", defaults.window.count(), {1, longestWindowSeconds}));
+    bounds.slack = reader.number("retrySlack", defaults.slack, 0, highestSlack);
+    return bounds;
+}
+
+void readDirectPart(JsonObjectReader &reader, Settings &settings, Faults &faults)
+{
+    static const boost::json::value empty = boost::json::object{};
+    constexpr std::int64_t defaultRevokeMs = 5000;
+    constexpr double defaultGraceSeconds = 8;
+    settings.caller = readListener(reader, "caller", faults);
+    settings.peer = readEndpoint(reader, "peer", true);
+    settings.direct.readiness = readListener(reader, "readiness", faults);
+    settings.direct.store = readEndpoint(reader, "store", true);
+    const auto *value = reader.child("bounds");
+    JsonObjectReader bounds(value ? *value : empty, "bounds", faults);
+    settings.direct.revokeBound =
+        milliseconds(bounds.integer("revokeMs", defaultRevokeMs, {100, hourMs}));
+    const double grace = bounds.number("stopGraceSeconds", defaultGraceSeconds, 1, 3600);
+    settings.direct.stopGrace = milliseconds(static_cast<std::int64_t>(grace * 1000));
+    settings.direct.retries = readRetryBounds(bounds);
+    bounds.finish();
+}
+
 void readCommonPart(JsonObjectReader &reader, Settings &settings, Faults &faults)
 {
     settings.name = reader.requiredString("name");
@@ -213,17 +246,21 @@
 
 Settings readSettings(const boost::json::value &document, Faults &faults)
 {
-    static constexpr std::array<string_view, 2> roles{"entry", "upstream"};
+    static constexpr std::array<string_view, 3> roles{"entry", "upstream", "direct"};
     Settings settings;
     JsonObjectReader reader(document, "", faults);
     const std::string role = reader.requiredString("role");
     if (!role.empty() && std::ranges::find(roles, role) == roles.end())
-        reader.fault("role", "must be one of entry, upstream");
-    settings.role = role == "upstream" ? Role::Upstream : Role::Entry;
+        reader.fault("role", "must be one of entry, upstream, direct");
+    settings.role = role == "upstream" ? Role::Upstream
+                    : role == "direct" ? Role::Direct
+                                       : Role::Entry;
     readCommonPart(reader, settings, faults);
     readLog(reader, settings, faults);
     if (settings.role == Role::Entry) {
         readEntryPart(reader, settings, faults);
+    } else if (settings.role == Role::Direct) {
+        readDirectPart(reader, settings, faults);
     } else {
         settings.peer = readEndpoint(reader, "peer", true);
         settings.upstream = readUpstream(reader, faults);
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 #include "config/JsonObjectReader.h"
+#include "serving/RetryBudget.h"
 
 #include <cstddef>
 #include <optional>
@@ -13,7 +14,8 @@
 
 namespace tamarack {
 
-enum class Role { Entry, Upstream };
+/// `Direct` is an entry that sends requests to their upstreams itself.
+enum class Role { Entry, Upstream, Direct };
 
 /// An address and a port, written `ADDRESS:PORT`. Addresses are IP numbers.
 struct Endpoint
@@ -87,6 +89,20 @@
     milliseconds keyRetention{0};
 };
 
+/// What a direct entry needs besides.
+struct DirectSettings
+{
+    /// Where the balancer asks whether this host takes connections.
+    ListenerSettings readiness;
+    /// The platform's store.
+    Endpoint store;
+    /// A key that was taken away must not work for longer.
+    milliseconds revokeBound{0};
+    /// Time between the signal to stop and the kill.
+    milliseconds stopGrace{0};
+    RetryBounds retries;
+};
+
 /// Settings of one process, read from one JSON document and fixed until it restarts,
 /// but for the log level, tokens and seeds.
 struct Settings
@@ -107,6 +123,7 @@
     std::string logLevel;
     std::string logFile;
     UpstreamSettings upstream;
+    DirectSettings direct;
     LimitSettings limits;
     TimingSettings timing;
 };
--- a/src/control/AdminApi.cpp
+++ b/src/control/AdminApi.cpp
@@ -7,7 +7,7 @@
 #include "control/StatusReport.h"
 #include "entry/CallerRequest.h"
 #include "http/HttpServer.h"
-#include "platform/ObjectStore.h"
+#include "store/ObjectStore.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "base/AsioPch.h"
 #include "base/Log.h"
 #include "config/Settings.h"
+#include "direct/DirectProcess.h"
 #include "entry/EntryProcess.h"
 #include "process/Contexts.h"
 #include "tamarackseam/Error.h"
@@ -55,6 +56,7 @@
         logEvent(LogLevel::Info, "started", {{"name", settings.name}});
         m_contexts.run();
         logEvent(LogLevel::Info, "stopped", {{"name", settings.name}, {"clean", m_clean}});
+        flushLog();
         return m_clean ? exitOk : errorAnswer(ErrorKind::Internal).exitCode;
     }
 
@@ -143,6 +145,8 @@
     openLog(settings->name, settings->logLevel, settings->logFile);
     if (settings->role == Role::Entry)
         return runAs<EntryProcess>(settingsPath, *settings);
+    if (settings->role == Role::Direct)
+        return runAs<DirectProcess>(settingsPath, *settings);
     return runAs<UpstreamProcess>(settingsPath, *settings);
 }
 
--- /dev/null
+++ b/src/direct/DirectProcess.cpp
@@ -0,0 +1,234 @@
+#include "direct/DirectProcess.h"
+
+#include "base/AsioPch.h"
+#include "base/Log.h"
+#include "base/Metrics.h"
+#include "direct/PeerExchange.h"
+#include "direct/RequestFlow.h"
+#include "direct/StoreFollower.h"
+#include "direct/TrafficState.h"
+#include "http/HttpServer.h"
+#include "process/Contexts.h"
+#include "process/Supervisor.h"
+#include "process/Timers.h"
+
+#include <atomic>
+
+namespace tamarack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds tickInterval{100};
+/// The balancer asks once a second and takes a host out after two misses.
+constexpr milliseconds balancerNotice{2600};
+/// Left of the grace for the end of the process itself.
+constexpr milliseconds endReserve{700};
+constexpr milliseconds drainPoll{50};
+constexpr int readyStatus = 200;
+constexpr int notReadyStatus = 503;
+constexpr int notFoundStatus = 404;
+
+} // namespace
+
+struct DirectProcess::Private : std::enable_shared_from_this<DirectProcess::Private>
+{
+    Private(Settings processSettings, Contexts &processContexts)
+        : settings(std::move(processSettings))
+        , contexts(processContexts)
+        , traffic(*contexts.traffic().front())
+        , state(settings, traffic.get_executor(), metrics)
+        , supervisor(contexts.control().get_executor(),
+                     [this](const std::string &) { contexts.stop(); })
+        , follower(contexts.control().get_executor(), settings, listener())
+    {}
+
+    /// Hands what the control thread learns to the traffic thread.
+    StoreListener listener()
+    {
+        StoreListener listener;
+        listener.configChanged = [this](ServingConfigPtr config) {
+            hasConfig = true;
+            asio::post(traffic, [this, config = std::move(config)] { applyConfig(config); });
+        };
+        listener.configProved = [this](BootTime callStart) {
+            asio::post(traffic, [this, callStart] { state.freshness.prove(callStart); });
+        };
+        listener.upstreamsChanged = [this](std::vector<UpstreamRecord> records) {
+            hasUpstreams = true;
+            asio::post(traffic, [this, records = std::move(records)] {
+                state.applyUpstreams(records);
+            });
+        };
+        listener.entriesChanged = [this](std::map<std::string, Endpoint> entries) {
+            asio::post(traffic, [this, entries = std::move(entries)] { applyEntries(entries); });
+        };
+        return listener;
+    }
+
+    void applyConfig(const ServingConfigPtr &config)
+    {
+        HttpLimits limits;
+        limits.headerBytes = config->limits.headerBytes;
+        limits.bodyBytes = config->limits.bodyBytes;
+        limits.headerTimeoutMs = static_cast<int>(config->limits.headerTimeout.count());
+        limits.idleTimeoutMs = static_cast<int>(config->limits.idleTimeout.count());
+        limits.connections = settings.limits.connections;
+        callerServer->setLimits(limits);
+        state.applyConfig(config);
+    }
+
+    void applyEntries(const std::map<std::string, Endpoint> &entries)
+    {
+        std::set<std::string> names;
+        std::vector<Endpoint> peers;
+        for (const auto &[name, endpoint] : entries) {
+            names.insert(name);
+            if (name != settings.name)
+                peers.push_back(endpoint);
+        }
+        state.applyKnownEntries(names);
+        exchange->setPeers(std::move(peers));
+    }
+
+    Result<void> open()
+    {
+        auto peers = PeerExchange::makeExchange(state);
+        if (!peers)
+            return tl::unexpected(peers.error());
+        exchange = std::move(*peers);
+        state.onLoadChanged = [this] { exchange->loadChanged(); };
+        const HttpLimits limits;
+        asio::io_context *trafficContext = &traffic;
+        asio::io_context *control = &contexts.control();
+        if (auto opened = listen(callerServer, settings.caller, limits, trafficContext,
+                                 [this](HttpExchange &request) { return serveCaller(request); });
+            !opened)
+            return opened;
+        if (auto opened = listen(readinessServer, settings.direct.readiness, limits, control,
+                                 [this](HttpExchange &request) { return serveReadiness(request); });
+            !opened)
+            return opened;
+        return listen(adminServer, settings.admin, limits, control,
+                      [this](HttpExchange &request) { return serveMetrics(request); });
+    }
+
+    static Result<void> listen(std::unique_ptr<HttpServer> &server,
+                               const ListenerSettings &listener, const HttpLimits &limits,
+                               asio::io_context *context, HttpHandler handler)
+    {
+        auto made = HttpServer::makeServer(listener, limits, {&context, 1}, std::move(handler));
+        if (!made)
+            return tl::unexpected(made.error());
+        server = std::move(*made);
+        return {};
+    }
+
+    asio::awaitable<void> serveCaller(HttpExchange &request)
+    {
+        const auto flow = std::make_shared<RequestFlow>(state, request);
+        co_await flow->run();
+    }
+
+    asio::awaitable<void> serveReadiness(HttpExchange &request)
+    {
+        const bool ready = hasConfig && hasUpstreams && !draining;
+        HttpResponse response{ready ? readyStatus : notReadyStatus, {}, ""};
+        co_await request.respond(std::move(response));
+    }
+
+    asio::awaitable<void> serveMetrics(HttpExchange &request)
+    {
+        if (request.request().path() != "/metrics") {
+            HttpResponse missing{notFoundStatus, {}, ""};
+            co_await request.respond(std::move(missing));
+            co_return;
+        }
+        metrics.set("tamarack_store_calls_total", "", follower.calls());
+        HttpResponse response{readyStatus, {{"Content-Type", "text/plain; version=0.0.4"}}, ""};
+        response.body = metrics.prometheusText();
+        co_await request.respond(std::move(response));
+    }
+
+    asio::awaitable<void> tickLoop()
+    {
+        while (true) {
+            co_await pause(tickInterval);
+            state.tick(steadyNow());
+            flushLog();
+        }
+    }
+
+    void start()
+    {
+        follower.start(supervisor);
+        asio::co_spawn(
+            traffic, [self = shared_from_this()] { return self->tickLoop(); }, asio::detached);
+    }
+
+    asio::awaitable<void> drainAndEnd(std::function<void()> done)
+    {
+        const TimePoint end = steadyNow() + settings.direct.stopGrace - endReserve;
+        co_await follower.leave();
+        callerServer->closeAfterAnswers();
+        co_await pause(balancerNotice);
+        callerServer->stopAccepting();
+        callerServer->closeIdle();
+        while (steadyNow() < end && callerServer->connections() > 0) {
+            co_await pause(drainPoll);
+            callerServer->closeIdle();
+        }
+        logEvent(LogLevel::Info, "drained", {{"connections", callerServer->connections()}});
+        done();
+    }
+
+    Settings settings;
+    Contexts &contexts;
+    asio::io_context &traffic;
+    Metrics metrics;
+    TrafficState state;
+    Supervisor supervisor;
+    StoreFollower follower;
+    std::unique_ptr<PeerExchange> exchange;
+    std::unique_ptr<HttpServer> callerServer;
+    std::unique_ptr<HttpServer> readinessServer;
+    std::unique_ptr<HttpServer> adminServer;
+    bool hasConfig = false;
+    bool hasUpstreams = false;
+    bool draining = false;
+};
+
+DirectProcess::DirectProcess(std::shared_ptr<Private> p)
+    : m_private(std::move(p))
+{}
+
+DirectProcess::~DirectProcess() = default;
+
+Result<std::unique_ptr<DirectProcess>> DirectProcess::makeProcess(Settings settings,
+                                                                  Contexts &contexts)
+{
+    auto p = std::make_shared<Private>(std::move(settings), contexts);
+    if (auto opened = p->open(); !opened)
+        return tl::unexpected(opened.error());
+    p->start();
+    return std::unique_ptr<DirectProcess>(new DirectProcess(std::move(p)));
+}
+
+void DirectProcess::drain(std::function<void()> done)
+{
+    const auto self = m_private;
+    self->draining = true;
+    logEvent(LogLevel::Info, "drain_started", {{"connections", self->callerServer->connections()}});
+    asio::post(self->traffic, [self] { self->state.draining = true; });
+    asio::co_spawn(
+        self->contexts.control(),
+        [self, done = std::move(done)] { return self->drainAndEnd(done); }, asio::detached);
+}
+
+void DirectProcess::reload(const Settings &settings)
+{
+    setLogLevel(settings.logLevel);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/direct/PeerExchange.cpp
@@ -0,0 +1,178 @@
+#include "direct/PeerExchange.h"
+
+#include "base/AsioPch.h"
+#include "base/Log.h"
+#include "peer/EntryLoadCodec.h"
+#include "process/Timers.h"
+
+#include <algorithm>
+#include <array>
+
+namespace tamarack {
+
+namespace asio = boost::asio;
+using udp = asio::ip::udp;
+
+namespace {
+
+/// Shortest time between two messages to one peer; grows with the number of peers, so that the
+/// cost of an entry stays the same.
+constexpr milliseconds shortestInterval{10};
+constexpr std::size_t peersPerInterval = 4;
+/// Time between messages while nothing changes.
+constexpr milliseconds beat{250};
+constexpr std::size_t largestDatagram = 65'000;
+
+} // namespace
+
+struct PeerExchange::Private : std::enable_shared_from_this<PeerExchange::Private>
+{
+    explicit Private(TrafficState &trafficState)
+        : state(trafficState)
+        , socket(state.executor)
+        , timer(state.executor)
+    {}
+
+    Result<void> open()
+    {
+        boost::system::error_code error;
+        const Endpoint &own = state.settings.peer;
+        const udp::endpoint address(asio::ip::make_address(own.address, error), own.port);
+        if (!error)
+            socket.open(address.protocol(), error);
+        if (!error)
+            socket.bind(address, error);
+        if (error)
+            return failure(ErrorKind::IoFailed,
+                           "cannot bind " + toString(own) + ": " + error.message());
+        socket.non_blocking(true, error);
+        return {};
+    }
+
+    void receive()
+    {
+        socket.async_receive_from(
+            asio::buffer(datagram), sender,
+            [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+                if (error == asio::error::operation_aborted)
+                    return;
+                if (!error)
+                    self->take({self->datagram.data(), size});
+                self->receive();
+            });
+    }
+
+    void take(std::string_view bytes)
+    {
+        const auto load = openEntryLoad(bytes, state.settings.peerKey);
+        if (load) {
+            state.applyPeer(*load);
+            return;
+        }
+        state.metrics.add("tamarack_peer_rejected_total", "");
+        logEvent(LogLevel::Warning, "peer_rejected",
+                 {{"peer", sender.address().to_string()}, {"reason", load.error().message}});
+    }
+
+    Duration interval() const
+    {
+        return shortestInterval * (1 + peers.size() / peersPerInterval);
+    }
+
+    void arm(TimePoint at)
+    {
+        if (armedAt <= at)
+            return;
+        armedAt = at;
+        timer.expires_at(at);
+        timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (error)
+                return;
+            self->armedAt = TimePoint::max();
+            self->send();
+        });
+    }
+
+    void send()
+    {
+        EntryLoad load = state.ownLoad();
+        load.sequence = ++sequence;
+        sentLoads = load.loads;
+        sentDemand = load.demand;
+        const std::string bytes = sealEntryLoad(load, state.settings.peerKey);
+        if (bytes.size() > largestDatagram)
+            logEvent(LogLevel::Error, "peer_message_too_large", {{"bytes", bytes.size()}});
+        else
+            sendToAll(bytes);
+        sentAt = steadyNow();
+        arm(sentAt + beat);
+    }
+
+    /// A full socket loses the message; the next one replaces it.
+    void sendToAll(std::string_view bytes)
+    {
+        for (const udp::endpoint &peer : peers) {
+            boost::system::error_code error;
+            socket.send_to(asio::buffer(bytes.data(), bytes.size()), peer, 0, error);
+            if (error)
+                state.metrics.add("tamarack_peer_send_failures_total", "");
+        }
+        state.metrics.add("tamarack_peer_bytes_sent_total", "", bytes.size() * peers.size());
+    }
+
+    void loadChanged()
+    {
+        if (peers.empty())
+            return;
+        const bool changed =
+            state.upstreams.ownLoads() != sentLoads || state.queue.demand() != sentDemand;
+        if (changed)
+            arm(std::max(sentAt + interval(), steadyNow()));
+    }
+
+    TrafficState &state;
+    udp::socket socket;
+    asio::steady_timer timer;
+    std::array<char, largestDatagram> datagram{};
+    udp::endpoint sender;
+    std::vector<udp::endpoint> peers;
+    std::uint64_t sequence = 0;
+    std::vector<std::pair<UpstreamKey, UpstreamLoad>> sentLoads;
+    std::vector<QueueDemand> sentDemand;
+    TimePoint sentAt{};
+    TimePoint armedAt = TimePoint::max();
+};
+
+PeerExchange::PeerExchange(std::shared_ptr<Private> p)
+    : m_private(std::move(p))
+{}
+
+PeerExchange::~PeerExchange() = default;
+
+Result<std::unique_ptr<PeerExchange>> PeerExchange::makeExchange(TrafficState &state)
+{
+    auto p = std::make_shared<Private>(state);
+    if (auto opened = p->open(); !opened)
+        return tl::unexpected(opened.error());
+    p->receive();
+    p->arm(steadyNow() + beat);
+    return std::unique_ptr<PeerExchange>(new PeerExchange(std::move(p)));
+}
+
+void PeerExchange::setPeers(std::vector<Endpoint> peers)
+{
+    m_private->peers.clear();
+    for (const Endpoint &peer : peers) {
+        boost::system::error_code error;
+        const auto address = asio::ip::make_address(peer.address, error);
+        if (!error)
+            m_private->peers.emplace_back(address, peer.port);
+    }
+}
+
+void PeerExchange::loadChanged()
+{
+    m_private->loadChanged();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/direct/StoreFollower.cpp
@@ -0,0 +1,309 @@
+#include "direct/StoreFollower.h"
+
+#include "base/AsioPch.h"
+#include "base/Hash.h"
+#include "base/Log.h"
+#include "platform/ConfigDecoder.h"
+#include "platform/StoreClient.h"
+#include "platform/UpstreamDecoder.h"
+#include "process/Supervisor.h"
+#include "process/Timers.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+/// Wait of a watch. Its return proves the configuration, and a silent connection shows soon.
+constexpr milliseconds configWait{1000};
+constexpr milliseconds upstreamWait{1500};
+constexpr milliseconds entryWait{8000};
+/// Pause after a failed call, with as much again at random.
+constexpr milliseconds retryPause{120};
+/// Own kind of object: one for each entry.
+const std::string entryKind = "tamarack-entries";
+
+} // namespace
+
+struct StoreFollower::Private : std::enable_shared_from_this<StoreFollower::Private>
+{
+    Private(const asio::any_io_executor &executor, const Settings &processSettings,
+            StoreListener storeListener)
+        : settings(processSettings)
+        , listener(std::move(storeListener))
+        , store(executor, settings.direct.store)
+        , expiryTimer(executor)
+    {}
+
+    /// Notes the outcome of a call; logs when the store is lost or regained.
+    void noteCall(bool succeeded, std::string_view what, std::string_view reason)
+    {
+        const TimePoint now = steadyNow();
+        if (succeeded)
+            directory.storeAnswered(now);
+        else
+            directory.storeFailed(now);
+        if (succeeded != reachable) {
+            reachable = succeeded;
+            logEvent(succeeded ? LogLevel::Info : LogLevel::Warning,
+                     succeeded ? "store_regained" : "store_lost",
+                     {{"call", what}, {"reason", reason}});
+        }
+    }
+
+    template <typename T>
+    bool noteResult(const Result<T> &result, std::string_view what)
+    {
+        // These are answers: the store is there.
+        const bool answered = result || result.error().kind == ErrorKind::HistoryGone
+                              || result.error().kind == ErrorKind::NotFound;
+        noteCall(answered, what, result ? "" : result.error().message);
+        return result.has_value();
+    }
+
+    asio::awaitable<void> pauseAfterFailure() const
+    {
+        const auto spread = static_cast<std::int64_t>(randomBits64() % retryPause.count());
+        co_await pause(retryPause + milliseconds(spread));
+    }
+
+    asio::awaitable<void> configLoop()
+    {
+        while (true) {
+            const BootTime callStart = bootNow();
+            const auto listing = co_await store.list(platform::configKind());
+            if (!noteResult(listing, "list_config")) {
+                co_await pauseAfterFailure();
+                continue;
+            }
+            for (const auto &object : listing->objects)
+                takeConfig(object);
+            proveConfig(callStart);
+            co_await watchConfig(listing->revision);
+        }
+    }
+
+    /// Returns when the watch cannot go on.
+    asio::awaitable<void> watchConfig(platform::Revision revision)
+    {
+        while (true) {
+            const BootTime callStart = bootNow();
+            const auto changes =
+                co_await store.watch(platform::configKind(), revision, configWait);
+            if (!noteResult(changes, "watch_config")) {
+                if (changes.error().kind == ErrorKind::HistoryGone)
+                    co_return;
+                co_await pauseAfterFailure();
+                continue;
+            }
+            for (const auto &event : changes->events)
+                if (!event.deleted)
+                    takeConfig(event.object);
+            proveConfig(callStart);
+            revision = changes->revision;
+        }
+    }
+
+    void takeConfig(const platform::StoredObject &object)
+    {
+        if (object.name != platform::configName())
+            return;
+        auto config = platform::decodeConfig(object.spec);
+        if (!config) {
+            logEvent(LogLevel::Error, "config_invalid",
+                     {{"revision", object.revision}, {"reason", config.error().message}});
+            return;
+        }
+        if (version && (*config)->version <= *version)
+            return;
+        version = (*config)->version;
+        logEvent(LogLevel::Info, "config_applied",
+                 {{"version", *version},
+                  {"revision", object.revision},
+                  {"routes", (*config)->routes.size()},
+                  {"workspaces", (*config)->workspaces.size()}});
+        listener.configChanged(std::move(*config));
+    }
+
+    void proveConfig(BootTime callStart)
+    {
+        if (version)
+            listener.configProved(callStart);
+    }
+
+    asio::awaitable<void> upstreamLoop()
+    {
+        while (true) {
+            const auto listing = co_await store.list(platform::upstreamKind());
+            if (!noteResult(listing, "list_upstreams")) {
+                co_await pauseAfterFailure();
+                continue;
+            }
+            std::vector<UpstreamRecord> records;
+            for (const auto &object : listing->objects)
+                if (auto record = decode(object))
+                    records.push_back(std::move(*record));
+            directory.replace(std::move(records), steadyNow());
+            publishUpstreams();
+            co_await watchUpstreams(listing->revision);
+        }
+    }
+
+    asio::awaitable<void> watchUpstreams(platform::Revision revision)
+    {
+        while (true) {
+            const auto changes =
+                co_await store.watch(platform::upstreamKind(), revision, upstreamWait);
+            if (!noteResult(changes, "watch_upstreams")) {
+                if (changes.error().kind == ErrorKind::HistoryGone)
+                    co_return;
+                co_await pauseAfterFailure();
+                continue;
+            }
+            for (const auto &event : changes->events)
+                takeUpstream(event);
+            if (!changes->events.empty())
+                publishUpstreams();
+            revision = changes->revision;
+        }
+    }
+
+    void takeUpstream(const platform::StoreEvent &event)
+    {
+        auto record = event.deleted ? std::nullopt : decode(event.object);
+        logEvent(LogLevel::Info, "upstream_changed",
+                 {{"upstream", event.object.name},
+                  {"revision", event.object.revision},
+                  {"listed", record.has_value()},
+                  {"draining", record && record->draining}});
+        if (record)
+            directory.put(std::move(*record));
+        else
+            directory.remove(event.object.name, steadyNow());
+    }
+
+    std::optional<UpstreamRecord> decode(const platform::StoredObject &object)
+    {
+        auto record = platform::decodeUpstream(object.name, object.spec);
+        if (record)
+            return *record;
+        logEvent(LogLevel::Warning, "upstream_entry_ignored",
+                 {{"upstream", object.name}, {"reason", record.error().message}});
+        return std::nullopt;
+    }
+
+    void publishUpstreams()
+    {
+        listener.upstreamsChanged(directory.usable(steadyNow()));
+        const auto expiry = directory.nextExpiry();
+        if (!expiry)
+            return;
+        expiryTimer.expires_at(*expiry);
+        expiryTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (!error)
+                self->publishUpstreams();
+        });
+    }
+
+    asio::awaitable<void> entryLoop()
+    {
+        co_await registerEntry();
+        while (true) {
+            const auto listing = co_await store.list(entryKind);
+            if (!noteResult(listing, "list_entries")) {
+                co_await pauseAfterFailure();
+                continue;
+            }
+            entries.clear();
+            for (const auto &object : listing->objects)
+                takeEntry({object, false});
+            listener.entriesChanged(entries);
+            co_await watchEntries(listing->revision);
+        }
+    }
+
+    asio::awaitable<void> registerEntry()
+    {
+        const json::value own = json::object{{"peer", toString(settings.peer)}};
+        while (true) {
+            const auto written = co_await store.put(entryKind, settings.name, own);
+            if (noteResult(written, "register"))
+                co_return;
+            co_await pauseAfterFailure();
+        }
+    }
+
+    asio::awaitable<void> watchEntries(platform::Revision revision)
+    {
+        while (true) {
+            const auto changes = co_await store.watch(entryKind, revision, entryWait);
+            if (!noteResult(changes, "watch_entries")) {
+                if (changes.error().kind == ErrorKind::HistoryGone)
+                    co_return;
+                co_await pauseAfterFailure();
+                continue;
+            }
+            for (const auto &event : changes->events)
+                takeEntry(event);
+            if (!changes->events.empty())
+                listener.entriesChanged(entries);
+            revision = changes->revision;
+        }
+    }
+
+    void takeEntry(const platform::StoreEvent &event)
+    {
+        const auto *spec = event.object.spec.if_object();
+        const auto *address = spec ? spec->if_contains("peer") : nullptr;
+        const auto peer = address && address->is_string()
+                              ? parseEndpoint(std::string(address->get_string()))
+                              : std::nullopt;
+        if (event.deleted || !peer)
+            entries.erase(event.object.name);
+        else
+            entries[event.object.name] = *peer;
+    }
+
+    Settings settings;
+    StoreListener listener;
+    platform::StoreClient store;
+    UpstreamDirectory directory;
+    asio::steady_timer expiryTimer;
+    std::map<std::string, Endpoint> entries;
+    std::optional<std::uint64_t> version;
+    bool reachable = true;
+};
+
+StoreFollower::StoreFollower(const asio::any_io_executor &executor, const Settings &settings,
+                             StoreListener listener)
+    : m_private(std::make_shared<Private>(executor, settings, std::move(listener)))
+{}
+
+StoreFollower::~StoreFollower() = default;
+
+void StoreFollower::start(Supervisor &supervisor)
+{
+    const auto self = m_private;
+    supervisor.start("config", [self] { return self->configLoop(); });
+    supervisor.start("upstreams", [self] { return self->upstreamLoop(); });
+    supervisor.start("entries", [self] { return self->entryLoop(); });
+}
+
+asio::awaitable<void> StoreFollower::leave()
+{
+    const auto self = m_private;
+    const auto removed = co_await self->store.remove(entryKind, self->settings.name);
+    if (!removed)
+        logEvent(LogLevel::Warning, "unregister_failed", {{"reason", removed.error().message}});
+}
+
+std::uint64_t StoreFollower::calls() const
+{
+    return m_private->store.calls();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/direct/TrafficState.cpp
@@ -0,0 +1,203 @@
+#include "direct/TrafficState.h"
+
+#include "base/Hash.h"
+#include "base/Log.h"
+#include "process/Timers.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+/// A watch of the store may hear nothing for a second while changes are made, and the send of a
+/// request takes a moment after its check.
+constexpr milliseconds proofMargin{1250};
+/// Breaks at one upstream within this time belong together.
+constexpr milliseconds breakWindow{500};
+/// Crash rows in one message to the other entries.
+constexpr std::size_t toldCrashes = 32;
+
+} // namespace
+
+TrafficState::TrafficState(const Settings &processSettings,
+                           const boost::asio::any_io_executor &trafficExecutor,
+                           Metrics &processMetrics)
+    : settings(processSettings)
+    , executor(trafficExecutor)
+    , metrics(processMetrics)
+    , incarnation(randomBits64())
+    , freshness(settings.direct.revokeBound, proofMargin)
+    , queue(upstreams, settings.dataCentre)
+    , retries(settings.direct.retries)
+    , peers(settings.name)
+    , m_refusalTimer(executor)
+{}
+
+void TrafficState::applyConfig(ServingConfigPtr newConfig)
+{
+    if (config && newConfig->version <= config->version)
+        return;
+    config = std::move(newConfig);
+    quotas.configure(*config, steadyNow());
+    pump();
+}
+
+void TrafficState::applyUpstreams(const std::vector<UpstreamRecord> &records)
+{
+    upstreams.assign(records);
+    pump();
+}
+
+void TrafficState::applyPeer(const EntryLoad &load)
+{
+    const TimePoint now = steadyNow();
+    if (!peers.learn(load, now))
+        return;
+    quotas.learn(load.incarnation, load.quotas);
+    for (const CrashRow &row : load.crashes)
+        crashes.add(row, now);
+    upstreams.setOthers(peers.loads(now));
+    queue.setPeerDemand(peers.demand(now));
+    pump();
+}
+
+void TrafficState::applyKnownEntries(const std::set<std::string> &names)
+{
+    peers.setKnown(names);
+}
+
+void TrafficState::enqueue(QueuedRequest request, std::shared_ptr<QueueWait> wait)
+{
+    m_waits[request.ticket] = std::move(wait);
+    queue.push(std::move(request));
+    pump();
+}
+
+void TrafficState::abandon(Ticket ticket)
+{
+    const auto found = m_waits.find(ticket);
+    if (found == m_waits.end())
+        return;
+    const auto wait = std::move(found->second);
+    m_waits.erase(found);
+    queue.remove(ticket);
+    wait->abandoned = true;
+    wait->signal.cancel();
+    pump();
+}
+
+void TrafficState::pump()
+{
+    settle(queue.decide(steadyNow()));
+    armRefusals();
+    if (onLoadChanged)
+        onLoadChanged();
+}
+
+void TrafficState::settle(const QueueDecisions &decisions)
+{
+    const auto take = [this](Ticket ticket) {
+        const auto found = m_waits.find(ticket);
+        auto wait = std::move(found->second);
+        m_waits.erase(found);
+        return wait;
+    };
+    for (const Assignment &assignment : decisions.assignments) {
+        const auto wait = take(assignment.ticket);
+        wait->assignment = assignment;
+        wait->signal.cancel();
+    }
+    for (const QueueRefusal &refusal : decisions.refusals) {
+        const auto wait = take(refusal.ticket);
+        wait->refusal = refusal;
+        wait->signal.cancel();
+    }
+}
+
+void TrafficState::armRefusals()
+{
+    const TimePoint next = queue.nextRefusal();
+    if (next == m_refusalAt)
+        return;
+    m_refusalAt = next;
+    if (next == TimePoint::max()) {
+        m_refusalTimer.cancel();
+        return;
+    }
+    m_refusalTimer.expires_at(next);
+    m_refusalTimer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        m_refusalAt = TimePoint::max();
+        pump();
+    });
+}
+
+void TrafficState::attemptStarted(UpstreamKey upstream, RequestFingerprint fingerprint)
+{
+    m_running[upstream].insert(fingerprint);
+}
+
+void TrafficState::attemptEnded(UpstreamKey upstream, RequestFingerprint fingerprint)
+{
+    const auto found = m_running.find(upstream);
+    if (found == m_running.end())
+        return;
+    const auto row = found->second.find(fingerprint);
+    if (row != found->second.end())
+        found->second.erase(row);
+    if (found->second.empty())
+        m_running.erase(found);
+}
+
+void TrafficState::attemptBroke(UpstreamState &upstream, RequestFingerprint fingerprint,
+                                TimePoint now)
+{
+    auto &[firstAt, fingerprints] = m_broken[upstream.key];
+    if (now - firstAt > breakWindow) {
+        firstAt = now;
+        fingerprints.clear();
+    }
+    if (fingerprint != 0)
+        fingerprints.push_back(fingerprint);
+    const bool crashed = upstream.failuresInRow > 1;
+    if (!crashed)
+        return;
+    for (const RequestFingerprint suspect : fingerprints) {
+        if (!crashes.add({suspect, upstream.key}, now))
+            continue;
+        logEvent(LogLevel::Warning, "crash_suspect",
+                 {{"fingerprint", hex64(suspect)}, {"upstream", upstream.record.id}});
+    }
+}
+
+EntryLoad TrafficState::ownLoad() const
+{
+    EntryLoad load;
+    load.name = settings.name;
+    load.incarnation = incarnation;
+    load.configVersion = config ? config->version : 0;
+    load.loads = upstreams.ownLoads();
+    load.demand = queue.demand();
+    load.quotas = quotas.uses();
+    load.crashes = crashes.rows(toldCrashes);
+    load.leaving = draining;
+    return load;
+}
+
+void TrafficState::tick(TimePoint now)
+{
+    upstreams.setOthers(peers.loads(now));
+    queue.setPeerDemand(peers.demand(now));
+    quotas.setHeardShare(peers.heardShare(now), now);
+    retries.setEntries(peers.heard(now));
+    crashes.forgetOld(now);
+    pool.dropExpired(now);
+    std::erase_if(m_broken, [now](const auto &item) {
+        return now - item.second.first > breakWindow;
+    });
+    pump();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/direct/TrafficState.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "base/Metrics.h"
+#include "config/Settings.h"
+#include "direct/UpstreamPool.h"
+#include "serving/CrashLedger.h"
+#include "serving/DispatchQueue.h"
+#include "serving/EntryLoad.h"
+#include "serving/FreshnessGuard.h"
+#include "serving/PeerBook.h"
+#include "serving/QuotaLedger.h"
+#include "serving/RetryBudget.h"
+#include "serving/ServingConfig.h"
+#include "serving/UpstreamTable.h"
+#include "serving/WaitPolicy.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarack {
+
+/// One request's wait for an upstream.
+struct QueueWait
+{
+    explicit QueueWait(const boost::asio::any_io_executor &executor)
+        : signal(executor, TimePoint::max())
+    {}
+
+    bool decided() const { return assignment || refusal || abandoned; }
+
+    /// Cancelled once the wait is decided.
+    boost::asio::steady_timer signal;
+    std::optional<Assignment> assignment;
+    std::optional<QueueRefusal> refusal;
+    bool abandoned = false;
+};
+
+/// Decision modules of a direct entry, and what connects them to its requests. Lives on the
+/// traffic thread.
+class TrafficState
+{
+public:
+    TrafficState(const Settings &settings, const boost::asio::any_io_executor &executor,
+                 Metrics &metrics);
+
+    void applyConfig(ServingConfigPtr config);
+    void applyUpstreams(const std::vector<UpstreamRecord> &records);
+    void applyPeer(const EntryLoad &load);
+    void applyKnownEntries(const std::set<std::string> &names);
+
+    /// Queues the request; `wait` is decided now or later.
+    void enqueue(QueuedRequest request, std::shared_ptr<QueueWait> wait);
+    /// Gives up a wait that is not decided.
+    void abandon(Ticket ticket);
+    /// An attempt has ended or an upstream has changed: others may start.
+    void pump();
+    Ticket nextTicket() { return ++m_lastTicket; }
+
+    /// Follows a running attempt, so that a crash of its upstream is told to all of them.
+    void attemptStarted(UpstreamKey upstream, RequestFingerprint fingerprint);
+    void attemptEnded(UpstreamKey upstream, RequestFingerprint fingerprint);
+    /// Attempts at the upstream broke off; more than one, or no new connection, is a crash.
+    void attemptBroke(UpstreamState &upstream, RequestFingerprint fingerprint, TimePoint now);
+
+    /// What this entry tells the others now.
+    EntryLoad ownLoad() const;
+    /// Called when `ownLoad` has changed in a way that others wait for.
+    std::function<void()> onLoadChanged;
+
+    /// Regular work: forgets what is old.
+    void tick(TimePoint now);
+
+    Settings settings;
+    boost::asio::any_io_executor executor;
+    Metrics &metrics;
+    Incarnation incarnation;
+    ServingConfigPtr config;
+    FreshnessGuard freshness;
+    UpstreamTable upstreams;
+    DispatchQueue queue;
+    QuotaLedger quotas;
+    RetryBudget retries;
+    CrashLedger crashes;
+    PeerBook peers;
+    AttemptAge attemptAge;
+    UpstreamPool pool;
+    bool draining = false;
+    std::size_t held = 0;
+
+private:
+    void settle(const QueueDecisions &decisions);
+    void armRefusals();
+
+    std::unordered_map<Ticket, std::shared_ptr<QueueWait>> m_waits;
+    std::unordered_map<UpstreamKey, std::multiset<RequestFingerprint>> m_running;
+    std::unordered_map<UpstreamKey, std::pair<TimePoint, std::vector<RequestFingerprint>>> m_broken;
+    boost::asio::steady_timer m_refusalTimer;
+    TimePoint m_refusalAt = TimePoint::max();
+    Ticket m_lastTicket = 0;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/direct/UpstreamConnection.cpp
@@ -0,0 +1,160 @@
+#include "direct/UpstreamConnection.h"
+
+#include "base/AsioPch.h"
+#include "http/SocketOptions.h"
+
+#include <array>
+
+namespace tamarack {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+/// An upstream that does not take a connection in this time is tried later; a lost opening
+/// packet is sent again after a second, by which another upstream has long answered.
+constexpr milliseconds connectBound{300};
+/// Data that is not acknowledged, or a probe that is not answered, for this long means that the
+/// connection has gone silent.
+constexpr milliseconds silenceBound{2000};
+constexpr std::size_t bodyReadBytes = 8 << 10;
+constexpr std::uint32_t headBytes = 64 << 10;
+constexpr int firstFinalStatus = 200;
+
+} // namespace
+
+struct UpstreamConnection::Private
+{
+    explicit Private(const asio::any_io_executor &executor)
+        : stream(executor)
+    {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    http::request<http::string_body> message;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::array<char, bodyReadBytes> piece{};
+    bool headRequest = false;
+    bool writing = false;
+    bool failed = false;
+};
+
+UpstreamConnection::UpstreamConnection(std::unique_ptr<Private> p)
+    : m_private(std::move(p))
+{}
+
+UpstreamConnection::~UpstreamConnection() = default;
+
+asio::awaitable<Result<std::shared_ptr<UpstreamConnection>>>
+UpstreamConnection::makeConnection(asio::any_io_executor executor, Endpoint endpoint)
+{
+    auto p = std::make_unique<Private>(executor);
+    beast::error_code ignored;
+    const tcp::endpoint address(asio::ip::make_address(endpoint.address, ignored), endpoint.port);
+    p->stream.expires_after(connectBound);
+    const auto [error] = co_await p->stream.async_connect(address, useTuple);
+    if (error)
+        co_return failure(ErrorKind::UpstreamRefused, error.message());
+    p->stream.expires_never();
+    tuneSocket(p->stream.socket(), silenceBound);
+    co_return std::shared_ptr<UpstreamConnection>(new UpstreamConnection(std::move(p)));
+}
+
+void UpstreamConnection::send(HttpRequest request)
+{
+    auto &p = *m_private;
+    p.message = {};
+    p.message.method_string(request.method);
+    p.message.target(request.target);
+    p.message.version(11);
+    for (const auto &[name, value] : request.headers)
+        p.message.insert(name, value);
+    p.message.body() = std::move(request.body);
+    p.message.prepare_payload();
+    p.headRequest = p.message.method() == http::verb::head;
+    p.writing = true;
+    http::async_write(p.stream, p.message,
+                      [self = shared_from_this()](beast::error_code error, std::size_t) {
+                          self->m_private->writing = false;
+                          self->m_private->failed = self->m_private->failed || error;
+                      });
+}
+
+asio::awaitable<Result<UpstreamHead>> UpstreamConnection::readHead()
+{
+    auto &p = *m_private;
+    while (true) {
+        p.parser.emplace();
+        p.parser->header_limit(headBytes);
+        p.parser->body_limit(boost::none);
+        p.parser->skip(p.headRequest);
+        const auto [error, size] =
+            co_await http::async_read_header(p.stream, p.buffer, *p.parser, useTuple);
+        if (error) {
+            p.failed = true;
+            const bool spoiled =
+                error.category() == beast::error_code(http::error::bad_version).category()
+                && error != http::error::end_of_stream && error != http::error::partial_message;
+            co_return failure(spoiled ? ErrorKind::UpstreamFailed : ErrorKind::UpstreamLost,
+                              error.message());
+        }
+        const int status = static_cast<int>(p.parser->get().result_int());
+        if (status < firstFinalStatus)
+            continue;
+        UpstreamHead head;
+        head.status = status;
+        for (const auto &field : p.parser->get())
+            head.headers.emplace_back(std::string(field.name_string()),
+                                      std::string(field.value()));
+        co_return head;
+    }
+}
+
+asio::awaitable<Result<std::string_view>> UpstreamConnection::readBody()
+{
+    auto &p = *m_private;
+    while (!p.parser->is_done()) {
+        auto &body = p.parser->get().body();
+        body.data = p.piece.data();
+        body.size = p.piece.size();
+        const auto [error, size] =
+            co_await http::async_read_some(p.stream, p.buffer, *p.parser, useTuple);
+        if (error && error != http::error::need_buffer) {
+            p.failed = true;
+            co_return failure(ErrorKind::UpstreamLost, error.message());
+        }
+        const std::size_t got = p.piece.size() - body.size;
+        if (got > 0)
+            co_return std::string_view(p.piece.data(), got);
+    }
+    co_return std::string_view();
+}
+
+bool UpstreamConnection::reusable() const
+{
+    const auto &p = *m_private;
+    return !p.failed && !p.writing && p.parser && p.parser->is_done() && p.parser->keep_alive()
+           && p.buffer.size() == 0;
+}
+
+bool UpstreamConnection::stale()
+{
+    auto &socket = m_private->stream.socket();
+    beast::error_code error;
+    char byte = 0;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error != asio::error::would_block;
+}
+
+void UpstreamConnection::close()
+{
+    m_private->failed = true;
+    m_private->stream.close();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/direct/UpstreamPool.cpp
@@ -0,0 +1,55 @@
+#include "direct/UpstreamPool.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+/// Idle time when the upstream does not tell its own.
+constexpr milliseconds defaultIdle{4000};
+/// Ended this much before the upstream would, so that no request crosses its close.
+constexpr milliseconds idleMargin{800};
+constexpr std::size_t mostIdle = 16;
+
+} // namespace
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::take(UpstreamKey upstream, TimePoint now)
+{
+    const auto found = m_idle.find(upstream);
+    if (found == m_idle.end())
+        return nullptr;
+    Connections &connections = found->second;
+    while (!connections.empty()) {
+        auto connection = std::move(connections.back());
+        connections.pop_back();
+        if (now < connection->idleUntil && !connection->stale())
+            return connection;
+    }
+    return nullptr;
+}
+
+void UpstreamPool::keep(UpstreamKey upstream, std::shared_ptr<UpstreamConnection> connection,
+                        std::optional<milliseconds> keepAlive, TimePoint now)
+{
+    const Duration idle = keepAlive.value_or(defaultIdle) - idleMargin;
+    Connections &connections = m_idle[upstream];
+    if (idle <= Duration::zero() || connections.size() >= mostIdle)
+        return;
+    connection->idleUntil = now + idle;
+    connections.push_back(std::move(connection));
+}
+
+void UpstreamPool::drop(UpstreamKey upstream)
+{
+    m_idle.erase(upstream);
+}
+
+void UpstreamPool::dropExpired(TimePoint now)
+{
+    for (auto &[key, connections] : m_idle)
+        std::erase_if(connections, [now](const auto &each) { return now >= each->idleUntil; });
+    std::erase_if(m_idle, [](const auto &item) { return item.second.empty(); });
+}
+
+} // namespace tamarack
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -120,8 +120,12 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(largestAnswerBytes);
     const auto [readError, size] = co_await http::async_read(*connection, buffer, parser, useTuple);
-    if (readError)
+    if (readError) {
+        // What made this connection silent may have made the idle ones silent, too.
+        if (readError == beast::error::timeout)
+            m_private->idle.erase(name);
         co_return tl::unexpected(toError(readError, "read"));
+    }
     auto &reply = parser.get();
     HttpResponse response{static_cast<int>(reply.result_int()), toHeaders(reply), reply.body()};
     auto &list = m_private->idle[name];
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -40,7 +40,12 @@
     std::size_t headerBytes = 16 << 10;
     std::size_t bodyBytes = 2 << 20;
     std::size_t connections = 10'000;
+    /// From the first byte of a request to the end of its body.
     int readTimeoutMs = 30'000;
+    /// From the first byte of a request to the end of its headers; 0: as `readTimeoutMs`.
+    int headerTimeoutMs = 0;
+    /// Between requests; 0: as `readTimeoutMs`.
+    int idleTimeoutMs = 0;
     int writeTimeoutMs = 60'000;
 };
 
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <optional>
 
 #include <boost/asio/ssl.hpp>
@@ -37,33 +39,101 @@
     return request;
 }
 
-int statusOfReadError(beast::error_code error)
+ErrorKind kindOfReadError(beast::error_code error)
 {
     if (error == http::error::body_limit)
-        return 413;
+        return ErrorKind::PayloadTooLarge;
     if (error == http::error::header_limit)
-        return 431;
-    return 400;
+        return ErrorKind::HeadersTooLarge;
+    if (error == beast::error::timeout)
+        return ErrorKind::RequestTimeout;
+    return ErrorKind::BadRequest;
 }
 
+/// A connection as its server sees it.
+class Connection
+{
+public:
+    virtual ~Connection() = default;
+    /// Ends the connection if it waits for a request. Thread-safe.
+    virtual void closeIfIdle() = 0;
+};
+
+/// What the connections of a server share. Thread-safe.
+class Registry
+{
+public:
+    explicit Registry(const HttpLimits &limits)
+        : m_limits(std::make_shared<const HttpLimits>(limits))
+    {}
+
+    std::shared_ptr<const HttpLimits> limits() const { return m_limits.load(); }
+    void setLimits(const HttpLimits &limits)
+    {
+        m_limits = std::make_shared<const HttpLimits>(limits);
+    }
+
+    bool closing() const { return m_closing; }
+    void setClosing() { m_closing = true; }
+
+    void add(const std::shared_ptr<Connection> &connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_connections[connection.get()] = connection;
+    }
+    void remove(Connection *connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_connections.erase(connection);
+    }
+    std::size_t size() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_connections.size();
+    }
+    std::vector<std::shared_ptr<Connection>> all() const
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<std::shared_ptr<Connection>> connections;
+        for (const auto &[key, weak] : m_connections)
+            if (auto connection = weak.lock())
+                connections.push_back(std::move(connection));
+        return connections;
+    }
+
+private:
+    std::atomic<std::shared_ptr<const HttpLimits>> m_limits;
+    std::atomic<bool> m_closing{false};
+    mutable std::mutex m_mutex;
+    std::map<Connection *, std::weak_ptr<Connection>> m_connections;
+};
+
 /// One connection; runs its requests one after the other.
 template <typename Stream>
-class Session final : public HttpExchange, public std::enable_shared_from_this<Session<Stream>>
+class Session final : public HttpExchange,
+                      public Connection,
+                      public std::enable_shared_from_this<Session<Stream>>
 {
 public:
-    Session(Stream stream, HttpLimits limits, std::atomic<std::size_t> &connections)
+    Session(Stream stream, std::shared_ptr<Registry> registry)
         : m_stream(std::move(stream))
-        , m_limits(limits)
-        , m_connections(connections)
+        , m_registry(std::move(registry))
+    {}
+
+    ~Session() override { m_registry->remove(this); }
+
+    void closeIfIdle() override
     {
-        ++m_connections;
+        asio::post(m_stream.get_executor(), [self = this->shared_from_this()] {
+            if (self->m_idle)
+                self->close();
+        });
     }
 
-    ~Session() override { --m_connections; }
-
     asio::awaitable<void> run(HttpHandler handler)
     {
         const auto self = this->shared_from_this();
+        m_registry->add(self);
         if (!co_await handshake())
             co_return;
         while (co_await readRequest()) {
@@ -85,7 +155,7 @@
                                                   m_version);
         for (const auto &[name, value] : response.headers)
             message.insert(name, value);
-        message.keep_alive(m_keepAlive);
+        setKeepAlive(message);
         message.body() = std::move(response.body);
         message.prepare_payload();
         armWrite();
@@ -99,7 +169,7 @@
         http::response<http::empty_body> message(static_cast<http::status>(status), m_version);
         for (const auto &[name, value] : headers)
             message.insert(name, value);
-        message.keep_alive(m_keepAlive);
+        setKeepAlive(message);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
         armWrite();
@@ -139,7 +209,7 @@
     asio::awaitable<bool> handshake()
     {
         if constexpr (std::is_same_v<Stream, TlsStream>) {
-            armRead();
+            arm(m_registry->limits()->readTimeoutMs);
             const auto [error] =
                 co_await m_stream.async_handshake(asio::ssl::stream_base::server, useTuple);
             co_return !error;
@@ -147,35 +217,88 @@
         co_return true;
     }
 
+    template <typename Message>
+    void setKeepAlive(Message &message)
+    {
+        m_keepAlive = m_keepAlive && !m_registry->closing();
+        message.keep_alive(m_keepAlive);
+    }
+
     asio::awaitable<bool> readRequest()
     {
+        const auto limits = m_registry->limits();
         http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
-        parser.body_limit(m_limits.bodyBytes);
-        armRead();
-        const auto [error, size] = co_await http::async_read(m_stream, m_buffer, parser, useTuple);
+        parser.header_limit(static_cast<std::uint32_t>(limits->headerBytes));
+        parser.body_limit(limits->bodyBytes);
+        if (!co_await waitForRequest(*limits))
+            co_return false;
+        beast::error_code error = co_await readHeader(parser, *limits);
+        if (!error)
+            error = co_await readBody(parser, *limits);
         if (!error) {
             m_version = parser.get().version();
             m_keepAlive = parser.get().keep_alive();
             m_request = toRequest(parser.release());
             co_return true;
         }
-        if (error != http::error::end_of_stream
-            && error.category() == beast::error_code(http::error::bad_method).category())
-            co_await refuse(statusOfReadError(error), error.message());
+        const bool refusable =
+            error.category() == beast::error_code(http::error::bad_method).category()
+            || error == beast::error::timeout;
+        if (error != http::error::end_of_stream && refusable)
+            co_await refuse(kindOfReadError(error), error.message());
         co_return false;
     }
 
-    asio::awaitable<void> refuse(int status, std::string reason)
+    /// Waits for the first bytes of a request. False at the end of the connection.
+    asio::awaitable<bool> waitForRequest(const HttpLimits &limits)
+    {
+        if (m_buffer.size() > 0)
+            co_return true;
+        constexpr std::size_t firstReadBytes = 4096;
+        m_idle = true;
+        arm(limits.idleTimeoutMs > 0 ? limits.idleTimeoutMs : limits.readTimeoutMs);
+        const auto [error, size] =
+            co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), useTuple);
+        m_idle = false;
+        m_buffer.commit(size);
+        co_return !error;
+    }
+
+    template <typename Parser>
+    asio::awaitable<beast::error_code> readHeader(Parser &parser, const HttpLimits &limits)
+    {
+        arm(limits.headerTimeoutMs > 0 ? limits.headerTimeoutMs : limits.readTimeoutMs);
+        const auto [error, size] =
+            co_await http::async_read_header(m_stream, m_buffer, parser, useTuple);
+        co_return error;
+    }
+
+    template <typename Parser>
+    asio::awaitable<beast::error_code> readBody(Parser &parser, const HttpLimits &limits)
+    {
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+            constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+            armWrite();
+            const auto [error, size] =
+                co_await asio::async_write(m_stream, asio::buffer(interim), useTuple);
+            if (error)
+                co_return error;
+        }
+        arm(limits.readTimeoutMs);
+        const auto [error, size] = co_await http::async_read(m_stream, m_buffer, parser, useTuple);
+        co_return error;
+    }
+
+    asio::awaitable<void> refuse(ErrorKind kind, std::string reason)
     {
         m_keepAlive = false;
-        const boost::json::object fault{
-            {"kind", status == 413 ? "payload_too_large" : "bad_request"},
-            {"message", reason},
-            {"request_id", ""},
-            {"outcome", "not-run"}};
+        const ErrorAnswer &answer = errorAnswer(kind);
+        const boost::json::object fault{{"kind", answer.name},
+                                        {"message", reason},
+                                        {"request_id", ""},
+                                        {"outcome", "not-run"}};
         HttpResponse response{
-            status,
+            answer.httpStatus,
             {{"Content-Type", "application/json"}, {"Tamarack-Outcome", "not-run"}},
             boost::json::serialize(boost::json::object{{"error", fault}})};
         co_await respond(std::move(response));
@@ -185,6 +308,8 @@
 
     void watch()
     {
+        if (std::exchange(m_watching, true))
+            return;
         auto &socket = beast::get_lowest_layer(m_stream).socket();
         socket.async_wait(
             tcp::socket::wait_read,
@@ -193,6 +318,7 @@
 
     void readable(beast::error_code error)
     {
+        m_watching = false;
         if (!m_gone || error)
             return;
         beast::error_code peekError;
@@ -201,24 +327,23 @@
         socket.non_blocking(true, peekError);
         socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
         const bool pipelined = !peekError;
-        if (pipelined || peekError == asio::error::would_block)
+        if (pipelined)
+            return;
+        if (peekError == asio::error::would_block) {
+            watch();
             return;
+        }
         m_closed = true;
         const auto callback = std::exchange(m_gone, nullptr);
         callback();
     }
 
-    void armRead()
+    void arm(int timeoutMs)
     {
-        beast::get_lowest_layer(m_stream).expires_after(
-            std::chrono::milliseconds(m_limits.readTimeoutMs));
+        beast::get_lowest_layer(m_stream).expires_after(std::chrono::milliseconds(timeoutMs));
     }
 
-    void armWrite()
-    {
-        beast::get_lowest_layer(m_stream).expires_after(
-            std::chrono::milliseconds(m_limits.writeTimeoutMs));
-    }
+    void armWrite() { arm(m_registry->limits()->writeTimeoutMs); }
 
     void close()
     {
@@ -229,8 +354,7 @@
     }
 
     Stream m_stream;
-    HttpLimits m_limits;
-    std::atomic<std::size_t> &m_connections;
+    std::shared_ptr<Registry> m_registry;
     beast::flat_buffer m_buffer;
     HttpRequest m_request;
     std::function<void()> m_gone;
@@ -239,6 +363,8 @@
     bool m_keepAlive = true;
     bool m_ended = false;
     bool m_closed = false;
+    bool m_idle = false;
+    bool m_watching = false;
 };
 
 } // namespace
@@ -247,7 +373,7 @@
 {
     Private(std::span<asio::io_context *const> pool, HttpLimits httpLimits, HttpHandler callback)
         : contexts(pool.begin(), pool.end())
-        , limits(httpLimits)
+        , registry(std::make_shared<Registry>(httpLimits))
         , handler(std::move(callback))
         , acceptor(*contexts.front())
     {}
@@ -291,7 +417,7 @@
             auto [error, socket] = co_await acceptor.async_accept(context, useTuple);
             if (error == asio::error::operation_aborted || !acceptor.is_open())
                 co_return;
-            if (error || connections >= limits.connections)
+            if (error || registry->size() >= registry->limits()->connections)
                 continue;
             beast::error_code ignored;
             socket.set_option(tcp::no_delay(true), ignored);
@@ -310,7 +436,7 @@
     template <typename Stream>
     void spawn(asio::io_context &context, Stream stream)
     {
-        auto session = std::make_shared<Session<Stream>>(std::move(stream), limits, connections);
+        auto session = std::make_shared<Session<Stream>>(std::move(stream), registry);
         asio::co_spawn(
             context, [self = shared_from_this(), session] { return session->run(self->handler); },
             [](const std::exception_ptr &thrown) {
@@ -320,12 +446,11 @@
     }
 
     std::vector<asio::io_context *> contexts;
-    HttpLimits limits;
+    std::shared_ptr<Registry> registry;
     HttpHandler handler;
     tcp::acceptor acceptor;
     std::optional<asio::ssl::context> tls;
     std::size_t next = 0;
-    std::atomic<std::size_t> connections{0};
 };
 
 HttpServer::HttpServer(std::shared_ptr<Private> p)
@@ -365,7 +490,23 @@
 
 std::size_t HttpServer::connections() const
 {
-    return m_private->connections;
+    return m_private->registry->size();
+}
+
+void HttpServer::setLimits(HttpLimits limits)
+{
+    m_private->registry->setLimits(limits);
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    m_private->registry->setClosing();
+}
+
+void HttpServer::closeIdle()
+{
+    for (const auto &connection : m_private->registry->all())
+        connection->closeIfIdle();
 }
 
 } // namespace tamarack
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -56,6 +56,13 @@
     void stopAccepting();
     std::size_t connections() const;
 
+    /// Holds for connections from now on and for the next request of open ones.
+    void setLimits(HttpLimits limits);
+    /// Announces with each answer that its connection ends.
+    void closeAfterAnswers();
+    /// Ends the connections that wait for a request.
+    void closeIdle();
+
 private:
     struct Private;
     explicit HttpServer(std::shared_ptr<Private> p);
--- /dev/null
+++ b/src/peer/EntryLoadCodec.cpp
@@ -0,0 +1,117 @@
+#include "peer/EntryLoadCodec.h"
+
+#include "base/Hash.h"
+#include "peer/generated/peer.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+namespace tamarack {
+
+namespace {
+
+/// Bytes of the HMAC-SHA256 that a datagram carries.
+constexpr std::size_t tagBytes = 16;
+/// Bounds what a datagram can make the reader visit.
+constexpr std::uint64_t traversalWords = 1 << 16;
+constexpr int nestingLimit = 8;
+
+capnp::Text::Reader textOf(const std::string &text)
+{
+    return {text.c_str(), text.size()};
+}
+
+std::string stringOf(capnp::Text::Reader text)
+{
+    return {text.begin(), text.size()};
+}
+
+void writeLists(wire::EntryLoad::Builder to, const EntryLoad &load)
+{
+    auto loads = to.initLoads(load.loads.size());
+    for (unsigned i = 0; i < load.loads.size(); ++i) {
+        loads[i].setUpstream(load.loads[i].first);
+        loads[i].setInFlight(load.loads[i].second.inFlight);
+        loads[i].setPrefillTokens(load.loads[i].second.prefillTokens);
+    }
+    auto demand = to.initDemand(load.demand.size());
+    for (unsigned i = 0; i < load.demand.size(); ++i) {
+        demand[i].setService(textOf(load.demand[i].service));
+        demand[i].setTier(load.demand[i].tier);
+        demand[i].setCount(load.demand[i].count);
+    }
+    auto quotas = to.initQuotas(load.quotas.size());
+    for (unsigned i = 0; i < load.quotas.size(); ++i) {
+        quotas[i].setWorkspace(textOf(load.quotas[i].workspace));
+        quotas[i].setTotal(load.quotas[i].total);
+    }
+    auto crashes = to.initCrashes(load.crashes.size());
+    for (unsigned i = 0; i < load.crashes.size(); ++i) {
+        crashes[i].setFingerprint(load.crashes[i].fingerprint);
+        crashes[i].setUpstream(load.crashes[i].upstream);
+    }
+}
+
+EntryLoad read(wire::EntryLoad::Reader from)
+{
+    EntryLoad load;
+    load.name = stringOf(from.getName());
+    load.incarnation = from.getIncarnation();
+    load.sequence = from.getSequence();
+    load.configVersion = from.getConfigVersion();
+    load.leaving = from.getLeaving();
+    for (const auto row : from.getLoads())
+        load.loads.emplace_back(row.getUpstream(),
+                                UpstreamLoad{row.getInFlight(), row.getPrefillTokens()});
+    for (const auto row : from.getDemand())
+        load.demand.push_back({stringOf(row.getService()), row.getTier(), row.getCount()});
+    for (const auto row : from.getQuotas())
+        load.quotas.push_back({stringOf(row.getWorkspace()), row.getTotal()});
+    for (const auto row : from.getCrashes())
+        load.crashes.push_back({row.getFingerprint(), row.getUpstream()});
+    return load;
+}
+
+std::string tagOf(std::string_view bytes, std::string_view key)
+{
+    return hmacSha256(key, bytes).substr(0, tagBytes);
+}
+
+} // namespace
+
+std::string sealEntryLoad(const EntryLoad &load, std::string_view key)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::EntryLoad>();
+    root.setName(textOf(load.name));
+    root.setIncarnation(load.incarnation);
+    root.setSequence(load.sequence);
+    root.setConfigVersion(load.configVersion);
+    root.setLeaving(load.leaving);
+    writeLists(root, load);
+    kj::VectorOutputStream output;
+    capnp::writePackedMessage(output, message);
+    const auto bytes = output.getArray();
+    const std::string_view text(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
+    return tagOf(text, key).append(text);
+}
+
+Result<EntryLoad> openEntryLoad(std::string_view bytes, std::string_view key)
+{
+    if (bytes.size() <= tagBytes)
+        return failure(ErrorKind::BadRequest, "datagram is too short");
+    const std::string_view content = bytes.substr(tagBytes);
+    if (!equalConstantTime(bytes.substr(0, tagBytes), tagOf(content, key)))
+        return failure(ErrorKind::PeerRejected, "datagram has a wrong tag");
+    try {
+        kj::ArrayInputStream input(
+            {reinterpret_cast<const kj::byte *>(content.data()), content.size()});
+        capnp::PackedMessageReader reader(input, {traversalWords, nestingLimit});
+        return read(reader.getRoot<wire::EntryLoad>());
+    } catch (const kj::Exception &exception) {
+        return failure(ErrorKind::BadRequest, exception.getDescription().cStr());
+    }
+}
+
+} // namespace tamarack
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -130,3 +130,37 @@
         recallCredits @63 :List(UInt64);
     }
 }
+
+struct UpstreamLoad {
+    upstream @0 :UInt64;
+    inFlight @1 :UInt32;
+    prefillTokens @2 :UInt32;
+}
+
+struct QueueDemand {
+    service @0 :Text;
+    tier @1 :UInt8;
+    count @2 :UInt32;
+}
+
+struct QuotaUse {
+    workspace @0 :Text;
+    total @1 :Float64;
+}
+
+struct CrashRow {
+    fingerprint @0 :UInt64;
+    upstream @1 :UInt64;
+}
+
+struct EntryLoad {
+    name @0 :Text;
+    incarnation @1 :UInt64;
+    sequence @2 :UInt64;
+    configVersion @3 :UInt64;
+    loads @4 :List(UpstreamLoad);
+    demand @5 :List(QueueDemand);
+    quotas @6 :List(QuotaUse);
+    crashes @7 :List(CrashRow);
+    leaving @8 :Bool;
+}
--- /dev/null
+++ b/src/serving/AttemptPolicy.cpp
@@ -0,0 +1,56 @@
+#include "serving/AttemptPolicy.h"
+
+namespace tamarack {
+
+namespace {
+
+/// Sends of one request, refused ones included.
+constexpr int mostSends = 3;
+
+bool provesNotRun(AttemptEnd end)
+{
+    return end == AttemptEnd::NotSent || end == AttemptEnd::NotExecuted;
+}
+
+bool repeatable(const AttemptFacts &facts)
+{
+    if (facts.kind == RequestKind::Stream)
+        return facts.resumable;
+    return facts.kind == RequestKind::Idempotent && !facts.answerStarted;
+}
+
+bool mayRepeat(const AttemptFacts &facts)
+{
+    if (!facts.timeLeft || facts.sends >= mostSends)
+        return false;
+    const bool anotherMayRun = facts.upstreamsRun < facts.maxAttempts;
+    if (provesNotRun(facts.end))
+        return anotherMayRun && (!facts.answerStarted || facts.resumable);
+    return anotherMayRun && repeatable(facts);
+}
+
+ErrorKind refusalOf(const AttemptFacts &facts)
+{
+    const bool ran = facts.mayHaveRun || !provesNotRun(facts.end);
+    if (ran)
+        return ErrorKind::UpstreamLost;
+    return facts.end == AttemptEnd::NotSent ? ErrorKind::NoUpstream : ErrorKind::UpstreamRefused;
+}
+
+} // namespace
+
+AttemptVerdict judgeAttempt(const AttemptFacts &facts)
+{
+    const ErrorKind refusal = refusalOf(facts);
+    if (facts.end == AttemptEnd::Whole)
+        return {NextStep::Deliver, refusal};
+    if (mayRepeat(facts))
+        return {NextStep::Retry, refusal};
+    if (facts.answerStarted)
+        return {NextStep::Cut, refusal};
+    if (facts.end == AttemptEnd::Failed)
+        return {NextStep::Deliver, refusal};
+    return {NextStep::Refuse, refusal};
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/serving/CrashLedger.cpp
@@ -0,0 +1,40 @@
+#include "serving/CrashLedger.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+bool CrashLedger::add(CrashRow row, TimePoint now)
+{
+    return m_rows.try_emplace(row, now).second;
+}
+
+bool CrashLedger::isQuarantined(RequestFingerprint fingerprint, TimePoint now) const
+{
+    std::size_t crashes = 0;
+    const auto first = m_rows.lower_bound({fingerprint, 0});
+    for (auto it = first; it != m_rows.end() && it->first.fingerprint == fingerprint; ++it)
+        if (now - it->second < retention)
+            ++crashes;
+    return crashes >= crashesToQuarantine;
+}
+
+std::vector<CrashRow> CrashLedger::rows(std::size_t most) const
+{
+    std::vector<std::pair<TimePoint, CrashRow>> byAge;
+    byAge.reserve(m_rows.size());
+    for (const auto &[row, at] : m_rows)
+        byAge.emplace_back(at, row);
+    std::ranges::sort(byAge, std::greater());
+    byAge.resize(std::min(most, byAge.size()));
+    std::vector<CrashRow> rows;
+    std::ranges::transform(byAge, std::back_inserter(rows), [](const auto &item) { return item.second; });
+    return rows;
+}
+
+void CrashLedger::forgetOld(TimePoint now)
+{
+    std::erase_if(m_rows, [now](const auto &item) { return now - item.second >= retention; });
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/serving/DispatchQueue.cpp
@@ -0,0 +1,206 @@
+#include "serving/DispatchQueue.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <limits>
+#include <ranges>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::size_t rememberedPrefixes = 4096;
+/// Shorter prompts are not worth a detour to the engine that has them.
+constexpr std::uint32_t shortestAffinePrompt = 200;
+/// Share of a prompt that is computed again at the engine that ran it last, and at the engine
+/// where every entry sends it first.
+constexpr double freshShareAtLast = 0.05;
+constexpr double freshShareAtHome = 0.3;
+/// Cost of bytes between data centres, as a time.
+constexpr double otherDataCentreMs = 4;
+/// Cost of sharing an engine: each running request slows the tokens of the others.
+constexpr double fullEngineMs = 25;
+/// Places that lower tiers leave free, as a share of all; the lowest leaves the most.
+constexpr double reservedShare = 0.08;
+/// A refused request is told to return after this, and later the lower its tier.
+constexpr milliseconds shortestReturn{300};
+constexpr milliseconds returnPerTier{300};
+
+double toMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+std::uint64_t mix(std::uint64_t a, std::uint64_t b)
+{
+    std::uint64_t x = a ^ (b * 0x9E3779B97F4A7C15ULL);
+    x ^= x >> 32;
+    x *= 0xD6E8FEB86659FD93ULL;
+    x ^= x >> 32;
+    x *= 0xD6E8FEB86659FD93ULL;
+    return x ^ (x >> 32);
+}
+
+} // namespace
+
+DispatchQueue::DispatchQueue(UpstreamTable &upstreams, std::string dataCentre)
+    : m_upstreams(upstreams)
+    , m_dataCentre(std::move(dataCentre))
+    , m_affinity(rememberedPrefixes)
+{}
+
+void DispatchQueue::push(QueuedRequest request)
+{
+    const Place place{request.tier, request.routeTier, request.arrived, request.ticket};
+    m_places[request.ticket] = {request.service, place};
+    m_lines[request.service].emplace(place, std::move(request));
+}
+
+bool DispatchQueue::remove(Ticket ticket)
+{
+    const auto found = m_places.find(ticket);
+    if (found == m_places.end())
+        return false;
+    m_lines[found->second.first].erase(found->second.second);
+    m_places.erase(found);
+    return true;
+}
+
+QueueDecisions DispatchQueue::decide(TimePoint now)
+{
+    QueueDecisions decisions;
+    for (auto &[service, line] : m_lines)
+        if (!line.empty())
+            decideService(service, line, now, decisions);
+    return decisions;
+}
+
+void DispatchQueue::decideService(const std::string &service, Line &line, TimePoint now,
+                                  QueueDecisions &decisions)
+{
+    int free = m_upstreams.freePlaces(service, now);
+    const int places = m_upstreams.places(service, now);
+    for (auto it = line.begin(); it != line.end();) {
+        const QueuedRequest &request = it->second;
+        Choice choice;
+        if (free > 0 && mayStart(service, it->first, free, places, line))
+            choice = choose(request, now);
+        const bool refused = !choice.upstream && now >= request.refuseAt;
+        if (!choice.upstream && !refused) {
+            ++it;
+            continue;
+        }
+        if (refused) {
+            decisions.refusals.push_back({request.ticket, retryAfter(request, now)});
+        } else {
+            decisions.assignments.push_back({request.ticket, choice.upstream,
+                                             choice.upstream->prefillTokens(), choice.freshTokens,
+                                             choice.predicted});
+            m_upstreams.started(*choice.upstream, choice.freshTokens);
+            if (request.prefix != 0)
+                m_affinity.record(request.prefix, choice.upstream->record.id);
+            --free;
+        }
+        m_places.erase(request.ticket);
+        it = line.erase(it);
+    }
+}
+
+bool DispatchQueue::mayStart(const std::string &service, const Place &place, int free, int places,
+                             const Line &line) const
+{
+    const auto above = static_cast<int>(peersWaitingAbove(service, place.tier));
+    const TierRank rank = std::max(place.tier, place.routeTier);
+    const bool first = place.tier == line.begin()->first.tier && rank == 0;
+    if (first)
+        return free > above;
+    constexpr int fullReserveRank = 2;
+    const double share = reservedShare * std::min<int>(rank, fullReserveRank) / fullReserveRank;
+    return free > above + static_cast<int>(share * places);
+}
+
+std::uint32_t DispatchQueue::peersWaitingAbove(const std::string &service, TierRank tier) const
+{
+    std::uint32_t count = 0;
+    for (const QueueDemand &row : m_peerDemand)
+        if (row.service == service && row.tier < tier)
+            count += row.count;
+    return count;
+}
+
+DispatchQueue::Choice DispatchQueue::choose(const QueuedRequest &request, TimePoint now) const
+{
+    const auto &upstreams = m_upstreams.ofService(request.service);
+    const UpstreamKey home = homeOf(request.prefix, upstreams);
+    Choice best;
+    best.costMs = std::numeric_limits<double>::max();
+    for (const UpstreamPtr &upstream : upstreams) {
+        const bool full = static_cast<int>(upstream->inFlight()) >= UpstreamTable::limit(*upstream, now);
+        if (full || std::ranges::find(request.excluded, upstream->key) != request.excluded.end())
+            continue;
+        Choice choice = evaluate(request, upstream, home);
+        if (choice.costMs < best.costMs)
+            best = std::move(choice);
+    }
+    return best;
+}
+
+DispatchQueue::Choice DispatchQueue::evaluate(const QueuedRequest &request,
+                                              const UpstreamPtr &upstream, UpstreamKey home) const
+{
+    double freshShare = 1;
+    if (request.prefix != 0 && m_affinity.matches(request.prefix, upstream->record.id))
+        freshShare = freshShareAtLast;
+    else if (request.prefix != 0 && upstream->key == home)
+        freshShare = freshShareAtHome;
+    Choice choice;
+    choice.upstream = upstream;
+    choice.freshTokens = static_cast<std::uint32_t>(freshShare * request.promptTokens);
+    const FirstTokenModel &model = m_upstreams.model(request.service);
+    choice.predicted =
+        model.predict(upstream->factor, upstream->prefillTokens() + choice.freshTokens);
+    const double filled = static_cast<double>(upstream->inFlight()) / upstream->record.slots;
+    choice.costMs = toMilliseconds(choice.predicted) + filled * upstream->factor * fullEngineMs;
+    if (upstream->record.dataCentre != m_dataCentre)
+        choice.costMs += otherDataCentreMs;
+    return choice;
+}
+
+UpstreamKey DispatchQueue::homeOf(std::uint64_t prefix, const std::vector<UpstreamPtr> &upstreams)
+{
+    if (prefix == 0 || upstreams.empty())
+        return 0;
+    const auto weight = [prefix](const UpstreamPtr &upstream) { return mix(prefix, upstream->key); };
+    return (*std::ranges::max_element(upstreams, {}, weight))->key;
+}
+
+Duration DispatchQueue::retryAfter(const QueuedRequest &request, TimePoint now) const
+{
+    const Duration waited = std::max(Duration::zero(), now - request.arrived);
+    return shortestReturn + request.tier * returnPerTier + waited / 2;
+}
+
+std::vector<QueueDemand> DispatchQueue::demand() const
+{
+    std::vector<QueueDemand> rows;
+    for (const auto &[service, line] : m_lines) {
+        for (const auto &[place, request] : line) {
+            if (rows.empty() || rows.back().service != service || rows.back().tier != place.tier)
+                rows.push_back({service, place.tier, 0});
+            ++rows.back().count;
+        }
+    }
+    return rows;
+}
+
+TimePoint DispatchQueue::nextRefusal() const
+{
+    TimePoint next = TimePoint::max();
+    for (const auto &[service, line] : m_lines)
+        for (const auto &[place, request] : line)
+            next = std::min(next, request.refuseAt);
+    return next;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/serving/EntryLoad.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/RequestId.h"
+#include "serving/CrashLedger.h"
+#include "serving/DispatchQueue.h"
+#include "serving/QuotaLedger.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tamarack {
+
+/// What one entry tells the others, whole each time: a lost message costs only time.
+struct EntryLoad
+{
+    std::string name;
+    Incarnation incarnation = 0;
+    /// Increases with each message of an incarnation.
+    std::uint64_t sequence = 0;
+    std::uint64_t configVersion = 0;
+    std::vector<std::pair<UpstreamKey, UpstreamLoad>> loads;
+    std::vector<QueueDemand> demand;
+    std::vector<QuotaUse> quotas;
+    std::vector<CrashRow> crashes;
+    /// Stops as planned; takes no new requests.
+    bool leaving = false;
+
+    bool operator==(const EntryLoad &) const = default;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/serving/EventScanner.cpp
@@ -0,0 +1,67 @@
+#include "serving/EventScanner.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::string_view idField = "id:";
+
+/// Length of the first whole event with its blank line; 0 when it has not ended.
+std::size_t eventLength(std::string_view text)
+{
+    const auto plain = text.find("\n\n");
+    const auto carriage = text.find("\r\n\r\n");
+    const auto plainEnd = plain == std::string_view::npos ? text.size() + 1 : plain + 2;
+    const auto carriageEnd = carriage == std::string_view::npos ? text.size() + 1 : carriage + 4;
+    const auto end = std::min(plainEnd, carriageEnd);
+    return end > text.size() ? 0 : end;
+}
+
+std::optional<std::uint64_t> idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (!line.starts_with(idField))
+            continue;
+        line.remove_prefix(idField.size());
+        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+        std::uint64_t id = 0;
+        const auto [rest, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (error == std::errc())
+            return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string_view EventScanner::take(std::string_view bytes)
+{
+    m_whole.clear();
+    m_partial.append(bytes);
+    std::string_view rest = m_partial;
+    for (auto length = eventLength(rest); length > 0; length = eventLength(rest)) {
+        takeEvent(rest.substr(0, length));
+        rest.remove_prefix(length);
+    }
+    m_partial.erase(0, m_partial.size() - rest.size());
+    return m_whole;
+}
+
+void EventScanner::takeEvent(std::string_view event)
+{
+    const auto id = idOf(event);
+    if (id && m_skipThrough && *id <= *m_skipThrough)
+        return;
+    if (id)
+        m_lastId = id;
+    ++m_events;
+    m_whole.append(event);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/serving/EventScanner.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tamarack {
+
+/// Splits the bytes of an event stream into whole events and follows their ids.
+class EventScanner
+{
+public:
+    /// Takes bytes as they arrive and returns the whole events among what has come so far.
+    /// Valid until the next call.
+    std::string_view take(std::string_view bytes);
+
+    /// Drops events up to this id, which the client has from an earlier upstream.
+    void skipThrough(std::uint64_t id) { m_skipThrough = id; }
+
+    /// Id of the last whole event that was returned.
+    std::optional<std::uint64_t> lastId() const { return m_lastId; }
+    /// Bytes of an event that has not ended.
+    bool hasPartial() const { return !m_partial.empty(); }
+    std::uint64_t events() const { return m_events; }
+
+private:
+    void takeEvent(std::string_view event);
+
+    std::string m_partial;
+    std::string m_whole;
+    std::optional<std::uint64_t> m_lastId;
+    std::optional<std::uint64_t> m_skipThrough;
+    std::uint64_t m_events = 0;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/serving/PeerBook.cpp
@@ -0,0 +1,72 @@
+#include "serving/PeerBook.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+void PeerBook::setKnown(const std::set<std::string> &names)
+{
+    m_known = names;
+    std::erase_if(m_peers, [&](const auto &item) {
+        return item.second.load.leaving && !names.contains(item.first);
+    });
+}
+
+bool PeerBook::learn(const EntryLoad &load, TimePoint now)
+{
+    if (load.name == m_ownName || load.name.empty())
+        return false;
+    Peer &peer = m_peers[load.name];
+    const bool known = peer.load.incarnation == load.incarnation;
+    if (known && load.sequence <= peer.load.sequence)
+        return false;
+    peer.load = load;
+    peer.heardAt = now;
+    return true;
+}
+
+std::vector<const EntryLoad *> PeerBook::heardLoads(TimePoint now) const
+{
+    std::vector<const EntryLoad *> loads;
+    for (const auto &[name, peer] : m_peers)
+        if (now - peer.heardAt < silenceBound)
+            loads.push_back(&peer.load);
+    return loads;
+}
+
+std::unordered_map<UpstreamKey, UpstreamLoad> PeerBook::loads(TimePoint now) const
+{
+    std::unordered_map<UpstreamKey, UpstreamLoad> sums;
+    for (const EntryLoad *load : heardLoads(now)) {
+        for (const auto &[key, upstream] : load->loads) {
+            UpstreamLoad &sum = sums[key];
+            sum.inFlight += upstream.inFlight;
+            sum.prefillTokens += upstream.prefillTokens;
+        }
+    }
+    return sums;
+}
+
+std::vector<QueueDemand> PeerBook::demand(TimePoint now) const
+{
+    std::vector<QueueDemand> rows;
+    for (const EntryLoad *load : heardLoads(now))
+        std::ranges::copy(load->demand, std::back_inserter(rows));
+    return rows;
+}
+
+std::size_t PeerBook::heard(TimePoint now) const
+{
+    return heardLoads(now).size() + 1;
+}
+
+double PeerBook::heardShare(TimePoint now) const
+{
+    std::set<std::string> all = m_known;
+    all.insert(m_ownName);
+    for (const EntryLoad *load : heardLoads(now))
+        all.insert(load->name);
+    return static_cast<double>(heard(now)) / static_cast<double>(all.size());
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/serving/QuotaLedger.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "base/Time.h"
+#include "serving/ServingConfig.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tamarack {
+
+/// Units that an entry has let through for a workspace since it started.
+struct QuotaUse
+{
+    std::string workspace;
+    double total = 0;
+
+    bool operator==(const QuotaUse &) const = default;
+};
+
+/// Token buckets of the workspaces over all entries: each entry keeps the whole bucket and takes
+/// from it what it lets through and what the others say they let through.
+///
+/// Load: one workspace sends many times its usual through all entries. While some entries are
+/// not heard, the bucket refills by the share of those that are, so that entries cut off from
+/// one another stay within the quota together.
+class QuotaLedger
+{
+public:
+    /// Applies the quotas of a configuration. A lower burst holds at once.
+    void configure(const ServingConfig &config, TimePoint now);
+
+    /// Takes the cost from the bucket; false when it lacks it.
+    bool tryTake(std::string_view workspace, double cost, TimePoint now);
+    /// Gives back the cost of a request that did not run.
+    void giveBack(std::string_view workspace, double cost);
+    /// Time until the bucket holds the cost.
+    Duration untilRoom(std::string_view workspace, double cost) const;
+
+    /// Takes what another entry let through since it was heard last.
+    void learn(std::uint64_t entryIncarnation, const std::vector<QuotaUse> &uses);
+    /// Share of the known entries that are heard, this one included.
+    void setHeardShare(double share, TimePoint now);
+
+    std::vector<QuotaUse> uses() const;
+
+private:
+    struct Bucket
+    {
+        double rate = 0;
+        double burst = 0;
+        double level = 0;
+        double used = 0;
+    };
+
+    void refill(TimePoint now);
+
+    std::map<std::string, Bucket, std::less<>> m_buckets;
+    std::map<std::pair<std::uint64_t, std::string>, double> m_heard;
+    double m_share = 1;
+    TimePoint m_refilledAt{};
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/serving/UpstreamDirectory.cpp
@@ -0,0 +1,73 @@
+#include "serving/UpstreamDirectory.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+void UpstreamDirectory::storeFailed(TimePoint)
+{
+    m_storeOut = true;
+}
+
+void UpstreamDirectory::storeAnswered(TimePoint now)
+{
+    if (m_storeOut)
+        m_returnedAt = now;
+    m_storeOut = false;
+}
+
+bool UpstreamDirectory::recovering(TimePoint now) const
+{
+    return m_storeOut || (m_returnedAt && now - *m_returnedAt < returnBound);
+}
+
+void UpstreamDirectory::put(UpstreamRecord record)
+{
+    std::string id = record.id;
+    m_entries[std::move(id)] = Entry{std::move(record), std::nullopt};
+}
+
+void UpstreamDirectory::remove(const std::string &id, TimePoint now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    if (!recovering(now))
+        m_entries.erase(found);
+    else if (!found->second.dropAt)
+        found->second.dropAt = m_returnedAt.value_or(now) + returnBound;
+}
+
+void UpstreamDirectory::replace(std::vector<UpstreamRecord> records, TimePoint now)
+{
+    std::vector<std::string> missing;
+    for (const auto &[id, entry] : m_entries)
+        if (std::ranges::find(records, id, &UpstreamRecord::id) == records.end())
+            missing.push_back(id);
+    for (const std::string &id : missing)
+        remove(id, now);
+    for (UpstreamRecord &record : records)
+        put(std::move(record));
+}
+
+std::vector<UpstreamRecord> UpstreamDirectory::usable(TimePoint now)
+{
+    std::erase_if(m_entries, [now](const auto &item) {
+        return item.second.dropAt && now >= *item.second.dropAt;
+    });
+    std::vector<UpstreamRecord> records;
+    for (const auto &[id, entry] : m_entries)
+        records.push_back(entry.record);
+    return records;
+}
+
+std::optional<TimePoint> UpstreamDirectory::nextExpiry() const
+{
+    std::optional<TimePoint> next;
+    for (const auto &[id, entry] : m_entries)
+        if (entry.dropAt && (!next || *entry.dropAt < *next))
+            next = entry.dropAt;
+    return next;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/serving/UpstreamTable.cpp
@@ -0,0 +1,162 @@
+#include "serving/UpstreamTable.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <numeric>
+#include <unordered_set>
+
+namespace tamarack {
+
+namespace {
+
+/// Share of a new sample in the failure share.
+constexpr double failureSampleShare = 0.2;
+/// Above this share of failures an upstream is in trouble.
+constexpr double troubledShare = 0.5;
+/// First pause of an upstream that cannot be reached; doubles with each further failure.
+constexpr milliseconds firstBlock{150};
+constexpr milliseconds longestBlock{1200};
+/// Pause of an upstream that says it is full.
+constexpr milliseconds fullBlock{30};
+constexpr int mostDoublings = 4;
+
+/// Subtracts without passing zero.
+void lower(std::uint32_t &value, std::uint32_t by)
+{
+    value -= std::min(value, by);
+}
+
+} // namespace
+
+UpstreamKey upstreamKey(const UpstreamRecord &record)
+{
+    return fnv1a(record.id + '@' + std::to_string(record.born));
+}
+
+void UpstreamTable::assign(const std::vector<UpstreamRecord> &records)
+{
+    std::unordered_set<UpstreamKey> present;
+    for (auto &[name, service] : m_services)
+        service.upstreams.clear();
+    for (const UpstreamRecord &record : records) {
+        const UpstreamKey key = upstreamKey(record);
+        present.insert(key);
+        UpstreamPtr &upstream = m_byKey[key];
+        if (!upstream)
+            upstream = std::make_shared<UpstreamState>();
+        upstream->record = record;
+        upstream->key = key;
+        upstream->gone = record.draining;
+        if (!upstream->gone)
+            m_services[record.service].upstreams.push_back(upstream);
+    }
+    std::erase_if(m_byKey, [&](const auto &item) {
+        const bool missing = !present.contains(item.first);
+        if (missing)
+            item.second->gone = true;
+        return missing && item.second->own.inFlight == 0;
+    });
+}
+
+void UpstreamTable::setOthers(const std::unordered_map<UpstreamKey, UpstreamLoad> &loads)
+{
+    for (const auto &[key, upstream] : m_byKey) {
+        const auto found = loads.find(key);
+        upstream->others = found == loads.end() ? UpstreamLoad{} : found->second;
+    }
+}
+
+const std::vector<UpstreamPtr> &UpstreamTable::ofService(std::string_view service) const
+{
+    static const std::vector<UpstreamPtr> none;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? none : found->second.upstreams;
+}
+
+void UpstreamTable::started(UpstreamState &upstream, std::uint32_t promptTokens)
+{
+    ++upstream.own.inFlight;
+    upstream.own.prefillTokens += promptTokens;
+}
+
+void UpstreamTable::firstToken(UpstreamState &upstream, std::uint32_t promptTokens)
+{
+    lower(upstream.own.prefillTokens, promptTokens);
+}
+
+void UpstreamTable::ended(UpstreamState &upstream)
+{
+    lower(upstream.own.inFlight, 1);
+}
+
+void UpstreamTable::learnFirstToken(UpstreamState &upstream, std::uint32_t tokens, Duration took)
+{
+    FirstTokenModel &model = m_services[upstream.record.service].model;
+    upstream.factor = model.learn(upstream.factor, tokens, took);
+}
+
+void UpstreamTable::learnHealth(UpstreamState &upstream, HealthSign sign, TimePoint now)
+{
+    if (sign == HealthSign::Full) {
+        upstream.blockedUntil = std::max(upstream.blockedUntil, now + fullBlock);
+        return;
+    }
+    const double failed = sign == HealthSign::Good ? 0 : 1;
+    upstream.failureShare += failureSampleShare * (failed - upstream.failureShare);
+    if (sign == HealthSign::Good) {
+        upstream.failuresInRow = 0;
+        return;
+    }
+    ++upstream.failuresInRow;
+    const bool troubled =
+        sign == HealthSign::Unreachable || upstream.failureShare > troubledShare;
+    if (!troubled)
+        return;
+    const int doublings = std::min(upstream.failuresInRow - 1, mostDoublings);
+    const Duration block = std::min<Duration>(firstBlock * (1 << doublings), longestBlock);
+    upstream.blockedUntil = std::max(upstream.blockedUntil, now + block);
+}
+
+const FirstTokenModel &UpstreamTable::model(std::string_view service) const
+{
+    static const FirstTokenModel untaught;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? untaught : found->second.model;
+}
+
+int UpstreamTable::limit(const UpstreamState &upstream, TimePoint now)
+{
+    if (upstream.gone || now < upstream.blockedUntil)
+        return 0;
+    const bool probing =
+        upstream.failuresInRow > 0 && upstream.failureShare > troubledShare;
+    return probing ? 1 : upstream.record.slots;
+}
+
+int UpstreamTable::freePlaces(std::string_view service, TimePoint now) const
+{
+    const auto &upstreams = ofService(service);
+    return std::accumulate(upstreams.begin(), upstreams.end(), 0, [&](int sum, const auto &each) {
+        return sum + std::max(0, limit(*each, now) - static_cast<int>(each->inFlight()));
+    });
+}
+
+int UpstreamTable::places(std::string_view service, TimePoint now) const
+{
+    const auto &upstreams = ofService(service);
+    return std::accumulate(upstreams.begin(), upstreams.end(), 0, [&](int sum, const auto &each) {
+        return sum + limit(*each, now);
+    });
+}
+
+std::vector<std::pair<UpstreamKey, UpstreamLoad>> UpstreamTable::ownLoads() const
+{
+    std::vector<std::pair<UpstreamKey, UpstreamLoad>> loads;
+    for (const auto &[key, upstream] : m_byKey)
+        if (upstream->own != UpstreamLoad{})
+            loads.emplace_back(key, upstream->own);
+    return loads;
+}
+
+} // namespace tamarack
--- a/src/platform/ClaimStore.cpp
+++ b/src/store/ClaimStore.cpp
@@ -1,4 +1,4 @@
-#include "platform/ClaimStore.h"
+#include "store/ClaimStore.h"
 
 #include "base/AsioPch.h"
 
--- a/src/platform/ClaimStore.h
+++ b/src/store/ClaimStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "claims/ClaimShard.h"
-#include "platform/ObjectStore.h"
+#include "store/ObjectStore.h"
 
 namespace tamarack {
 
--- a/src/platform/HostList.cpp
+++ b/src/store/HostList.cpp
@@ -1,4 +1,4 @@
-#include "platform/HostList.h"
+#include "store/HostList.h"
 
 #include "base/AsioPch.h"
 
--- a/src/platform/ObjectStore.cpp
+++ b/src/store/ObjectStore.cpp
@@ -1,4 +1,4 @@
-#include "platform/ObjectStore.h"
+#include "store/ObjectStore.h"
 
 #include "base/AsioPch.h"
 #include "http/HttpClient.h"
--- a/src/platform/QuarantineStore.cpp
+++ b/src/store/QuarantineStore.cpp
@@ -1,4 +1,4 @@
-#include "platform/QuarantineStore.h"
+#include "store/QuarantineStore.h"
 
 #include "base/AsioPch.h"
 #include "sched/QuarantineTable.h"
--- a/src/platform/QuarantineStore.h
+++ b/src/store/QuarantineStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "peer/Messages.h"
-#include "platform/ObjectStore.h"
+#include "store/ObjectStore.h"
 #include "tamarackseam/Error.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/src/upstream/EngineOrders.h
+++ b/src/upstream/EngineOrders.h
@@ -3,7 +3,7 @@
 #include "base/RequestId.h"
 #include "config/FleetConfig.h"
 #include "orders/LoadPermits.h"
-#include "platform/ObjectStore.h"
+#include "store/ObjectStore.h"
 #include "upstream/UpstreamClient.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/tests/LoadPermitsTest.cpp
+++ b/tests/LoadPermitsTest.cpp
@@ -1,5 +1,5 @@
 #include "orders/LoadPermits.h"
-#include "platform/QuarantineStore.h"
+#include "store/QuarantineStore.h"
 
 #include <boost/test/unit_test.hpp>
 
