--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -57,9 +57,8 @@
         };
         listener.upstreamsChanged = [this](std::vector<UpstreamRecord> records) {
             hasUpstreams = true;
-            asio::post(traffic, [this, records = std::move(records)] {
-                state.applyUpstreams(records);
-            });
+            asio::post(traffic,
+                       [this, records = std::move(records)] { state.applyUpstreams(records); });
         };
         listener.entriesChanged = [this](std::map<std::string, Endpoint> entries) {
             asio::post(traffic, [this, entries = std::move(entries)] { applyEntries(entries); });
--- a/src/direct/PeerExchange.cpp
+++ b/src/direct/PeerExchange.cpp
@@ -74,10 +74,7 @@
                  {{"peer", sender.address().to_string()}, {"reason", load.error().message}});
     }
 
-    Duration interval() const
-    {
-        return shortestInterval * (1 + peers.size() / peersPerInterval);
-    }
+    Duration interval() const { return shortestInterval * (1 + peers.size() / peersPerInterval); }
 
     void arm(TimePoint at)
     {
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr int okStatus = 200;
-constexpr int firstRedirect = 300;
 constexpr int firstServerError = 500;
 /// An answer that is held whole until its end is known.
 constexpr std::size_t largestHeldAnswer = 16 << 20;
@@ -96,8 +95,8 @@
         return denial;
     if (auto denial = checkKey())
         return denial;
-    m_fingerprint = fingerprint(m_workspace + ' ' + m_exchange.request().target,
-                                m_exchange.request().body);
+    m_fingerprint =
+        fingerprint(m_workspace + ' ' + m_exchange.request().target, m_exchange.request().body);
     if (m_state.crashes.isQuarantined(m_fingerprint, m_arrivedAt))
         return Denial{ErrorKind::SuspectHeld, std::chrono::seconds(5)};
     return chargeQuota();
@@ -109,8 +108,7 @@
         return Denial{ErrorKind::ConfigUnproved, unprovedReturn};
     const ServingConfig &config = *m_state.config;
     m_configVersion = config.version;
-    const Route *route =
-        config.route(hostWithoutPort(m_facts.host), m_exchange.request().path());
+    const Route *route = config.route(hostWithoutPort(m_facts.host), m_exchange.request().path());
     if (!route) {
         const bool current = m_state.freshness.isCurrent(bootNow());
         return Denial{current ? ErrorKind::NotFound : ErrorKind::ConfigUnproved, unprovedReturn};
@@ -507,8 +505,7 @@
     const bool retried = verdict.step == NextStep::Retry
                          && (free || m_state.retries.trySpend(m_service, steadyNow()));
     if (retried) {
-        m_state.metrics.add("tamarack_retries_total",
-                            fmt::format("reason=\"{}\"", endName(end)));
+        m_state.metrics.add("tamarack_retries_total", fmt::format("reason=\"{}\"", endName(end)));
         co_return true;
     }
     if (verdict.step == NextStep::Deliver || end == AttemptEnd::Failed) {
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -92,8 +92,7 @@
     {
         while (true) {
             const BootTime callStart = bootNow();
-            const auto changes =
-                co_await store.watch(platform::configKind(), revision, configWait);
+            const auto changes = co_await store.watch(platform::configKind(), revision, configWait);
             if (!noteResult(changes, "watch_config")) {
                 if (changes.error().kind == ErrorKind::HistoryGone)
                     co_return;
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -194,9 +194,8 @@
     retries.setEntries(peers.heard(now));
     crashes.forgetOld(now);
     pool.dropExpired(now);
-    std::erase_if(m_broken, [now](const auto &item) {
-        return now - item.second.first > breakWindow;
-    });
+    std::erase_if(m_broken,
+                  [now](const auto &item) { return now - item.second.first > breakWindow; });
     pump();
 }
 
--- a/src/direct/UpstreamConnection.cpp
+++ b/src/direct/UpstreamConnection.cpp
@@ -108,8 +108,7 @@
         UpstreamHead head;
         head.status = status;
         for (const auto &field : p.parser->get())
-            head.headers.emplace_back(std::string(field.name_string()),
-                                      std::string(field.value()));
+            head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
         co_return head;
     }
 }
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -10,14 +10,14 @@
 #include "entry/CallerApi.h"
 #include "http/HttpServer.h"
 #include "peer/PeerLink.h"
-#include "store/ClaimStore.h"
-#include "store/HostList.h"
-#include "store/ObjectStore.h"
-#include "store/QuarantineStore.h"
 #include "process/Contexts.h"
 #include "process/Supervisor.h"
 #include "process/Timers.h"
 #include "sched/EntryCore.h"
+#include "store/ClaimStore.h"
+#include "store/HostList.h"
+#include "store/ObjectStore.h"
+#include "store/QuarantineStore.h"
 
 #include <algorithm>
 #include <atomic>
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -293,10 +293,8 @@
     {
         m_keepAlive = false;
         const ErrorAnswer &answer = errorAnswer(kind);
-        const boost::json::object fault{{"kind", answer.name},
-                                        {"message", reason},
-                                        {"request_id", ""},
-                                        {"outcome", "not-run"}};
+        const boost::json::object fault{
+            {"kind", answer.name}, {"message", reason}, {"request_id", ""}, {"outcome", "not-run"}};
         HttpResponse response{
             answer.httpStatus,
             {{"Content-Type", "application/json"}, {"Tamarack-Outcome", "not-run"}},
--- a/src/serving/CrashLedger.cpp
+++ b/src/serving/CrashLedger.cpp
@@ -28,7 +28,8 @@
     std::ranges::sort(byAge, std::greater());
     byAge.resize(std::min(most, byAge.size()));
     std::vector<CrashRow> rows;
-    std::ranges::transform(byAge, std::back_inserter(rows), [](const auto &item) { return item.second; });
+    std::ranges::transform(byAge, std::back_inserter(rows),
+                           [](const auto &item) { return item.second; });
     return rows;
 }
 
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr std::size_t rememberedPrefixes = 4096;
-/// Shorter prompts are not worth a detour to the engine that has them.
-constexpr std::uint32_t shortestAffinePrompt = 200;
 /// Share of a prompt that is computed again at the engine that ran it last, and at the engine
 /// where every entry sends it first.
 constexpr double freshShareAtLast = 0.05;
@@ -112,7 +110,8 @@
 int DispatchQueue::reserve(const std::string &service, QueueRank rank, const Line &line,
                            int places) const
 {
-    const auto above = static_cast<double>(std::distance(line.ranks.begin(), line.ranks.find(rank)));
+    const auto above =
+        static_cast<double>(std::distance(line.ranks.begin(), line.ranks.find(rank)));
     const double lower = std::max(1.0, static_cast<double>(line.ranks.size()) - 1);
     const double share = reservedShare * above / lower;
     return static_cast<int>(peersWaitingAbove(service, rank)) + static_cast<int>(share * places);
@@ -134,7 +133,8 @@
     Choice best;
     best.costMs = std::numeric_limits<double>::max();
     for (const UpstreamPtr &upstream : upstreams) {
-        const bool full = static_cast<int>(upstream->inFlight()) >= UpstreamTable::limit(*upstream, now);
+        const bool full =
+            static_cast<int>(upstream->inFlight()) >= UpstreamTable::limit(*upstream, now);
         if (full || std::ranges::find(request.excluded, upstream->key) != request.excluded.end())
             continue;
         Choice choice = evaluate(request, upstream, home);
@@ -169,7 +169,9 @@
 {
     if (prefix == 0 || upstreams.empty())
         return 0;
-    const auto weight = [prefix](const UpstreamPtr &upstream) { return mix(prefix, upstream->key); };
+    const auto weight = [prefix](const UpstreamPtr &upstream) {
+        return mix(prefix, upstream->key);
+    };
     return (*std::ranges::max_element(upstreams, {}, weight))->key;
 }
 
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -136,7 +136,8 @@
     int reserve(const std::string &service, QueueRank rank, const Line &line, int places) const;
     std::uint32_t peersWaitingAbove(const std::string &service, QueueRank rank) const;
     Choice choose(const QueuedRequest &request, TimePoint now) const;
-    Choice evaluate(const QueuedRequest &request, const UpstreamPtr &upstream, UpstreamKey home) const;
+    Choice evaluate(const QueuedRequest &request, const UpstreamPtr &upstream,
+                    UpstreamKey home) const;
     static UpstreamKey homeOf(std::uint64_t prefix, const std::vector<UpstreamPtr> &upstreams);
     Duration retryAfter(const QueuedRequest &request, TimePoint now) const;
 
--- a/src/serving/FirstTokenModel.cpp
+++ b/src/serving/FirstTokenModel.cpp
@@ -14,7 +14,8 @@
 constexpr double factorShare = 0.15;
 constexpr double lowestFactor = 0.1;
 constexpr double highestFactor = 20;
-/// One sample counts at most this many times the prediction: a pause of this host is no slow engine.
+/// One sample counts at most this many times the prediction: a pause of this host is no slow
+/// engine.
 constexpr double largestRatio = 6;
 
 double toMilliseconds(Duration duration)
--- a/src/serving/QuotaLedger.cpp
+++ b/src/serving/QuotaLedger.cpp
@@ -98,8 +98,7 @@
 
 void QuotaLedger::refill(TimePoint now)
 {
-    const double seconds =
-        std::max(0.0, std::chrono::duration<double>(now - m_refilledAt).count());
+    const double seconds = std::max(0.0, std::chrono::duration<double>(now - m_refilledAt).count());
     if (m_refilledAt != TimePoint{})
         for (auto &[name, bucket] : m_buckets)
             bucket.level = std::min(bucket.burst, bucket.level + bucket.rate * m_share * seconds);
--- a/src/serving/RetryBudget.cpp
+++ b/src/serving/RetryBudget.cpp
@@ -46,8 +46,9 @@
         requests += slice.requests;
         repeats += slice.repeats;
     }
-    const double allowed = m_bounds.ratio * requests
-                           + m_bounds.slack / static_cast<double>(std::max<std::size_t>(m_entries, 1));
+    const double allowed =
+        m_bounds.ratio * requests
+        + m_bounds.slack / static_cast<double>(std::max<std::size_t>(m_entries, 1));
     if (repeats + 1 > spentShare * allowed)
         return false;
     ++current.repeats;
--- a/src/serving/ServingConfig.cpp
+++ b/src/serving/ServingConfig.cpp
@@ -29,9 +29,8 @@
     const auto found = m_routesByHost.find(std::string(host));
     if (found == m_routesByHost.end())
         return nullptr;
-    const auto matching = std::ranges::find_if(found->second, [&](std::size_t i) {
-        return path.starts_with(routes[i].pathPrefix);
-    });
+    const auto matching = std::ranges::find_if(
+        found->second, [&](std::size_t i) { return path.starts_with(routes[i].pathPrefix); });
     return matching == found->second.end() ? nullptr : &routes[*matching];
 }
 
--- a/src/serving/UpstreamDirectory.cpp
+++ b/src/serving/UpstreamDirectory.cpp
@@ -56,6 +56,7 @@
         return item.second.dropAt && now >= *item.second.dropAt;
     });
     std::vector<UpstreamRecord> records;
+    records.reserve(m_entries.size());
     for (const auto &[id, entry] : m_entries)
         records.push_back(entry.record);
     return records;
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -109,8 +109,7 @@
         return;
     }
     ++upstream.failuresInRow;
-    const bool troubled =
-        sign == HealthSign::Unreachable || upstream.failureShare > troubledShare;
+    const bool troubled = sign == HealthSign::Unreachable || upstream.failureShare > troubledShare;
     if (!troubled)
         return;
     const int doublings = std::min(upstream.failuresInRow - 1, mostDoublings);
@@ -129,8 +128,7 @@
 {
     if (upstream.gone || now < upstream.blockedUntil)
         return 0;
-    const bool probing =
-        upstream.failuresInRow > 0 && upstream.failureShare > troubledShare;
+    const bool probing = upstream.failuresInRow > 0 && upstream.failureShare > troubledShare;
     return probing ? 1 : upstream.record.slots;
 }
 
@@ -145,9 +143,8 @@
 int UpstreamTable::places(std::string_view service, TimePoint now) const
 {
     const auto &upstreams = ofService(service);
-    return std::accumulate(upstreams.begin(), upstreams.end(), 0, [&](int sum, const auto &each) {
-        return sum + limit(*each, now);
-    });
+    return std::accumulate(upstreams.begin(), upstreams.end(), 0,
+                           [&](int sum, const auto &each) { return sum + limit(*each, now); });
 }
 
 std::vector<std::pair<UpstreamKey, UpstreamLoad>> UpstreamTable::ownLoads() const
--- a/src/serving/WaitPolicy.cpp
+++ b/src/serving/WaitPolicy.cpp
@@ -20,8 +20,8 @@
     const auto share = [](Duration whole, double part) {
         return std::chrono::duration_cast<Duration>(whole * part);
     };
-    const Duration wait = returned ? share(facts.timeLeft, returnWaitShare)
-                                   : share(facts.objective, firstWaitShare);
+    const Duration wait =
+        returned ? share(facts.timeLeft, returnWaitShare) : share(facts.objective, firstWaitShare);
     return facts.now + std::min(wait, share(facts.timeLeft, returnWaitShare));
 }
 
--- a/src/upstream/UpstreamProcess.cpp
+++ b/src/upstream/UpstreamProcess.cpp
@@ -8,11 +8,11 @@
 #include "gate/GateCore.h"
 #include "http/HttpServer.h"
 #include "peer/PeerLink.h"
-#include "store/HostList.h"
-#include "store/ObjectStore.h"
 #include "process/Contexts.h"
 #include "process/Supervisor.h"
 #include "process/Timers.h"
+#include "store/HostList.h"
+#include "store/ObjectStore.h"
 #include "upstream/EngineOrders.h"
 #include "upstream/UpstreamClient.h"
 
--- /dev/null
+++ b/tests/DispatchQueueTest.cpp
@@ -0,0 +1,146 @@
+#include "serving/DispatchQueue.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+
+namespace {
+
+UpstreamRecord upstream(const std::string &id, int slots = 2)
+{
+    UpstreamRecord record;
+    record.id = id;
+    record.service = "models";
+    record.dataCentre = "dc";
+    record.slots = slots;
+    return record;
+}
+
+struct Fixture
+{
+    QueuedRequest request(Ticket ticket, QueueRank rank = 0, std::uint32_t tokens = 100)
+    {
+        QueuedRequest queued;
+        queued.ticket = ticket;
+        queued.service = "models";
+        queued.rank = rank;
+        queued.promptTokens = tokens;
+        queued.arrived = now;
+        queued.objectiveAt = now + milliseconds(500);
+        queued.refuseAt = now + milliseconds(250);
+        return queued;
+    }
+
+    UpstreamTable upstreams;
+    DispatchQueue queue{upstreams, "dc"};
+    TimePoint now{std::chrono::seconds(100)};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DispatchQueueSuite, Fixture)
+
+BOOST_AUTO_TEST_CASE(sendsNoMoreThanTheSlotsOfAllEntries)
+{
+    upstreams.assign({upstream("a")});
+    upstreams.setOthers({{upstreamKey(upstream("a")), {1, 0}}});
+    queue.push(request(1));
+    queue.push(request(2));
+    const auto decisions = queue.decide(now);
+    BOOST_REQUIRE(decisions.assignments.size() == 1U);
+    BOOST_TEST(decisions.assignments[0].ticket == 1U);
+    BOOST_TEST(queue.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(theHigherRankGoesFirstWhateverItsArrival)
+{
+    upstreams.assign({upstream("a", 1)});
+    queue.push(request(1, queueRank(1, 2)));
+    queue.push(request(2, queueRank(1, 0)));
+    const auto decisions = queue.decide(now);
+    BOOST_REQUIRE(decisions.assignments.size() == 1U);
+    BOOST_TEST(decisions.assignments[0].ticket == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aLowerRankYieldsToHigherOnesAtOtherEntries)
+{
+    upstreams.assign({upstream("a", 2)});
+    queue.setPeerDemand({{"models", 0, 2}});
+    queue.push(request(1, 1));
+    BOOST_TEST(queue.decide(now).assignments.empty());
+    queue.setPeerDemand({{"models", 0, 1}});
+    BOOST_TEST(queue.decide(now).assignments.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(theLowestRankLeavesPlacesFree)
+{
+    upstreams.assign({upstream("a", 20), upstream("b", 20)});
+    upstreams.setOthers({{upstreamKey(upstream("a")), {20, 0}},
+                         {upstreamKey(upstream("b")), {18, 0}}});
+    queue.push(request(1, 0));
+    BOOST_TEST(queue.decide(now).assignments.size() == 1U);
+    queue.push(request(2, 1));
+    BOOST_TEST(queue.decide(now).assignments.empty());
+}
+
+BOOST_AUTO_TEST_CASE(whatHasWaitedTooLongIsRefusedWithATimeToReturn)
+{
+    queue.push(request(1));
+    BOOST_TEST(queue.decide(now).refusals.empty());
+    BOOST_TEST((queue.nextRefusal() == now + milliseconds(250)));
+    const auto decisions = queue.decide(now + milliseconds(250));
+    BOOST_REQUIRE(decisions.refusals.size() == 1U);
+    BOOST_TEST((decisions.refusals[0].retryAfter > Duration::zero()));
+    BOOST_TEST(queue.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aTriedUpstreamIsNotTriedAgain)
+{
+    upstreams.assign({upstream("a"), upstream("b")});
+    QueuedRequest again = request(1);
+    again.excluded = {upstreamKey(upstream("a"))};
+    queue.push(again);
+    const auto decisions = queue.decide(now);
+    BOOST_REQUIRE(decisions.assignments.size() == 1U);
+    BOOST_TEST(decisions.assignments[0].upstream->record.id == "b");
+}
+
+BOOST_AUTO_TEST_CASE(leavingAndBlockedUpstreamsGetNothing)
+{
+    UpstreamRecord leaving = upstream("a");
+    leaving.draining = true;
+    upstreams.assign({leaving, upstream("b")});
+    UpstreamState &other = *upstreams.ofService("models")[0];
+    upstreams.learnHealth(other, HealthSign::Unreachable, now);
+    queue.push(request(1));
+    BOOST_TEST(queue.decide(now).assignments.empty());
+    BOOST_TEST(queue.decide(now + milliseconds(200)).assignments.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aLongPromptGoesToTheFastEngine)
+{
+    upstreams.assign({upstream("slow", 10), upstream("fast", 10)});
+    for (const UpstreamPtr &each : upstreams.ofService("models"))
+        each->factor = each->record.id == "fast" ? 0.6 : 1.7;
+    queue.push(request(1, 0, 30000));
+    const auto decisions = queue.decide(now);
+    BOOST_REQUIRE(decisions.assignments.size() == 1U);
+    BOOST_TEST(decisions.assignments[0].upstream->record.id == "fast");
+}
+
+BOOST_AUTO_TEST_CASE(aPromptReturnsToTheEngineThatHasIt)
+{
+    upstreams.assign({upstream("a", 10), upstream("b", 10), upstream("c", 10)});
+    QueuedRequest first = request(1, 0, 3000);
+    first.prefix = 77;
+    queue.push(first);
+    const std::string where = queue.decide(now).assignments.at(0).upstream->record.id;
+    for (Ticket ticket = 2; ticket < 6; ++ticket) {
+        QueuedRequest next = request(ticket, 0, 3000);
+        next.prefix = 77;
+        queue.push(next);
+        BOOST_TEST(queue.decide(now).assignments.at(0).upstream->record.id == where);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/PlatformCodecTest.cpp
@@ -0,0 +1,159 @@
+#include "platform/HeaderCodec.h"
+#include "platform/StoreClient.h"
+#include "platform/UpstreamDecoder.h"
+
+#include <algorithm>
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+namespace json = boost::json;
+
+namespace {
+
+bool has(const HttpHeaders &headers, std::string_view name)
+{
+    return findHeader(headers, name).has_value();
+}
+
+HttpHeaders clientHeaders()
+{
+    return {{"Host", "a.example"},
+            {"request-id", "r1"},
+            {"Deadline-Ms", "5000"},
+            {"Api-Key", "secret"},
+            {"Model", "m"},
+            {"Token-Usage", "1460,80"},
+            {"Prompt-Prefix", "5c1e07a2:800,e4402b7d:250"},
+            {"Last-Event-Id", "12"},
+            {"X-Own", "kept"}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlatformCodecSuite)
+
+BOOST_AUTO_TEST_CASE(decodesARequest)
+{
+    const auto facts = platform::decodeRequest(clientHeaders());
+    BOOST_REQUIRE(facts);
+    BOOST_TEST(facts->id == "r1");
+    BOOST_TEST(facts->host == "a.example");
+    BOOST_TEST(facts->deadline->count() == 5000);
+    BOOST_TEST(facts->key == "secret");
+    BOOST_TEST(*facts->promptTokens == 1460U);
+    BOOST_TEST(facts->outputTokens == 80U);
+    BOOST_TEST(*facts->resumeAfter == 12U);
+    BOOST_REQUIRE(facts->promptParts.size() == 2U);
+    BOOST_TEST(facts->promptParts[1].id == 0xe4402b7dU);
+    BOOST_TEST(facts->promptParts[1].tokens == 250U);
+    BOOST_TEST(has(facts->forwarded, "X-Own"));
+    BOOST_TEST(has(facts->forwarded, "Prompt-Prefix"));
+}
+
+BOOST_AUTO_TEST_CASE(theKeyAndWhatTheSystemSetsAreNotPassedOn)
+{
+    HttpHeaders headers = clientHeaders();
+    for (const char *name : {"Tenant-Id", "Expect-Replica", "Kv-Hold", "Pin-Ms", "Kv-Backup",
+                             "Kv-From", "Kv-Fetch", "Connection", "Transfer-Encoding"})
+        headers.emplace_back(name, "1");
+    const auto facts = platform::decodeRequest(headers);
+    BOOST_REQUIRE(facts);
+    for (const char *name : {"Api-Key", "Tenant-Id", "Expect-Replica", "Kv-Hold", "Pin-Ms",
+                             "Kv-Backup", "Kv-From", "Kv-Fetch", "Connection",
+                             "Transfer-Encoding", "Deadline-Ms", "Last-Event-Id"})
+        BOOST_TEST(!has(facts->forwarded, name), name);
+}
+
+BOOST_AUTO_TEST_CASE(headersDeclaredForOneConnectionAreDroppedButForThePrompt)
+{
+    HttpHeaders headers = clientHeaders();
+    headers.emplace_back("Connection", "X-Own, Model, Token-Usage");
+    const auto facts = platform::decodeRequest(headers);
+    BOOST_REQUIRE(facts);
+    BOOST_TEST(!has(facts->forwarded, "X-Own"));
+    BOOST_TEST(has(facts->forwarded, "Model"));
+    BOOST_TEST(has(facts->forwarded, "Token-Usage"));
+}
+
+BOOST_AUTO_TEST_CASE(badRequestsNameTheHeader)
+{
+    HttpHeaders headers = clientHeaders();
+    headers[2].second = "soon";
+    BOOST_TEST(platform::decodeRequest(headers).error().message.find("Deadline-Ms")
+               != std::string::npos);
+    BOOST_TEST(platform::decodeRequest({{"Host", "a"}}).error().message.find("Request-Id")
+               != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(aDispatchNamesUpstreamTimeAndWorkspace)
+{
+    const auto facts = platform::decodeRequest(clientHeaders());
+    platform::DispatchFacts dispatch;
+    dispatch.upstreamId = "i-1";
+    dispatch.timeLeft = milliseconds(321);
+    dispatch.workspace = "w1";
+    dispatch.resumeAfter = 40;
+    const HttpHeaders headers = platform::encodeDispatch(*facts, dispatch);
+    BOOST_TEST(*findHeader(headers, "Expect-Replica") == "i-1");
+    BOOST_TEST(*findHeader(headers, "Deadline-Ms") == "321");
+    BOOST_TEST(*findHeader(headers, "Tenant-Id") == "w1");
+    BOOST_TEST(*findHeader(headers, "Last-Event-Id") == "40");
+    BOOST_TEST(std::ranges::count(headers, std::string("Last-Event-Id"),
+                                  &HttpHeaders::value_type::first)
+               == 1);
+}
+
+BOOST_AUTO_TEST_CASE(decodesAnswers)
+{
+    const HttpHeaders headers{{"Request-Id", "r1"},      {"Server-Signature", "s"},
+                              {"Replica-Load", "3,1,8"}, {"Keep-Alive", "timeout=5, max=9"},
+                              {"Connection", "close"},   {"X-Own", "kept"}};
+    const AnswerFacts answer = platform::decodeAnswer(200, headers);
+    BOOST_TEST(answer.requestId == "r1");
+    BOOST_TEST(answer.hasSignature);
+    BOOST_TEST(answer.closing);
+    BOOST_TEST(answer.keepAlive->count() == 5000);
+    BOOST_TEST(*answer.running == 3);
+    BOOST_TEST(*answer.waiting == 1);
+    BOOST_TEST(has(answer.forwarded, "X-Own"));
+    BOOST_TEST(has(answer.forwarded, "Server-Signature"));
+    BOOST_TEST(!has(answer.forwarded, "Keep-Alive"));
+    BOOST_TEST(platform::decodeAnswer(503, {{"Not-Executed", "1"}}).notExecuted);
+    BOOST_TEST(platform::decodeAnswer(421, {}).misdirected);
+    BOOST_TEST(platform::decodeAnswer(200, {{"content-encoding", "gzip"}}).encoded);
+}
+
+BOOST_AUTO_TEST_CASE(decodesUpstreamsAndIgnoresOtherWriters)
+{
+    const auto entry = json::parse(
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":6,"state":"ready","born":5})");
+    const auto record = platform::decodeUpstream("i-1", entry);
+    BOOST_REQUIRE(record);
+    BOOST_TEST(record->slots == 6);
+    BOOST_TEST(record->born == 5U);
+    BOOST_TEST(!record->draining);
+    for (const char *bad :
+         {"3", "{}", R"({"service":"s","address":"10.0.0.9:80","slots":6,"state":"gone"})",
+          R"({"service":"s","address":"nowhere","slots":6,"state":"ready"})",
+          R"({"service":7,"address":"10.0.0.9:80","slots":6,"state":"ready"})",
+          R"({"service":"s","address":"10.0.0.9:80","slots":0,"state":"ready"})",
+          R"({"service":"s","address":"10.0.0.9:80","slots":"6","state":"ready"})"})
+        BOOST_TEST(!platform::decodeUpstream("i-1", json::parse(bad)), bad);
+}
+
+BOOST_AUTO_TEST_CASE(decodesChangesOfTheStore)
+{
+    const auto changes = platform::decodeChanges(json::parse(
+        R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":4},"spec":null}},
+            {"deleted":false,"object":{"metadata":{},"spec":1}}, 7],"currentRev":9})"));
+    BOOST_REQUIRE(changes);
+    BOOST_TEST(changes->revision == 9U);
+    BOOST_REQUIRE(changes->events.size() == 1U);
+    BOOST_TEST(changes->events[0].deleted);
+    BOOST_TEST(changes->events[0].object.revision == 4U);
+    BOOST_TEST(!platform::decodeChanges(json::parse(R"({"events":[]})")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/ServingBudgetsTest.cpp
@@ -0,0 +1,285 @@
+#include "serving/CrashLedger.h"
+#include "serving/FirstTokenModel.h"
+#include "serving/FreshnessGuard.h"
+#include "serving/PeerBook.h"
+#include "serving/QuotaLedger.h"
+#include "serving/RetryBudget.h"
+#include "serving/UpstreamDirectory.h"
+#include "serving/WaitPolicy.h"
+
+#include <array>
+#include <cmath>
+#include <numeric>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr TimePoint start{seconds(1000)};
+
+ServingConfig quotaConfig(double rate, double burst)
+{
+    ServingConfig config;
+    Workspace workspace;
+    workspace.name = "w";
+    workspace.rate = rate;
+    workspace.burst = burst;
+    config.workspaces = {workspace};
+    return config;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(QuotaLedgerSuite)
+
+// Four entries under a workspace that sends many times its quota; every entry hears the others'
+// use 50 ms late. The window of 8 s holds the published bound without its slack.
+BOOST_AUTO_TEST_CASE(entriesTogetherKeepTheQuota)
+{
+    std::array<QuotaLedger, 4> ledgers;
+    for (QuotaLedger &ledger : ledgers)
+        ledger.configure(quotaConfig(1000, 1000), start);
+    double taken = 0;
+    constexpr int steps = 8000;
+    for (int ms = 0; ms < steps; ++ms) {
+        const TimePoint now = start + milliseconds(ms);
+        for (QuotaLedger &ledger : ledgers)
+            taken += ledger.tryTake("w", 10, now) ? 10 : 0;
+        for (std::size_t i = 0; ms % 50 == 0 && i < ledgers.size(); ++i)
+            for (std::size_t j = 0; j < ledgers.size(); ++j)
+                if (i != j)
+                    ledgers[j].learn(i + 1, ledgers[i].uses());
+    }
+    BOOST_TEST(taken <= (1000 * 8 + 1000) * 1.1);
+    BOOST_TEST(taken >= 1000 * 8 * 0.9);
+}
+
+BOOST_AUTO_TEST_CASE(entriesThatDoNotHearOneAnotherShareTheRate)
+{
+    std::array<QuotaLedger, 4> ledgers;
+    double taken = 0;
+    for (QuotaLedger &ledger : ledgers) {
+        ledger.configure(quotaConfig(1000, 1000), start);
+        ledger.setHeardShare(0.25, start);
+        for (int ms = 0; ms < 8000; ++ms)
+            taken += ledger.tryTake("w", 10, start + milliseconds(ms)) ? 10 : 0;
+    }
+    BOOST_TEST(taken <= (1000 * 8 + 1000) * 1.1);
+}
+
+BOOST_AUTO_TEST_CASE(largeRequestsPassAmongManySmallOnes)
+{
+    QuotaLedger ledger;
+    ledger.configure(quotaConfig(1000, 1000), start);
+    int large = 0;
+    for (int ms = 0; ms < 10000; ++ms) {
+        const TimePoint now = start + milliseconds(ms);
+        ledger.tryTake("w", 20, now);
+        if (ms % 100 == 0)
+            large += ledger.tryTake("w", 900, now) ? 1 : 0;
+    }
+    BOOST_TEST(large > 0);
+}
+
+BOOST_AUTO_TEST_CASE(aLowerQuotaHoldsAtOnceAndWhatDidNotRunIsGivenBack)
+{
+    QuotaLedger ledger;
+    ledger.configure(quotaConfig(1000, 1000), start);
+    ledger.tryTake("w", 0, start + seconds(10));
+    BOOST_TEST(ledger.level("w") == 1000);
+    ledger.configure(quotaConfig(10, 20), start + seconds(10));
+    BOOST_TEST(ledger.level("w") == 20);
+    BOOST_TEST(ledger.tryTake("w", 15, start + seconds(10)));
+    ledger.giveBack("w", 15);
+    BOOST_TEST(ledger.level("w") == 20);
+    BOOST_TEST(ledger.tryTake("unknown", 1e9, start));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(RetryBudgetSuite)
+
+BOOST_AUTO_TEST_CASE(everyWindowKeepsTheBound)
+{
+    RetryBudget budget({0.2, seconds(10), 50});
+    budget.setEntries(1);
+    std::vector<int> spent(60, 0);
+    for (int ms = 0; ms < 60000; ++ms) {
+        const TimePoint now = start + milliseconds(ms);
+        if (ms % 10 == 0)
+            budget.countRequest("s", now);
+        spent[static_cast<std::size_t>(ms / 1000)] += budget.trySpend("s", now) ? 1 : 0;
+    }
+    for (std::size_t first = 0; first + 10 <= spent.size(); ++first) {
+        const int sum = std::accumulate(spent.begin() + static_cast<long>(first),
+                                        spent.begin() + static_cast<long>(first) + 10, 0);
+        BOOST_TEST(sum <= 0.2 * 1000 + 50);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(entriesShareTheSlack)
+{
+    int spent = 0;
+    for (int entry = 0; entry < 4; ++entry) {
+        RetryBudget budget({0.2, seconds(10), 54});
+        budget.setEntries(4);
+        for (int i = 0; i < 100; ++i)
+            spent += budget.trySpend("s", start) ? 1 : 0;
+    }
+    BOOST_TEST(spent <= 54);
+    BOOST_TEST(spent > 20);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(FreshnessGuardSuite)
+
+BOOST_AUTO_TEST_CASE(aViewIsFreshForTheBoundLessItsMargin)
+{
+    FreshnessGuard guard(milliseconds(5000), milliseconds(1250));
+    BOOST_TEST(!guard.isFresh(seconds(10)));
+    guard.prove(seconds(10));
+    guard.prove(seconds(9));
+    BOOST_TEST(guard.isFresh(seconds(10) + milliseconds(3749)));
+    BOOST_TEST(!guard.isFresh(seconds(10) + milliseconds(3750)));
+    BOOST_TEST(guard.isCurrent(seconds(12)));
+    BOOST_TEST(!guard.isCurrent(seconds(13)));
+    BOOST_TEST(guard.age(seconds(12))->count() == 2000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(CrashLedgerSuite)
+
+BOOST_AUTO_TEST_CASE(theThirdCrashQuarantinesForAWhile)
+{
+    CrashLedger ledger;
+    ledger.add({7, 1}, start);
+    ledger.add({7, 2}, start);
+    BOOST_TEST(!ledger.add({7, 2}, start));
+    BOOST_TEST(!ledger.isQuarantined(7, start));
+    ledger.add({7, 3}, start + seconds(1));
+    BOOST_TEST(ledger.isQuarantined(7, start + seconds(2)));
+    BOOST_TEST(!ledger.isQuarantined(8, start + seconds(2)));
+    BOOST_TEST(!ledger.isQuarantined(7, start + CrashLedger::retention));
+    ledger.forgetOld(start + CrashLedger::retention);
+    BOOST_TEST(ledger.rows(10).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(PeerBookSuite)
+
+BOOST_AUTO_TEST_CASE(sumsWhatIsHeardAndForgetsTheSilent)
+{
+    PeerBook book("me");
+    book.setKnown({"me", "a", "b"});
+    EntryLoad load;
+    load.name = "a";
+    load.incarnation = 1;
+    load.sequence = 2;
+    load.loads = {{5, {3, 100}}};
+    load.demand = {{"models", 1, 4}};
+    BOOST_TEST(book.learn(load, start));
+    BOOST_TEST(!book.learn(load, start));
+    load.name = "me";
+    BOOST_TEST(!book.learn(load, start));
+    BOOST_TEST(book.loads(start).at(5).inFlight == 3U);
+    BOOST_TEST(book.demand(start).size() == 1U);
+    BOOST_TEST(std::abs(book.heardShare(start) - 2.0 / 3) < 1e-9);
+    BOOST_TEST(book.loads(start + PeerBook::silenceBound).empty());
+    BOOST_TEST(book.heard(start + PeerBook::silenceBound) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aRestartedEntryIsHeardAgain)
+{
+    PeerBook book("me");
+    EntryLoad load;
+    load.name = "a";
+    load.incarnation = 1;
+    load.sequence = 900;
+    book.learn(load, start);
+    load.incarnation = 2;
+    load.sequence = 1;
+    BOOST_TEST(book.learn(load, start));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(UpstreamDirectorySuite)
+
+BOOST_AUTO_TEST_CASE(aRemovedEntryIsGoneAtOnceWhileTheStoreIsWell)
+{
+    UpstreamDirectory directory;
+    directory.storeAnswered(start);
+    directory.put({.id = "a"});
+    directory.remove("a", start);
+    BOOST_TEST(directory.usable(start).empty());
+}
+
+BOOST_AUTO_TEST_CASE(entriesThatExpiredInAnOutageHaveTimeToReturn)
+{
+    UpstreamDirectory directory;
+    directory.put({.id = "a"});
+    directory.put({.id = "b"});
+    directory.storeFailed(start);
+    directory.storeAnswered(start + seconds(5));
+    directory.replace({{.id = "b"}}, start + seconds(5));
+    BOOST_TEST(directory.usable(start + seconds(6)).size() == 2U);
+    const TimePoint over = start + seconds(5) + UpstreamDirectory::returnBound;
+    BOOST_TEST((directory.nextExpiry().value() == over));
+    BOOST_TEST(directory.usable(over).size() == 1U);
+    directory.remove("b", over + seconds(1));
+    BOOST_TEST(directory.usable(over + seconds(1)).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(FirstTokenModelSuite)
+
+BOOST_AUTO_TEST_CASE(learnsEnginesAndPrompts)
+{
+    FirstTokenModel model;
+    double fast = 1;
+    double slow = 1;
+    for (std::uint32_t i = 0; i < 2000; ++i) {
+        const std::uint32_t tokens = 100 + (i * 7919) % 8000;
+        const auto took = [&](double factor) {
+            return std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double, std::milli>(factor * (80 + 0.02 * tokens)));
+        };
+        fast = model.learn(fast, tokens, took(0.5));
+        slow = model.learn(slow, tokens, took(2.0));
+    }
+    BOOST_TEST(std::abs(slow / fast - 4) < 0.4);
+    const auto predicted = std::chrono::duration<double, std::milli>(model.predict(slow, 5000));
+    BOOST_TEST(std::abs(predicted.count() - 360) < 40);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WaitPolicySuite)
+
+BOOST_AUTO_TEST_CASE(aFirstAttemptIsRefusedInTimeToReturn)
+{
+    const WaitFacts first{start, milliseconds(500), milliseconds(5000), Duration::zero()};
+    BOOST_TEST((refusalTime(first) <= start + milliseconds(500)));
+    WaitFacts returned = first;
+    returned.elapsed = milliseconds(400);
+    BOOST_TEST((refusalTime(returned) > refusalTime(first)));
+    BOOST_TEST((refusalTime(returned) < start + returned.timeLeft));
+}
+
+BOOST_AUTO_TEST_CASE(laterAttemptsAreRecognisedByTheirDeadline)
+{
+    AttemptAge age;
+    BOOST_TEST((age.learn("r", milliseconds(5000)) == Duration::zero()));
+    BOOST_TEST((age.learn("r", milliseconds(4400)) == milliseconds(600)));
+    BOOST_TEST((age.learn("r", milliseconds(4990)) == Duration::zero()));
+    BOOST_TEST((age.learn("other", milliseconds(800)) == Duration::zero()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
