A stopping server ends each connection after the answer that the stop met; late headers get 408

The stream's own timeout closed the socket before a 408 could be sent. Tests: HttpServerTest, which failed in three checks before.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -140,9 +140,11 @@
             m_ended = false;
             co_await handler(*this);
             m_gone = nullptr;
-            if (!m_ended || !m_keepAlive || m_closed)
+            if (!m_ended || !m_keepAlive || m_closed || m_registry->closing())
                 break;
         }
+        if (m_ended && !m_closed)
+            co_await linger();
         close();
     }
 
@@ -264,12 +266,33 @@
         co_return !error;
     }
 
+    struct HeaderReading
+    {
+        bool done = false;
+        bool late = false;
+    };
+
     template <typename Parser>
     asio::awaitable<beast::error_code> readHeader(Parser &parser, const HttpLimits &limits)
     {
-        arm(limits.headerTimeoutMs > 0 ? limits.headerTimeoutMs : limits.readTimeoutMs);
+        // The stream's own timeout would close the socket, and the client would get no answer.
+        asio::steady_timer timer(m_stream.get_executor());
+        const auto reading = std::make_shared<HeaderReading>();
+        timer.expires_after(std::chrono::milliseconds(
+            limits.headerTimeoutMs > 0 ? limits.headerTimeoutMs : limits.readTimeoutMs));
+        timer.async_wait([reading, self = this->shared_from_this()](beast::error_code cancelled) {
+            if (cancelled || reading->done)
+                return;
+            reading->late = true;
+            beast::get_lowest_layer(self->m_stream).cancel();
+        });
+        beast::get_lowest_layer(m_stream).expires_never();
         const auto [error, size] =
             co_await http::async_read_header(m_stream, m_buffer, parser, useTuple);
+        reading->done = true;
+        timer.cancel();
+        if (reading->late)
+            co_return beast::error_code(beast::error::timeout);
         co_return error;
     }
 
@@ -300,8 +323,22 @@
             {{"Content-Type", "application/json"}, {"Tamarack-Outcome", "not-run"}},
             boost::json::serialize(boost::json::object{{"error", fault}})};
         co_await respond(std::move(response));
-        // The rest of an oversized request is not read; closing at once could lose the answer.
+    }
+
+    /// Lets the client read its last answer: closing with unread bytes would reset the connection.
+    asio::awaitable<void> linger()
+    {
+        constexpr int lingerMs = 1000;
+        constexpr std::size_t drainBytes = 4096;
         beast::get_lowest_layer(m_stream).socket().shutdown(tcp::socket::shutdown_send, m_ignored);
+        arm(lingerMs);
+        beast::error_code error;
+        while (!error) {
+            m_buffer.clear();
+            const auto [readError, size] =
+                co_await m_stream.async_read_some(m_buffer.prepare(drainBytes), useTuple);
+            error = readError;
+        }
     }
 
     void watch()
--- a/tests/DispatchQueueTest.cpp
+++ b/tests/DispatchQueueTest.cpp
@@ -75,8 +75,8 @@
 BOOST_AUTO_TEST_CASE(theLowestRankLeavesPlacesFree)
 {
     upstreams.assign({upstream("a", 20), upstream("b", 20)});
-    upstreams.setOthers({{upstreamKey(upstream("a")), {20, 0}},
-                         {upstreamKey(upstream("b")), {18, 0}}});
+    upstreams.setOthers(
+        {{upstreamKey(upstream("a")), {20, 0}}, {upstreamKey(upstream("b")), {18, 0}}});
     queue.push(request(1, 0));
     BOOST_TEST(queue.decide(now).assignments.size() == 1U);
     queue.push(request(2, 1));
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -60,9 +60,9 @@
         headers.emplace_back(name, "1");
     const auto facts = platform::decodeRequest(headers);
     BOOST_REQUIRE(facts);
-    for (const char *name : {"Api-Key", "Tenant-Id", "Expect-Replica", "Kv-Hold", "Pin-Ms",
-                             "Kv-Backup", "Kv-From", "Kv-Fetch", "Connection",
-                             "Transfer-Encoding", "Deadline-Ms", "Last-Event-Id"})
+    for (const char *name :
+         {"Api-Key", "Tenant-Id", "Expect-Replica", "Kv-Hold", "Pin-Ms", "Kv-Backup", "Kv-From",
+          "Kv-Fetch", "Connection", "Transfer-Encoding", "Deadline-Ms", "Last-Event-Id"})
         BOOST_TEST(!has(facts->forwarded, name), name);
 }
 
@@ -100,9 +100,9 @@
     BOOST_TEST(*findHeader(headers, "Deadline-Ms") == "321");
     BOOST_TEST(*findHeader(headers, "Tenant-Id") == "w1");
     BOOST_TEST(*findHeader(headers, "Last-Event-Id") == "40");
-    BOOST_TEST(std::ranges::count(headers, std::string("Last-Event-Id"),
-                                  &HttpHeaders::value_type::first)
-               == 1);
+    BOOST_TEST(
+        std::ranges::count(headers, std::string("Last-Event-Id"), &HttpHeaders::value_type::first)
+        == 1);
 }
 
 BOOST_AUTO_TEST_CASE(decodesAnswers)
