--- a/src/serving/QuotaLedger.cpp
+++ b/src/serving/QuotaLedger.cpp
@@ -63,7 +63,8 @@
 std::int64_t QuotaLedger::level(std::string_view workspace) const
 {
     const auto found = m_buckets.find(workspace);
-    return found == m_buckets.end() ? 0 : static_cast<std::int64_t>(found->second.level);
+    const bool limited = found != m_buckets.end() && found->second.rate > 0;
+    return limited ? static_cast<std::int64_t>(found->second.level) : 0;
 }
 
 Duration QuotaLedger::untilRoom(std::string_view workspace) const
--- /dev/null
+++ b/tests/DirectProcessTest.cpp
@@ -0,0 +1,399 @@
+#include "direct/DirectProcess.h"
+
+#include "base/Log.h"
+#include "process/Contexts.h"
+#include "support/StoreServer.h"
+#include "support/UpstreamServer.h"
+
+#include <array>
+#include <future>
+#include <regex>
+#include <thread>
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using namespace tamarack::test;
+namespace asio = boost::asio;
+namespace json = boost::json;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+unsigned short freePort()
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+}
+
+json::value route(const std::string &name, const std::string &kind, int attempts, bool resumable)
+{
+    return json::object{{"name", name},
+                        {"host", "h.example"},
+                        {"pathPrefix", "/" + name + "/"},
+                        {"kind", kind},
+                        {"timeoutMs", 2000},
+                        {"targetLatencyMs", 500},
+                        {"priority", 0},
+                        {"service", "models"},
+                        {"maxAttempts", attempts},
+                        {"resumeStreams", resumable}};
+}
+
+json::object configuration(int version)
+{
+    const json::array routes{route("read", "idempotent", 2, false),
+                             route("book", "non_idempotent", 1, false),
+                             route("stream", "streaming", 2, true)};
+    const json::array workspaces{json::object{{"name", "w1"}, {"apiKeys", json::array{"k1"}}}};
+    return {{"version", version},
+            {"routes", routes},
+            {"services", json::array{json::object{{"name", "models"}}}},
+            {"tenants", workspaces}};
+}
+
+json::object upstreamEntry(unsigned short port, const std::string &state = "ready")
+{
+    return {{"service", "models"}, {"address", "127.0.0.1:" + std::to_string(port)},
+            {"zone", "dc"},        {"slots", 4},
+            {"state", state},      {"born", 1}};
+}
+
+struct ClientAnswer
+{
+    int status = 0;
+    std::string head;
+    std::string body;
+    /// The body ended as its framing says.
+    bool whole = false;
+};
+
+ClientAnswer parseAnswer(const std::string &text)
+{
+    ClientAnswer answer;
+    const auto end = text.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return answer;
+    answer.head = text.substr(0, end);
+    answer.status = std::stoi(text.substr(9, 3));
+    answer.body = text.substr(end + 4);
+    const bool chunked = answer.head.find("chunked") != std::string::npos;
+    answer.whole = chunked ? answer.body.ends_with("0\r\n\r\n") : true;
+    return answer;
+}
+
+/// A direct entry between a store and two upstreams, all real sockets on loopback.
+struct Fixture
+{
+    Fixture()
+    {
+        setLogLevel("off");
+        store.with([&](standin::PlatformStore &model) {
+            model.create("config", "main", configuration(1));
+            model.create("servers", "a", upstreamEntry(portA));
+            model.create("servers", "b", upstreamEntry(portB));
+            model.create("servers", "stranger", json::object{{"service", 7}});
+        });
+        contexts = new Contexts(1);
+        auto made = DirectProcess::makeProcess(settings(), *contexts);
+        BOOST_REQUIRE(made);
+        process = made->release();
+        processThread = std::jthread([this] { contexts->run(); });
+        BOOST_REQUIRE(eventually([this] { return readiness() == 200; }));
+    }
+
+    // The contexts own coroutines that refer to the process: both stay until the tests end.
+    ~Fixture()
+    {
+        contexts->stop();
+        processThread.join();
+        serverContext.stop();
+    }
+
+    Settings settings() const
+    {
+        Settings settings;
+        settings.role = Role::Direct;
+        settings.name = "entry-1";
+        settings.dataCentre = "dc";
+        settings.caller.endpoint = {"127.0.0.1", callerPort};
+        settings.admin.endpoint = {"127.0.0.1", adminPort};
+        settings.peer = {"127.0.0.1", freePort()};
+        settings.peerKey = "0123456789abcdef";
+        settings.limits.connections = 100;
+        settings.direct.readiness.endpoint = {"127.0.0.1", readinessPort};
+        settings.direct.store = {"127.0.0.1", storePort};
+        settings.direct.revokeBound = milliseconds(4000);
+        settings.direct.stopGrace = milliseconds(5000);
+        settings.direct.quotaWindow = milliseconds(8000);
+        settings.direct.retries = {0.2, std::chrono::seconds(10), 100};
+        return settings;
+    }
+
+    template <typename Condition>
+    static bool eventually(Condition condition, milliseconds bound = milliseconds(5000))
+    {
+        const auto end = std::chrono::steady_clock::now() + bound;
+        while (std::chrono::steady_clock::now() < end) {
+            if (condition())
+                return true;
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        return false;
+    }
+
+    static std::string exchange(unsigned short port, const std::string &request)
+    {
+        asio::io_context context;
+        tcp::socket socket(context);
+        boost::system::error_code error;
+        socket.connect({asio::ip::make_address("127.0.0.1"), port}, error);
+        asio::write(socket, asio::buffer(request), error);
+        std::string text;
+        std::array<char, 4096> piece{};
+        while (!error) {
+            const std::size_t size = socket.read_some(asio::buffer(piece), error);
+            text.append(piece.data(), size);
+        }
+        return text;
+    }
+
+    int readiness() const
+    {
+        return parseAnswer(exchange(readinessPort,
+                                    "GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
+            .status;
+    }
+
+    static std::string request(const std::string &path, const std::string &extra = "")
+    {
+        static std::atomic<int> number{0};
+        return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q"
+               + std::to_string(++number)
+               + "\r\nDeadline-Ms: 1900\r\nConnection: close\r\nContent-Length: 4\r\n" + extra
+               + "\r\nbody";
+    }
+
+    ClientAnswer call(const std::string &path, const std::string &key = "k1") const
+    {
+        return parseAnswer(exchange(callerPort, request(path, "Api-Key: " + key + "\r\n")));
+    }
+
+    std::size_t sends() const { return upstreamA.seen().size() + upstreamB.seen().size(); }
+
+    void setMoods(UpstreamMood mood)
+    {
+        upstreamA.mood = mood;
+        upstreamB.mood = mood;
+    }
+
+    unsigned short storePort = freePort();
+    unsigned short portA = freePort();
+    unsigned short portB = freePort();
+    unsigned short callerPort = freePort();
+    unsigned short adminPort = freePort();
+    unsigned short readinessPort = freePort();
+    asio::io_context serverContext;
+    StoreServer store{serverContext, storePort};
+    UpstreamServer upstreamA{serverContext, portA, "a"};
+    UpstreamServer upstreamB{serverContext, portB, "b"};
+    std::jthread serverThread{[this] { serverContext.run(); }};
+    Contexts *contexts = nullptr;
+    DirectProcess *process = nullptr;
+    std::jthread processThread;
+};
+
+std::string eventsOf(const std::string &chunked)
+{
+    static const std::regex id("id: (\\d+)\ndata: piece-(\\d+)\n\n");
+    std::string ids;
+    for (std::sregex_iterator it(chunked.begin(), chunked.end(), id), end; it != end; ++it)
+        ids += (*it)[1] == (*it)[2] ? (*it)[1].str() : "?";
+    return ids;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DirectProcessSuite, Fixture)
+
+BOOST_AUTO_TEST_CASE(aRequestReachesItsUpstreamAndItsAnswerComesBack)
+{
+    const ClientAnswer answer = call("/read/x?y=1");
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body.starts_with("from "));
+    BOOST_TEST(answer.body.ends_with(" body"));
+    BOOST_TEST(answer.head.find("Server-Signature") != std::string::npos);
+    const auto seen = upstreamA.seen().empty() ? upstreamB.seen() : upstreamA.seen();
+    BOOST_REQUIRE(seen.size() == 1U);
+    BOOST_TEST(seen[0].target == "/read/x?y=1");
+    BOOST_TEST(*findHeader(seen[0].headers, "Tenant-Id") == "w1");
+    BOOST_TEST(!findHeader(seen[0].headers, "Api-Key"));
+    BOOST_TEST(std::stoi(std::string(*findHeader(seen[0].headers, "Deadline-Ms"))) <= 1900);
+}
+
+BOOST_AUTO_TEST_CASE(unknownRoutesAndKeysAreRefused)
+{
+    BOOST_TEST(call("/nowhere/").status == 404);
+    BOOST_TEST(call("/read/x", "k9").status == 401);
+    BOOST_TEST(sends() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aBrokenStreamGoesOnElsewhereWithoutGapOrRepeat)
+{
+    upstreamA.mood = UpstreamMood::Breaks;
+    for (int i = 0; i < 4; ++i) {
+        const ClientAnswer answer = call("/stream/x");
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(eventsOf(answer.body) == "12345");
+        BOOST_TEST(answer.whole);
+    }
+    BOOST_TEST(!upstreamA.seen().empty());
+}
+
+BOOST_AUTO_TEST_CASE(aStreamThatCannotGoOnDoesNotLookWhole)
+{
+    setMoods(UpstreamMood::Breaks);
+    const ClientAnswer answer = call("/stream/x");
+    BOOST_TEST(!answer.whole);
+    BOOST_TEST(eventsOf(answer.body) == "12");
+}
+
+BOOST_AUTO_TEST_CASE(aBookingIsSentOnceWhenItsAnswerIsLost)
+{
+    setMoods(UpstreamMood::Breaks);
+    BOOST_TEST(call("/book/x").status == 502);
+    BOOST_TEST(sends() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aBookingThatDidNotRunGoesElsewhere)
+{
+    upstreamA.mood = UpstreamMood::NotExecuted;
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(call("/book/x").status == 200);
+    setMoods(UpstreamMood::NotExecuted);
+    const ClientAnswer refused = call("/book/x");
+    BOOST_TEST((refused.status == 503 || refused.status == 429));
+    BOOST_TEST(refused.head.find("Retry-After") != std::string::npos);
+    BOOST_TEST(refused.head.find("Server-Signature") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(aReadIsRepeatedAfterAFailure)
+{
+    upstreamA.mood = UpstreamMood::Fails;
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(call("/read/x").status == 200);
+    setMoods(UpstreamMood::Fails);
+    const ClientAnswer failed = call("/read/x");
+    BOOST_TEST(failed.status == 500);
+    BOOST_TEST(failed.head.find("Server-Signature") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerThatIsNotItsOwnIsNotDelivered)
+{
+    setMoods(UpstreamMood::Unsigned);
+    BOOST_TEST(call("/book/x").status == 502);
+    setMoods(UpstreamMood::AnswersAnother);
+    const ClientAnswer answer = call("/book/x");
+    BOOST_TEST((answer.status == 502 || answer.status == 504));
+    BOOST_TEST(answer.body.find("from ") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(theClientsEndReachesTheUpstream)
+{
+    setMoods(UpstreamMood::Hangs);
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), callerPort});
+    asio::write(socket, asio::buffer(request("/read/x", "Api-Key: k1\r\n")));
+    BOOST_REQUIRE(eventually([this] { return sends() == 1; }));
+    socket.close();
+    BOOST_TEST(eventually([this] { return upstreamA.clientGone || upstreamB.clientGone; },
+                          milliseconds(500)));
+}
+
+BOOST_AUTO_TEST_CASE(aDeadlineIsAnsweredInTime)
+{
+    setMoods(UpstreamMood::Hangs);
+    const auto begin = std::chrono::steady_clock::now();
+    BOOST_TEST(call("/book/x").status == 504);
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < milliseconds(2400)));
+}
+
+BOOST_AUTO_TEST_CASE(aNewConfigurationIsInForceSoonAlsoWhenHistoryIsForgotten)
+{
+    json::object changed = configuration(2);
+    changed["tenants"] = json::array{json::object{{"name", "w2"}, {"apiKeys", json::array{"k2"}}}};
+    store.with([&](auto &model) {
+        model.replace("config", "main", changed, 0);
+        model.compact();
+    });
+    BOOST_TEST(
+        eventually([this] { return call("/read/x", "k2").status == 200; }, milliseconds(2000)));
+    BOOST_TEST(call("/read/x", "k1").status == 401);
+    store.with([&](auto &model) { model.replace("config", "main", configuration(1), 0); });
+    std::this_thread::sleep_for(milliseconds(300));
+    BOOST_TEST(call("/read/x", "k2").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(keysAreRefusedOnceTheViewCannotBeProved)
+{
+    store.mood = StoreMood::Unavailable;
+    BOOST_TEST(call("/read/x").status == 200);
+    BOOST_TEST(eventually([this] { return call("/read/x").status == 503; }, milliseconds(4000)));
+    store.mood = StoreMood::Well;
+    BOOST_TEST(eventually([this] { return call("/read/x").status == 200; }, milliseconds(2000)));
+}
+
+BOOST_AUTO_TEST_CASE(aSilentStoreIsNoticed)
+{
+    store.mood = StoreMood::Silent;
+    BOOST_TEST(eventually([this] { return call("/read/x").status == 503; }, milliseconds(4500)));
+    store.mood = StoreMood::Well;
+    BOOST_TEST(eventually([this] { return call("/read/x").status == 200; }, milliseconds(3500)));
+}
+
+BOOST_AUTO_TEST_CASE(aLeavingUpstreamGetsNothingNew)
+{
+    store.with(
+        [&](auto &model) { model.replace("servers", "a", upstreamEntry(portA, "draining"), 0); });
+    std::this_thread::sleep_for(milliseconds(500));
+    const std::size_t before = upstreamA.seen().size();
+    for (int i = 0; i < 6; ++i)
+        BOOST_TEST(call("/read/x").status == 200);
+    BOOST_TEST(upstreamA.seen().size() == before);
+    store.with([&](auto &model) { model.remove("servers", "b"); });
+    std::this_thread::sleep_for(milliseconds(500));
+    const std::size_t beforeB = upstreamB.seen().size();
+    BOOST_TEST(call("/read/x").status == 429);
+    BOOST_TEST(upstreamB.seen().size() == beforeB);
+}
+
+BOOST_AUTO_TEST_CASE(aPlannedStopCutsNothing)
+{
+    upstreamA.eventPauseMs = 250;
+    upstreamB.eventPauseMs = 250;
+    auto running = std::async(std::launch::async, [this] { return call("/stream/x"); });
+    BOOST_REQUIRE(eventually([this] { return sends() == 1; }));
+    std::promise<void> done;
+    asio::post(contexts->control(), [&] { process->drain([&] { done.set_value(); }); });
+    BOOST_TEST(eventually([this] { return readiness() == 503; }, milliseconds(500)));
+    BOOST_TEST(call("/read/x").status == 200);
+    const ClientAnswer answer = running.get();
+    BOOST_TEST(eventsOf(answer.body) == "12345");
+    BOOST_TEST(answer.whole);
+    BOOST_TEST((done.get_future().wait_for(milliseconds(5000)) == std::future_status::ready));
+}
+
+BOOST_AUTO_TEST_CASE(metricsAreServed)
+{
+    call("/read/x");
+    const std::string text =
+        exchange(adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(text.find("tamarack_requests_total{outcome=\"served\"} 1") != std::string::npos);
+    BOOST_TEST(text.find("tamarack_request_seconds_bucket") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/StoreServer.cpp
@@ -0,0 +1,106 @@
+#include "support/StoreServer.h"
+
+#include "base/AsioPch.h"
+#include "process/Timers.h"
+
+namespace tamarack::test {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds watchPoll{5};
+
+struct ObjectPath
+{
+    std::string kind;
+    std::string name;
+};
+
+ObjectPath objectPath(const HttpRequest &request)
+{
+    constexpr std::string_view root = "/objects/";
+    const std::string path(request.path().substr(root.size()));
+    const auto slash = path.find('/');
+    if (slash == std::string::npos)
+        return {path, ""};
+    return {path.substr(0, slash), path.substr(slash + 1)};
+}
+
+std::uint64_t numberOf(std::optional<std::string_view> text)
+{
+    return text ? std::stoull(std::string(*text)) : 0;
+}
+
+} // namespace
+
+StoreServer::StoreServer(asio::io_context &context, unsigned short port)
+{
+    const ListenerSettings listener{{"127.0.0.1", port}, std::nullopt};
+    asio::io_context *only = &context;
+    auto made = HttpServer::makeServer(listener, {}, {&only, 1},
+                                       [this](HttpExchange &exchange) { return serve(exchange); });
+    if (!made)
+        throw std::runtime_error(made.error().message);
+    m_server = std::move(*made);
+}
+
+asio::awaitable<void> StoreServer::serve(HttpExchange &exchange)
+{
+    ++calls;
+    while (mood == StoreMood::Silent)
+        co_await pause(watchPoll);
+    if (mood != StoreMood::Well) {
+        HttpResponse refusal{mood == StoreMood::Busy ? 429 : 503, {}, ""};
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
+    if (exchange.request().query("watch")) {
+        std::string kind = objectPath(exchange.request()).kind;
+        co_await watch(exchange, std::move(kind));
+        co_return;
+    }
+    const auto answer = act(exchange.request());
+    HttpResponse response{answer.status, {}, json::serialize(answer.body)};
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> StoreServer::watch(HttpExchange &exchange, std::string kind)
+{
+    const std::uint64_t revision = numberOf(exchange.request().query("watch"));
+    const milliseconds wait(numberOf(exchange.request().query("waitMs")));
+    const TimePoint end = steadyNow() + wait;
+    std::optional<standin::PlatformStore::Answer> answer;
+    while (!answer && steadyNow() < end && mood == StoreMood::Well) {
+        with([&](auto &store) { answer = store.changes(kind, revision); });
+        if (!answer)
+            co_await pause(watchPoll);
+    }
+    if (!answer)
+        with([&](auto &store) { answer = store.noChanges(); });
+    HttpResponse response{answer->status, {}, json::serialize(answer->body)};
+    co_await exchange.respond(std::move(response));
+}
+
+standin::PlatformStore::Answer StoreServer::act(const HttpRequest &request)
+{
+    const std::lock_guard lock(m_mutex);
+    const ObjectPath path = objectPath(request);
+    if (request.method == "GET" && path.name.empty())
+        return m_store.list(path.kind, std::string(request.query("after").value_or("")));
+    if (request.method == "GET")
+        return m_store.get(path.kind, path.name);
+    if (request.method == "DELETE")
+        return m_store.remove(path.kind, path.name);
+    const json::object object = json::parse(request.body).as_object();
+    const json::object &metadata = object.at("metadata").as_object();
+    if (request.method == "POST")
+        return m_store.create(path.kind, std::string(metadata.at("name").as_string()),
+                              object.at("spec"));
+    const auto *revision = metadata.if_contains("revision");
+    return m_store.replace(path.kind, path.name, object.at("spec"),
+                           revision ? revision->to_number<std::uint64_t>() : 0);
+}
+
+} // namespace tamarack::test
--- /dev/null
+++ b/tests/support/StoreServer.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "http/HttpServer.h"
+#include "model/PlatformStore.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+namespace tamarack::test {
+
+/// How the store stand-in treats calls.
+enum class StoreMood { Well, Unavailable, Busy, Silent };
+
+/// Serves the platform's store model over the published protocol, with faults on demand.
+class StoreServer
+{
+public:
+    StoreServer(boost::asio::io_context &context, unsigned short port);
+
+    /// Calls `change` on the model while no call is served.
+    template <typename Change>
+    void with(Change change)
+    {
+        const std::lock_guard lock(m_mutex);
+        change(m_store);
+    }
+
+    std::atomic<StoreMood> mood{StoreMood::Well};
+    std::atomic<int> calls{0};
+
+private:
+    boost::asio::awaitable<void> serve(HttpExchange &exchange);
+    boost::asio::awaitable<void> watch(HttpExchange &exchange, std::string kind);
+    standin::PlatformStore::Answer act(const HttpRequest &request);
+
+    std::mutex m_mutex;
+    standin::PlatformStore m_store{2};
+    std::unique_ptr<HttpServer> m_server;
+};
+
+} // namespace tamarack::test
--- /dev/null
+++ b/tests/support/UpstreamServer.cpp
@@ -0,0 +1,99 @@
+#include "support/UpstreamServer.h"
+
+#include "base/AsioPch.h"
+#include "process/Timers.h"
+
+namespace tamarack::test {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds hangPoll{5};
+constexpr int eventsBeforeBreak = 2;
+
+std::string eventText(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: piece-" + std::to_string(id) + "\n\n";
+}
+
+} // namespace
+
+UpstreamServer::UpstreamServer(asio::io_context &context, unsigned short port, std::string id)
+    : m_id(std::move(id))
+{
+    const ListenerSettings listener{{"127.0.0.1", port}, std::nullopt};
+    asio::io_context *only = &context;
+    auto made = HttpServer::makeServer(listener, {}, {&only, 1},
+                                       [this](HttpExchange &exchange) { return serve(exchange); });
+    if (!made)
+        throw std::runtime_error(made.error().message);
+    m_server = std::move(*made);
+}
+
+std::vector<HttpRequest> UpstreamServer::seen() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_seen;
+}
+
+asio::awaitable<void> UpstreamServer::serve(HttpExchange &exchange)
+{
+    const HttpRequest &request = exchange.request();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_seen.push_back(request);
+    }
+    const UpstreamMood now = mood;
+    const std::string requestId(findHeader(request.headers, "Request-Id").value_or(""));
+    HttpResponse response{200, {{"Request-Id", requestId}}, "from " + m_id + " " + request.body};
+    const bool expected = findHeader(request.headers, "Expect-Replica") == m_id;
+    if (!expected || now == UpstreamMood::NotExecuted) {
+        response.status = expected ? 503 : 421;
+        response.headers.emplace_back("Not-Executed", "1");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    if (now == UpstreamMood::Hangs) {
+        exchange.onGone([this] { clientGone = true; });
+        while (!clientGone)
+            co_await pause(hangPoll);
+        co_return;
+    }
+    if (now != UpstreamMood::Unsigned)
+        response.headers.emplace_back("Server-Signature", "signed-by-" + m_id);
+    if (request.target.find("stream") != std::string::npos) {
+        co_await stream(exchange, std::move(response.headers));
+        co_return;
+    }
+    if (now == UpstreamMood::Breaks) {
+        exchange.abort();
+        co_return;
+    }
+    if (now == UpstreamMood::Fails)
+        response.status = 500;
+    if (now == UpstreamMood::AnswersAnother)
+        response.headers.front().second = "another";
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> UpstreamServer::stream(HttpExchange &exchange, HttpHeaders headers)
+{
+    const auto after = findHeader(exchange.request().headers, "Last-Event-Id");
+    headers.emplace_back("Content-Type", "text/event-stream");
+    co_await exchange.startStream(200, std::move(headers));
+    const int first = after ? std::stoi(std::string(*after)) + 1 : 1;
+    for (int id = first; id <= streamEvents; ++id) {
+        if (mood == UpstreamMood::Breaks && id > eventsBeforeBreak) {
+            co_await exchange.write(eventText(id).substr(0, 9));
+            exchange.abort();
+            co_return;
+        }
+        const std::string event = eventText(id);
+        co_await exchange.write(event);
+        co_await pause(milliseconds(eventPauseMs));
+    }
+    co_await exchange.finish();
+}
+
+} // namespace tamarack::test
--- /dev/null
+++ b/tests/support/UpstreamServer.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "http/HttpServer.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace tamarack::test {
+
+/// How the upstream stand-in answers.
+enum class UpstreamMood {
+    Well,
+    /// Ends a stream in the middle of its third event, or any other answer before its head.
+    Breaks,
+    /// Refuses without running.
+    NotExecuted,
+    Fails,
+    Hangs,
+    Unsigned,
+    AnswersAnother,
+};
+
+/// Serves requests as the users' platform's upstreams do, with faults on demand. Streams have
+/// `streamEvents` events.
+class UpstreamServer
+{
+public:
+    UpstreamServer(boost::asio::io_context &context, unsigned short port, std::string id);
+
+    std::vector<HttpRequest> seen() const;
+
+    std::atomic<UpstreamMood> mood{UpstreamMood::Well};
+    std::atomic<bool> clientGone{false};
+    std::atomic<int> eventPauseMs{0};
+
+    static constexpr int streamEvents = 5;
+
+private:
+    boost::asio::awaitable<void> serve(HttpExchange &exchange);
+    boost::asio::awaitable<void> stream(HttpExchange &exchange, HttpHeaders headers);
+
+    std::string m_id;
+    mutable std::mutex m_mutex;
+    std::vector<HttpRequest> m_seen;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+} // namespace tamarack::test
--- /dev/null
+++ b/tools/model/PlatformStore.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
+namespace tamarack::standin {
+
+/// Model of the users' platform's store as its protocol page describes it: objects by kind and
+/// name, one revision counter, paged listings, watches over a bounded history, conditional writes.
+class PlatformStore
+{
+public:
+    /// Status and body of an answer.
+    struct Answer
+    {
+        int status = 200;
+        boost::json::value body;
+    };
+
+    explicit PlatformStore(std::size_t pageSize = 50)
+        : m_pageSize(pageSize)
+    {}
+
+    Answer list(const std::string &kind, const std::string &after) const;
+    Answer get(const std::string &kind, const std::string &name) const;
+    /// 201, or 409 with the object as it is.
+    Answer create(const std::string &kind, const std::string &name, boost::json::value spec);
+    /// `revision` 0 replaces unconditionally. 409 carries the object as it is.
+    Answer replace(const std::string &kind, const std::string &name, boost::json::value spec,
+                   std::uint64_t revision);
+    Answer remove(const std::string &kind, const std::string &name);
+    /// Changes of the kind after `revision`: 410 when that history is gone; empty while there is
+    /// none.
+    std::optional<Answer> changes(const std::string &kind, std::uint64_t revision) const;
+    Answer noChanges() const;
+
+    /// Forgets all history.
+    void compact();
+    std::uint64_t revision() const { return m_revision; }
+
+private:
+    struct Object
+    {
+        boost::json::value spec;
+        std::uint64_t revision = 0;
+        std::uint64_t createRevision = 0;
+    };
+    struct Change
+    {
+        std::string kind;
+        std::string name;
+        std::uint64_t revision = 0;
+        bool deleted = false;
+        Object object;
+    };
+    using Objects = std::map<std::string, Object>;
+
+    static boost::json::object encode(const std::string &name, const Object &object);
+    void record(const std::string &kind, const std::string &name, const Object &object,
+                bool deleted);
+
+    std::size_t m_pageSize;
+    std::map<std::string, Objects> m_kinds;
+    std::deque<Change> m_history;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_forgotten = 0;
+};
+
+} // namespace tamarack::standin
