Bad numbers of clients and configurations are bounded; own interface: max_tokens, If-Match; fuzz target

The log of the older roles was not flushed regularly once it went to standard output. The fixture of DirectProcessTest took ports that an outgoing connection could take, and then hung for ever: ports are now below those, and its threads end in any case (seen once in a full run).

--- /dev/null
+++ b/fuzz/PlatformFuzz.cpp
@@ -0,0 +1,112 @@
+#include "FuzzTarget.h"
+
+#include "peer/EntryLoadCodec.h"
+#include "platform/ConfigDecoder.h"
+#include "platform/HeaderCodec.h"
+#include "platform/StoreClient.h"
+#include "platform/UpstreamDecoder.h"
+#include "serving/EventScanner.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include <boost/json.hpp>
+
+using namespace tamarack;
+
+namespace {
+
+constexpr std::string_view peerKey = "0123456789abcdef";
+
+void check(bool holds)
+{
+    if (!holds)
+        std::abort();
+}
+
+/// What other writers may put into the store.
+void tryStore(std::string_view text)
+{
+    boost::system::error_code error;
+    const boost::json::value value = boost::json::parse(text, error);
+    if (error)
+        return;
+    if (const auto config = platform::decodeConfig(value)) {
+        for (const Route &route : (*config)->routes) {
+            check(!route.services.empty() && route.timeout.count() >= 0);
+            check(!chooseService(route, route.name.size()).empty() || route.services.size() == 1);
+        }
+        (*config)->route("h", "/a/");
+    }
+    if (const auto upstream = platform::decodeUpstream("i", value))
+        check(upstream->slots > 0 && upstream->endpoint.port != 0);
+    platform::decodeChanges(value);
+    platform::decodeObject(value);
+}
+
+/// Lines of the text as headers, as a client or an upstream may send them.
+void tryHeaders(std::string_view text)
+{
+    HttpHeaders headers;
+    while (!text.empty()) {
+        const auto end = std::min(text.find('\n'), text.size());
+        const std::string_view line = text.substr(0, end);
+        const auto colon = std::min(line.find(':'), line.size());
+        headers.emplace_back(line.substr(0, colon), line.substr(std::min(colon + 1, line.size())));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    if (const auto facts = platform::decodeRequest(headers)) {
+        check(!facts->deadline || facts->deadline->count() >= 0);
+        check(!findHeader(facts->forwarded, "Api-Key"));
+        check(!findHeader(facts->forwarded, "Transfer-Encoding"));
+    }
+    platform::decodeAnswer(200, headers);
+}
+
+/// The events that are returned are a prefix of the stream, however it is cut.
+void tryEvents(std::string_view text)
+{
+    EventScanner whole;
+    const std::string expected(whole.take(text));
+    check(text.starts_with(expected));
+    EventScanner pieces;
+    std::string got;
+    constexpr std::size_t pieceSize = 3;
+    for (std::size_t at = 0; at < text.size(); at += pieceSize)
+        got += pieces.take(text.substr(at, pieceSize));
+    check(got == expected);
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string_view text(reinterpret_cast<const char *>(data), size);
+    tryStore(text);
+    tryHeaders(text);
+    tryEvents(text);
+    openEntryLoad(text, peerKey);
+    return 0;
+}
+
+std::vector<std::string> fuzzSeeds()
+{
+    EntryLoad load;
+    load.name = "entry-1";
+    load.loads = {{1, {2, 300}}};
+    load.demand = {{"models", 1, 7, 3}};
+    load.quotas = {{"w", 12345.5}};
+    return {
+        sealEntryLoad(load, peerKey),
+        R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/a/","kind":"streaming",)"
+        R"("timeoutMs":3000,"targetLatencyMs":800,"priority":1,"service":"s","maxAttempts":2,)"
+        R"("weightedClusters":[{"service":"s","weight":90}]}],"services":[{"name":"s",)"
+        R"("engine":{"slots":6,"stride":4}}],"tenants":[{"name":"w","apiKeys":["k"],)"
+        R"("ratePerS":100.5,"burst":300}],"limits":{"maxBodyBytes":5}})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":6,"state":"ready","born":5})",
+        R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":4}}}],"currentRev":9})",
+        "Host:h\nRequest-Id:r1\nDeadline-Ms:5000\nApi-Key:k\nToken-Usage:1460,80\n"
+        "Prompt-Prefix:5c1e07a2:800,e4:250\nConnection:close, Model\nKeep-Alive:timeout=5\n"
+        "Replica-Load:3,0,8\nTransfer-Encoding:chunked\nLast-Event-Id:4",
+        "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: x\n\n"};
+}
--- a/src/control/AdminApi.cpp
+++ b/src/control/AdminApi.cpp
@@ -1,5 +1,7 @@
 #include "control/AdminApi.h"
 
+#include "control/IfMatch.h"
+
 #include "base/AsioPch.h"
 #include "base/Hash.h"
 #include "base/Log.h"
@@ -10,7 +12,6 @@
 #include "store/ObjectStore.h"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 
 namespace tamarack {
@@ -28,22 +29,6 @@
     return "\"" + std::to_string(generation) + "\"";
 }
 
-Result<std::optional<Generation>> expectedGeneration(const HttpRequest &request)
-{
-    const auto text = findHeader(request.headers, "If-Match");
-    if (!text)
-        return std::optional<Generation>();
-    std::string_view digits = *text;
-    if (digits.size() >= 2 && digits.front() == '"' && digits.back() == '"')
-        digits = digits.substr(1, digits.size() - 2);
-    Generation generation = 0;
-    const auto [end, error] =
-        std::from_chars(digits.data(), digits.data() + digits.size(), generation);
-    if (error != std::errc() || end != digits.data() + digits.size())
-        return failure(ErrorKind::BadRequest, "If-Match must be a generation");
-    return std::optional<Generation>(generation);
-}
-
 /// The one string member of a small JSON body.
 Result<std::string> stringField(const HttpRequest &request, std::string_view name)
 {
@@ -173,7 +158,7 @@
 
     asio::awaitable<HttpResponse> putConfig(const HttpRequest &request)
     {
-        const auto expected = expectedGeneration(request);
+        const auto expected = parseIfMatch(request);
         if (!expected)
             co_return errorOf(expected.error());
         if (!*expected) {
@@ -196,7 +181,7 @@
     asio::awaitable<HttpResponse> usePreset(const HttpRequest &request)
     {
         const auto name = stringField(request, "name");
-        const auto expected = expectedGeneration(request);
+        const auto expected = parseIfMatch(request);
         if (!name || !expected)
             co_return errorOf(name ? expected.error() : name.error());
         Edit edit = [name = *name](const std::string &text) -> Result<std::string> {
@@ -213,7 +198,7 @@
         std::string name(rest.substr(std::string_view("upstreams/").size()));
         name.resize(name.size() - std::string_view("/mark").size());
         const auto text = stringField(request, "mark");
-        const auto expected = expectedGeneration(request);
+        const auto expected = parseIfMatch(request);
         if (!text || !expected)
             co_return errorOf(text ? expected.error() : text.error());
         if (*text != "none" && *text != "stop" && *text != "leave") {
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -54,6 +54,7 @@
         m_process = std::move(*process);
         waitForSignal();
         logEvent(LogLevel::Info, "started", {{"name", settings.name}});
+        flushLater();
         m_contexts.run();
         logEvent(LogLevel::Info, "stopped", {{"name", settings.name}, {"clean", m_clean}});
         flushLog();
@@ -95,6 +96,18 @@
         });
     }
 
+    /// Writes what is buffered of the log, now and regularly.
+    void flushLater()
+    {
+        constexpr std::chrono::milliseconds flushInterval{100};
+        flushLog();
+        m_logTimer.expires_after(flushInterval);
+        m_logTimer.async_wait([this](boost::system::error_code error) {
+            if (!error)
+                flushLater();
+        });
+    }
+
     /// Lets the last answers leave their sockets before the threads end.
     void finishLater()
     {
@@ -107,6 +120,7 @@
     Contexts &m_contexts;
     asio::signal_set m_signals;
     asio::steady_timer m_flush{m_contexts.control()};
+    asio::steady_timer m_logTimer{m_contexts.control()};
     std::unique_ptr<Process> m_process;
     bool m_stopping = false;
     bool m_clean = false;
--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -157,7 +157,6 @@
         while (true) {
             co_await pause(tickInterval);
             state.tick(steadyNow());
-            flushLog();
         }
     }
 
--- a/src/entry/CallerRequest.cpp
+++ b/src/entry/CallerRequest.cpp
@@ -79,12 +79,16 @@
     return "";
 }
 
-std::int64_t outputBound(const json::object &object)
+Result<std::int64_t> outputBound(const json::object &object)
 {
     const auto *bound = object.if_contains("max_tokens");
-    if (!bound || !bound->is_int64())
+    if (!bound || bound->is_null())
         return defaultOutputTokens;
-    return std::clamp<std::int64_t>(bound->get_int64(), 1, largestOutputTokens);
+    const bool valid = bound->is_uint64() || (bound->is_int64() && bound->get_int64() > 0);
+    if (!valid)
+        return failure(ErrorKind::BadRequest, "max_tokens: must be a whole number of at least 1");
+    return bound->is_int64() ? std::min(bound->get_int64(), largestOutputTokens)
+                             : largestOutputTokens;
 }
 
 Result<void> readModelCall(const HttpRequest &request, const FleetConfig &config,
@@ -110,12 +114,15 @@
     const auto *stream = object->if_contains("stream");
     if (stream && !stream->is_bool())
         return failure(ErrorKind::BadRequest, "stream: must be true or false");
+    const auto outputTokens = outputBound(*object);
+    if (!outputTokens)
+        return tl::unexpected(outputTokens.error());
     const std::string prompt = promptOf(*object);
     submission.body.stream = stream && stream->get_bool();
     submission.promptTokens = static_cast<std::uint32_t>(prompt.size() / bytesPerToken + 1);
     submission.expectedWork =
-        submission.promptTokens * workPerPromptToken + outputBound(*object) * workPerOutputToken;
-    submission.outputTokens = static_cast<std::uint32_t>(outputBound(*object));
+        submission.promptTokens * workPerPromptToken + *outputTokens * workPerOutputToken;
+    submission.outputTokens = static_cast<std::uint32_t>(*outputTokens);
     submission.prefix = fnv1a(std::string_view(prompt).substr(0, prefixBytes)) | 1;
     submission.body.path = std::string(request.path());
     return {};
--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -10,6 +10,8 @@
 #include <regex>
 #include <thread>
 
+#include <unistd.h>
+
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
@@ -22,13 +24,35 @@
 
 namespace {
 
+/// A port below those that the system gives to outgoing connections, which could take it between
+/// this call and its use.
 unsigned short freePort()
 {
+    constexpr int lowest = 12000;
+    constexpr int processes = 180;
+    constexpr int portsPerProcess = 100;
+    static std::atomic<int> next{0};
     asio::io_context context;
-    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
+    while (true) {
+        const int offset = (::getpid() % processes) * portsPerProcess + next++ % portsPerProcess;
+        const auto port = static_cast<unsigned short>(lowest + offset);
+        tcp::acceptor acceptor(context);
+        boost::system::error_code error;
+        acceptor.open(tcp::v4());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, error);
+        if (!error)
+            return port;
+    }
 }
 
+/// Ends a context whatever happens to what it serves.
+struct ContextStopper
+{
+    ~ContextStopper() { context.stop(); }
+    asio::io_context &context;
+};
+
 json::value route(const std::string &name, const std::string &kind, int attempts, bool resumable)
 {
     return json::object{{"name", name},
@@ -99,7 +123,7 @@
         });
         contexts = new Contexts(1);
         auto made = DirectProcess::makeProcess(settings(), *contexts);
-        BOOST_REQUIRE(made);
+        BOOST_REQUIRE_MESSAGE(made.has_value(), made ? "" : made.error().message);
         process = made->release();
         processThread = std::jthread([this] { contexts->run(); });
         BOOST_REQUIRE(eventually([this] { return readiness() == 200; }));
@@ -201,6 +225,7 @@
     UpstreamServer upstreamA{serverContext, portA, "a"};
     UpstreamServer upstreamB{serverContext, portB, "b"};
     std::jthread serverThread{[this] { serverContext.run(); }};
+    ContextStopper serverStopper{serverContext};
     Contexts *contexts = nullptr;
     DirectProcess *process = nullptr;
     std::jthread processThread;
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -80,6 +80,10 @@
 BOOST_AUTO_TEST_CASE(badRequestsNameTheHeader)
 {
     HttpHeaders headers = clientHeaders();
+    for (const char *bad : {"nan", "inf", "-1", "1e999", ""}) {
+        headers[2].second = bad;
+        BOOST_TEST(!platform::decodeRequest(headers), bad);
+    }
     headers[2].second = "soon";
     BOOST_TEST(platform::decodeRequest(headers).error().message.find("Deadline-Ms")
                != std::string::npos);
--- a/tests/ServingConfigTest.cpp
+++ b/tests/ServingConfigTest.cpp
@@ -81,6 +81,25 @@
     BOOST_TEST(models == 90);
 }
 
+BOOST_AUTO_TEST_CASE(numbersOutOfRangeAreBounded)
+{
+    json::value document = published();
+    json::object &first = document.at("routes").at(0).as_object();
+    first["timeoutMs"] = 1e300;
+    first["targetLatencyMs"] = -5;
+    first["maxAttempts"] = std::uint64_t(1) << 40U;
+    document.at("tenants").at(0).as_object()["ratePerS"] = -1e300;
+    document.at("routes").at(1).at("weightedClusters").at(0).as_object()["weight"] = 1e300;
+    const auto config = platform::decodeConfig(document);
+    BOOST_REQUIRE(config);
+    const Route &route = (*config)->routes[0];
+    BOOST_TEST(route.timeout.count() == 86'400'000);
+    BOOST_TEST(route.objective.count() == 0);
+    BOOST_TEST(route.maxAttempts == 1'000'000);
+    BOOST_TEST((*config)->workspaces[0].rate == 0.0);
+    BOOST_TEST((*config)->routes[1].services[0].weight == 1'000'000'000U);
+}
+
 BOOST_AUTO_TEST_CASE(namesWhatIsWrong)
 {
     const std::vector<std::pair<std::string, std::string>> bad{
