--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -29,8 +29,8 @@
 unsigned short freePort()
 {
     constexpr int lowest = 12000;
-    constexpr int processes = 180;
-    constexpr int portsPerProcess = 100;
+    constexpr int processes = 45;
+    constexpr int portsPerProcess = 400;
     static std::atomic<int> next{0};
     asio::io_context context;
     while (true) {
@@ -123,7 +123,8 @@
         });
         contexts = new Contexts(1);
         auto made = DirectProcess::makeProcess(settings(), *contexts);
-        BOOST_REQUIRE_MESSAGE(made.has_value(), made ? "" : made.error().message);
+        const std::string reason = made ? "" : made.error().message;
+        BOOST_REQUIRE_MESSAGE(made.has_value(), reason);
         process = made->release();
         processThread = std::jthread([this] { contexts->run(); });
         BOOST_REQUIRE(eventually([this] { return readiness() == 200; }));
