--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -77,12 +77,10 @@
 asio::awaitable<void> RequestFlow::run()
 {
     const auto self = shared_from_this();
-    ++m_state.held;
     if (const auto denial = admit())
         co_await answerError(denial->kind, denial->retryAfter);
     else
         co_await serve();
-    --m_state.held;
 }
 
 std::optional<RequestFlow::Denial> RequestFlow::admit()
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -114,7 +114,6 @@
     bool m_mayHaveRun = false;
     int m_upstreamsRun = 0;
     int m_sends = 0;
-    bool m_clientFailed = false;
 };
 
 } // namespace tamarack
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -94,7 +94,6 @@
     AttemptAge attemptAge;
     UpstreamPool pool;
     bool draining = false;
-    std::size_t held = 0;
 
 private:
     /// Takes over what the other entries said since it was called last.
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -158,13 +158,6 @@
     });
 }
 
-int UpstreamTable::places(std::string_view service, TimePoint now) const
-{
-    const auto &upstreams = ofService(service);
-    return std::accumulate(upstreams.begin(), upstreams.end(), 0,
-                           [&](int sum, const auto &each) { return sum + limit(*each, now); });
-}
-
 std::vector<std::pair<UpstreamKey, UpstreamLoad>> UpstreamTable::ownLoads() const
 {
     std::vector<std::pair<UpstreamKey, UpstreamLoad>> loads;
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -102,7 +102,6 @@
 
     /// Places left at the upstreams of the service.
     int freePlaces(std::string_view service, TimePoint now) const;
-    int places(std::string_view service, TimePoint now) const;
 
     /// Loads of this entry that are not zero.
     std::vector<std::pair<UpstreamKey, UpstreamLoad>> ownLoads() const;
