--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -204,7 +204,8 @@
         request.prefix = m_facts.promptParts.back().id;
     request.arrived = m_arrivedAt - m_elapsed;
     request.objectiveAt = request.arrived + m_route.objective;
-    request.refuseAt = refusalTime({steadyNow(), m_route.objective, timeLeft(), m_elapsed});
+    request.refuseAt = refusalTime(
+        {steadyNow(), m_route.objective, m_route.pauseBound, isStream(), timeLeft(), m_elapsed});
     request.excluded = m_tried;
     return request;
 }
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -40,6 +40,11 @@
         return;
     config = std::move(newConfig);
     quotas.configure(*config, steadyNow());
+    std::set<std::string> engines;
+    for (const Service &service : config->services)
+        if (service.engine)
+            engines.insert(service.name);
+    upstreams.setEngines(engines);
     pump();
 }
 
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -81,30 +81,48 @@
 {
     int free = m_upstreams.freePlaces(service, now);
     const int places = m_upstreams.places(service, now);
-    for (auto it = line.waiting.begin(); it != line.waiting.end();) {
-        const QueuedRequest &request = it->second;
+    std::vector<Ticket> ended;
+    for (const QueuedRequest *request : startOrder(service, line, now)) {
         Choice choice;
-        if (free > reserve(service, request.rank, line, places))
-            choice = choose(request, now);
-        const bool refused = !choice.upstream && now >= request.refuseAt;
-        if (!choice.upstream && !refused) {
-            ++it;
-            continue;
-        }
-        if (refused) {
-            decisions.refusals.push_back({request.ticket, retryAfter(request, now)});
-        } else {
-            decisions.assignments.push_back({request.ticket, choice.upstream,
-                                             choice.upstream->prefillTokens(), choice.freshTokens,
-                                             choice.predicted});
-            m_upstreams.started(*choice.upstream, choice.freshTokens);
-            if (request.prefix != 0)
-                m_affinity.record(request.prefix, choice.upstream->record.id);
+        if (free > reserve(service, request->rank, line, places))
+            choice = choose(*request, now);
+        if (choice.upstream) {
+            assign(*request, choice, decisions);
             --free;
+        } else if (now >= request->refuseAt) {
+            decisions.refusals.push_back({request->ticket, retryAfter(*request, now)});
+        } else {
+            continue;
         }
-        m_places.erase(request.ticket);
-        it = line.waiting.erase(it);
+        ended.push_back(request->ticket);
     }
+    for (const Ticket ticket : ended)
+        remove(ticket);
+}
+
+std::vector<const QueuedRequest *> DispatchQueue::startOrder(const std::string &service,
+                                                             const Line &line, TimePoint now) const
+{
+    const Duration firstToken = m_upstreams.model(service).nominal(0);
+    std::vector<const QueuedRequest *> order;
+    order.reserve(line.waiting.size());
+    for (const auto &[place, request] : line.waiting)
+        order.push_back(&request);
+    std::ranges::stable_sort(order, {}, [&](const QueuedRequest *request) {
+        return std::pair(request->rank, now + firstToken > request->objectiveAt);
+    });
+    return order;
+}
+
+void DispatchQueue::assign(const QueuedRequest &request, const Choice &choice,
+                           QueueDecisions &decisions)
+{
+    decisions.assignments.push_back({request.ticket, choice.upstream,
+                                     choice.upstream->prefillTokens(), choice.freshTokens,
+                                     choice.predicted});
+    m_upstreams.started(*choice.upstream, choice.freshTokens);
+    if (request.prefix != 0)
+        m_affinity.record(request.prefix, choice.upstream->record.id);
 }
 
 int DispatchQueue::reserve(const std::string &service, QueueRank rank, const Line &line,
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -84,9 +84,10 @@
 /// Requests of one entry that wait for a place at an upstream. Late binding: a request is sent
 /// when an upstream can start it, the most important first.
 ///
-/// Load: bursts of twice the capacity, of tiers unlike in worth and length. Long requests of low
-/// tiers may not take the last free places, which turn over slowly; a lower tier does not start
-/// while more requests of higher tiers wait at other entries than places are free.
+/// Load: bursts of twice the capacity, of tiers unlike in worth and length. Of one rank, those
+/// that can still be on time go first: in arrival order, all of them would be late. Long requests
+/// of low tiers may not take the last free places, which turn over slowly; a lower tier does not
+/// start while more requests of higher tiers wait at other entries than places are free.
 class DispatchQueue
 {
 public:
@@ -132,6 +133,10 @@
 
     void decideService(const std::string &service, Line &line, TimePoint now,
                        QueueDecisions &decisions);
+    /// Waiting requests in the order in which they may start.
+    std::vector<const QueuedRequest *> startOrder(const std::string &service, const Line &line,
+                                                  TimePoint now) const;
+    void assign(const QueuedRequest &request, const Choice &choice, QueueDecisions &decisions);
     /// Places that a request of the rank leaves free: for those that rank above it.
     int reserve(const std::string &service, QueueRank rank, const Line &line, int places) const;
     std::uint32_t peersWaitingAbove(const std::string &service, QueueRank rank) const;
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Requests in flight at a plain upstream, as a multiple of its slots: its requests are shorter
+/// than the time that the other entries' loads take to arrive here, so a free slot cannot be seen.
+constexpr int plainQueueing = 3;
 /// Share of a new sample in the failure share.
 constexpr double failureSampleShare = 0.2;
 /// Above this share of failures an upstream is in trouble.
@@ -48,6 +51,7 @@
         upstream->record = record;
         upstream->key = key;
         upstream->gone = record.draining;
+        upstream->engine = m_engines.contains(record.service);
         if (!upstream->gone)
             m_services[record.service].upstreams.push_back(upstream);
     }
@@ -59,6 +63,13 @@
     });
 }
 
+void UpstreamTable::setEngines(const std::set<std::string> &services)
+{
+    m_engines = services;
+    for (const auto &[key, upstream] : m_byKey)
+        upstream->engine = m_engines.contains(upstream->record.service);
+}
+
 void UpstreamTable::setOthers(const std::unordered_map<UpstreamKey, UpstreamLoad> &loads)
 {
     for (const auto &[key, upstream] : m_byKey) {
@@ -129,7 +140,9 @@
     if (upstream.gone || now < upstream.blockedUntil)
         return 0;
     const bool probing = upstream.failuresInRow > 0 && upstream.failureShare > troubledShare;
-    return probing ? 1 : upstream.record.slots;
+    if (probing)
+        return 1;
+    return upstream.engine ? upstream.record.slots : upstream.record.slots * plainQueueing;
 }
 
 int UpstreamTable::freePlaces(std::string_view service, TimePoint now) const
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -59,6 +60,8 @@
     TimePoint blockedUntil{};
     /// It has left or drains; requests in flight go on.
     bool gone = false;
+    /// A model engine, which slows down with every request, rather than a plain service.
+    bool engine = false;
 
     std::uint32_t inFlight() const { return own.inFlight + others.inFlight; }
     std::uint32_t prefillTokens() const { return own.prefillTokens + others.prefillTokens; }
@@ -77,6 +80,9 @@
     /// Replaces the set of known upstreams. Those missing are gone.
     void assign(const std::vector<UpstreamRecord> &records);
 
+    /// Names the services with model engines behind them.
+    void setEngines(const std::set<std::string> &services);
+
     /// Replaces the load of the other entries: key to load.
     void setOthers(const std::unordered_map<UpstreamKey, UpstreamLoad> &loads);
 
@@ -109,6 +115,7 @@
 
     std::map<std::string, ServiceState, std::less<>> m_services;
     std::unordered_map<UpstreamKey, UpstreamPtr> m_byKey;
+    std::set<std::string> m_engines;
 };
 
 } // namespace tamarack
--- a/src/serving/WaitPolicy.cpp
+++ b/src/serving/WaitPolicy.cpp
@@ -6,23 +6,41 @@
 
 namespace {
 
-/// Parts of the objective, and of the time left, that a request may wait.
-constexpr double firstWaitShare = 0.5;
-constexpr double returnWaitShare = 0.5;
+/// Parts of the objective, of the client's patience and of the time left that a request may wait.
+constexpr double firstWaitShare = 0.8;
+constexpr double patienceShare = 0.5;
+constexpr double timeLeftShare = 0.5;
+/// Clients of streams wait for the longest of these: a fixed time, multiples of the objective and
+/// of the pause bound.
+constexpr milliseconds shortestPatience{2000};
+constexpr int objectivesOfPatience = 4;
+constexpr int pausesOfPatience = 8;
 /// Shorter differences in deadlines are no sign of an earlier attempt.
 constexpr milliseconds ageNoise{20};
 
+Duration share(Duration whole, double part)
+{
+    return std::chrono::duration_cast<Duration>(whole * part);
+}
+
 } // namespace
 
+Duration clientPatience(Duration objective, Duration pauseBound)
+{
+    return std::max<Duration>(
+        {shortestPatience, objective * objectivesOfPatience, pauseBound * pausesOfPatience});
+}
+
 TimePoint refusalTime(const WaitFacts &facts)
 {
     const bool returned = facts.elapsed > Duration::zero();
-    const auto share = [](Duration whole, double part) {
-        return std::chrono::duration_cast<Duration>(whole * part);
-    };
-    const Duration wait =
-        returned ? share(facts.timeLeft, returnWaitShare) : share(facts.objective, firstWaitShare);
-    return facts.now + std::min(wait, share(facts.timeLeft, returnWaitShare));
+    Duration wait = share(facts.timeLeft, timeLeftShare);
+    if (facts.stream)
+        wait =
+            std::min(wait, share(clientPatience(facts.objective, facts.pauseBound), patienceShare));
+    if (!returned)
+        wait = std::min(wait, share(facts.objective, firstWaitShare));
+    return facts.now + wait;
 }
 
 Duration AttemptAge::learn(std::string_view route, Duration deadline)
--- a/tests/DispatchQueueTest.cpp
+++ b/tests/DispatchQueueTest.cpp
@@ -31,6 +31,8 @@
         return queued;
     }
 
+    Fixture() { upstreams.setEngines({"models"}); }
+
     UpstreamTable upstreams;
     DispatchQueue queue{upstreams, "dc"};
     TimePoint now{std::chrono::seconds(100)};
@@ -94,6 +96,32 @@
     BOOST_TEST(queue.size() == 0U);
 }
 
+// fleetbench grown scale-1, seconds 4 to 6: in arrival order every request of the top tier was
+// late.
+BOOST_AUTO_TEST_CASE(ofOneRankThoseThatCanBeOnTimeGoFirst)
+{
+    upstreams.assign({upstream("a", 1)});
+    QueuedRequest late = request(1);
+    late.objectiveAt = now - milliseconds(1);
+    QueuedRequest onTime = request(2);
+    onTime.arrived = now + milliseconds(1);
+    queue.push(late);
+    queue.push(onTime);
+    const auto decisions = queue.decide(now);
+    BOOST_REQUIRE(decisions.assignments.size() == 1U);
+    BOOST_TEST(decisions.assignments[0].ticket == 2U);
+}
+
+// fleetbench grown scale-1: half of the bookings were refused while the replicas had room.
+BOOST_AUTO_TEST_CASE(aPlainUpstreamMayQueueSomeRequestsItself)
+{
+    upstreams.setEngines({});
+    upstreams.assign({upstream("a", 2)});
+    for (Ticket ticket = 1; ticket <= 4; ++ticket)
+        queue.push(request(ticket));
+    BOOST_TEST(queue.decide(now).assignments.size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(aTriedUpstreamIsNotTriedAgain)
 {
     upstreams.assign({upstream("a"), upstream("b")});
