--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -196,6 +196,7 @@
     static const boost::json::value empty = boost::json::object{};
     constexpr std::int64_t defaultRevokeMs = 5000;
     constexpr double defaultGraceSeconds = 8;
+    constexpr double defaultQuotaSeconds = 8;
     settings.caller = readListener(reader, "caller", faults);
     settings.peer = readEndpoint(reader, "peer", true);
     settings.direct.readiness = readListener(reader, "readiness", faults);
@@ -207,6 +208,8 @@
     const double grace = bounds.number("stopGraceSeconds", defaultGraceSeconds, 1, 3600);
     settings.direct.stopGrace = milliseconds(static_cast<std::int64_t>(grace * 1000));
     settings.direct.retries = readRetryBounds(bounds);
+    const double quotaWindow = bounds.number("quotaWindowSeconds", defaultQuotaSeconds, 1, 3600);
+    settings.direct.quotaWindow = milliseconds(static_cast<std::int64_t>(quotaWindow * 1000));
     bounds.finish();
 }
 
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -101,6 +101,8 @@
     /// Time between the signal to stop and the kill.
     milliseconds stopGrace{0};
     RetryBounds retries;
+    /// Over which the quotas of workspaces are judged.
+    milliseconds quotaWindow{0};
 };
 
 /// Settings of one process, read from one JSON document and fixed until it restarts,
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds proofMargin{1250};
 /// Breaks at one upstream within this time belong together.
 constexpr milliseconds breakWindow{500};
+/// Messages of other entries that come within this time are used together.
+constexpr milliseconds peerRefresh{5};
 /// Crash rows in one message to the other entries.
 constexpr std::size_t toldCrashes = 32;
 
@@ -29,9 +31,11 @@
     , incarnation(randomBits64())
     , freshness(settings.direct.revokeBound, proofMargin)
     , queue(upstreams, settings.dataCentre)
+    , quotas(settings.direct.quotaWindow)
     , retries(settings.direct.retries)
     , peers(settings.name)
     , m_refusalTimer(executor)
+    , m_peerTimer(executor)
 {}
 
 void TrafficState::applyConfig(ServingConfigPtr newConfig)
@@ -62,6 +66,18 @@
     quotas.learn(load.incarnation, load.quotas);
     for (const CrashRow &row : load.crashes)
         crashes.add(row, now);
+    if (std::exchange(m_peersChanged, true))
+        return;
+    m_peerTimer.expires_after(peerRefresh);
+    m_peerTimer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            usePeers(steadyNow());
+    });
+}
+
+void TrafficState::usePeers(TimePoint now)
+{
+    m_peersChanged = false;
     upstreams.setOthers(peers.loads(now));
     queue.setPeerDemand(peers.demand(now));
     pump();
@@ -193,8 +209,6 @@
 
 void TrafficState::tick(TimePoint now)
 {
-    upstreams.setOthers(peers.loads(now));
-    queue.setPeerDemand(peers.demand(now));
     quotas.setHeardShare(peers.heardShare(now), now);
     retries.setEntries(peers.heard(now));
     crashes.forgetOld(now);
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -94,6 +94,8 @@
     std::size_t held = 0;
 
 private:
+    /// Takes over what the other entries said since it was called last.
+    void usePeers(TimePoint now);
     void settle(const QueueDecisions &decisions);
     void armRefusals();
 
@@ -101,6 +103,8 @@
     std::unordered_map<UpstreamKey, std::multiset<RequestFingerprint>> m_running;
     std::unordered_map<UpstreamKey, std::pair<TimePoint, std::vector<RequestFingerprint>>> m_broken;
     boost::asio::steady_timer m_refusalTimer;
+    boost::asio::steady_timer m_peerTimer;
+    bool m_peersChanged = false;
     TimePoint m_refusalAt = TimePoint::max();
     Ticket m_lastTicket = 0;
 };
--- a/src/serving/QuotaLedger.cpp
+++ b/src/serving/QuotaLedger.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/// Fill of the bucket of a workspace that is new to this process: the others may have used it.
-constexpr double initialFill = 0.25;
+/// Part of a quota that is used; the rest covers what other entries have let through unheard.
+constexpr double usedShare = 0.97;
+/// Parts of a window that are counted together.
+constexpr int slicesPerWindow = 32;
 
 } // namespace
 
@@ -16,11 +18,14 @@
     refill(now);
     std::map<std::string, Bucket, std::less<>> buckets;
     for (const Workspace &workspace : config.workspaces) {
-        Bucket bucket{workspace.rate, workspace.burst, initialFill * workspace.burst, 0};
+        // Starts empty: while this process was away, others may have used the burst.
+        Bucket bucket{workspace.rate, workspace.burst};
         const auto known = m_buckets.find(workspace.name);
         if (known != m_buckets.end()) {
-            bucket.used = known->second.used;
-            bucket.level = std::min(known->second.level, workspace.burst);
+            bucket = known->second;
+            bucket.rate = workspace.rate;
+            bucket.burst = workspace.burst;
+            bucket.level = std::min(bucket.level, workspace.burst);
         }
         buckets.emplace(workspace.name, bucket);
     }
@@ -35,10 +40,14 @@
         return true;
     Bucket &bucket = found->second;
     // A request may leave a debt: otherwise small ones would keep large ones out for ever.
-    if (bucket.rate > 0 && bucket.level <= 0)
+    // The oldest slice is counted whole though part of it has left the window.
+    constexpr double countedWindow = 1 + 1.0 / slicesPerWindow;
+    const bool empty =
+        bucket.level <= 0 || bucket.usedInWindow >= allowance(bucket) * countedWindow;
+    if (bucket.rate > 0 && empty)
         return false;
-    bucket.level -= cost;
     bucket.used += cost;
+    spend(bucket, cost);
     return true;
 }
 
@@ -47,8 +56,8 @@
     const auto found = m_buckets.find(workspace);
     if (found == m_buckets.end())
         return;
-    found->second.level = std::min(found->second.burst, found->second.level + cost);
     found->second.used -= cost;
+    spend(found->second, -cost);
 }
 
 std::int64_t QuotaLedger::level(std::string_view workspace) const
@@ -65,7 +74,7 @@
     const Bucket &bucket = found->second;
     const double missing = std::max(0.0, -bucket.level);
     return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(missing / (bucket.rate * m_share)));
+        std::chrono::duration<double>(missing / refillRate(bucket)));
 }
 
 void QuotaLedger::learn(std::uint64_t entryIncarnation, const std::vector<QuotaUse> &uses)
@@ -77,7 +86,7 @@
         heard->second = use.total;
         const auto bucket = m_buckets.find(use.workspace);
         if (!isNew && bucket != m_buckets.end())
-            bucket->second.level = std::min(bucket->second.burst, bucket->second.level - fresh);
+            spend(bucket->second, fresh);
     }
 }
 
@@ -101,8 +110,40 @@
     const double seconds = std::max(0.0, std::chrono::duration<double>(now - m_refilledAt).count());
     if (m_refilledAt != TimePoint{})
         for (auto &[name, bucket] : m_buckets)
-            bucket.level = std::min(bucket.burst, bucket.level + bucket.rate * m_share * seconds);
+            bucket.level = std::min(bucket.burst, bucket.level + refillRate(bucket) * seconds);
     m_refilledAt = now;
+    for (auto &[name, bucket] : m_buckets)
+        dropOld(bucket, now);
+}
+
+double QuotaLedger::refillRate(const Bucket &bucket) const
+{
+    return allowance(bucket) / std::chrono::duration<double>(m_window).count();
+}
+
+double QuotaLedger::allowance(const Bucket &bucket) const
+{
+    const double seconds = std::chrono::duration<double>(m_window).count();
+    return (bucket.rate * seconds + bucket.burst) * m_share * usedShare;
+}
+
+void QuotaLedger::spend(Bucket &bucket, double units) const
+{
+    bucket.level = std::min(bucket.burst, bucket.level - units);
+    const Duration slice = m_window / slicesPerWindow;
+    if (bucket.slices.empty() || m_refilledAt - bucket.slices.back().begin >= slice)
+        bucket.slices.push_back({m_refilledAt, 0});
+    bucket.slices.back().used += units;
+    bucket.usedInWindow += units;
+}
+
+void QuotaLedger::dropOld(Bucket &bucket, TimePoint now) const
+{
+    const Duration slice = m_window / slicesPerWindow;
+    while (!bucket.slices.empty() && now - bucket.slices.front().begin >= m_window + slice) {
+        bucket.usedInWindow -= bucket.slices.front().used;
+        bucket.slices.pop_front();
+    }
 }
 
 } // namespace tamarack
--- a/src/serving/QuotaLedger.h
+++ b/src/serving/QuotaLedger.h
@@ -4,6 +4,7 @@
 #include "serving/ServingConfig.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -23,12 +24,21 @@
 /// Token buckets of the workspaces over all entries: each entry keeps the whole bucket and takes
 /// from it what it lets through and what the others say they let through.
 ///
+/// The quota is what a workspace may use in any window: its rate times the window plus its burst.
+/// The bucket holds the burst and spreads the rest evenly; what was used within the window bounds
+/// it besides.
+///
 /// Load: one workspace sends many times its usual through all entries. While some entries are
 /// not heard, the bucket refills by the share of those that are, so that entries cut off from
 /// one another stay within the quota together.
 class QuotaLedger
 {
 public:
+    /// `window`: over which the platform judges quotas.
+    explicit QuotaLedger(Duration window = std::chrono::seconds(8))
+        : m_window(window)
+    {}
+
     /// Applies the quotas of a configuration. A lower burst holds at once.
     void configure(const ServingConfig &config, TimePoint now);
 
@@ -49,15 +59,30 @@
     std::vector<QuotaUse> uses() const;
 
 private:
+    /// What was used in one part of the window.
+    struct Slice
+    {
+        TimePoint begin{};
+        double used = 0;
+    };
     struct Bucket
     {
         double rate = 0;
         double burst = 0;
         double level = 0;
         double used = 0;
+        std::deque<Slice> slices{};
+        double usedInWindow = 0;
     };
 
     void refill(TimePoint now);
+    /// Units a second at which the bucket refills.
+    double refillRate(const Bucket &bucket) const;
+    double allowance(const Bucket &bucket) const;
+    void spend(Bucket &bucket, double units) const;
+    void dropOld(Bucket &bucket, TimePoint now) const;
+
+    Duration m_window;
 
     std::map<std::string, Bucket, std::less<>> m_buckets;
     std::map<std::pair<std::uint64_t, std::string>, double> m_heard;
--- a/tests/ServingBudgetsTest.cpp
+++ b/tests/ServingBudgetsTest.cpp
@@ -57,6 +57,24 @@
     BOOST_TEST(taken >= 1000 * 8 * 0.9);
 }
 
+// fleetbench quiet-1: a workspace whose quota was lowered got less than the quota of a window.
+BOOST_AUTO_TEST_CASE(aSteadyOverloadGetsTheQuotaOfEachWindowAndNoMore)
+{
+    QuotaLedger ledger(seconds(8));
+    ledger.configure(quotaConfig(1000, 4000), start);
+    std::vector<double> taken(40, 0);
+    for (int ms = 0; ms < 40000; ++ms)
+        if (ledger.tryTake("w", 10, start + milliseconds(ms)))
+            taken[static_cast<std::size_t>(ms / 1000)] += 10;
+    for (std::size_t first = 0; first + 8 <= taken.size(); ++first) {
+        const auto begin = taken.begin() + static_cast<long>(first);
+        const double window = std::accumulate(begin, begin + 8, 0.0);
+        BOOST_TEST(window <= (1000 * 8 + 4000) * 1.05);
+        if (first > 8)
+            BOOST_TEST(window >= (1000 * 8 + 4000) * 0.9);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(entriesThatDoNotHearOneAnotherShareTheRate)
 {
     std::array<QuotaLedger, 4> ledgers;
@@ -77,9 +95,9 @@
     int large = 0;
     for (int ms = 0; ms < 10000; ++ms) {
         const TimePoint now = start + milliseconds(ms);
-        ledger.tryTake("w", 20, now);
         if (ms % 100 == 0)
             large += ledger.tryTake("w", 900, now) ? 1 : 0;
+        ledger.tryTake("w", 20, now);
     }
     BOOST_TEST(large > 0);
 }
