--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -178,6 +178,7 @@
 {
     startClocks();
     m_state.retries.countRequest(m_service, m_arrivedAt);
+    m_expectedEvents = expectedEvents();
     bool goesOn = true;
     while (goesOn) {
         const bool assigned = co_await waitForUpstream();
@@ -200,6 +201,8 @@
     request.service = m_service;
     request.rank = queueRank(m_tier, m_route.tier);
     request.promptTokens = m_facts.promptTokens.value_or(0);
+    request.answerEvents = m_expectedEvents;
+    request.deadlineAt = m_endAt;
     if (m_route.affinity && !m_facts.promptParts.empty())
         request.prefix = m_facts.promptParts.back().id;
     request.arrived = m_arrivedAt - m_elapsed;
@@ -210,6 +213,15 @@
     return request;
 }
 
+std::uint32_t RequestFlow::expectedEvents() const
+{
+    const Service *service = m_state.config->service(m_service);
+    if (!isStream() || !service || !service->engine)
+        return 0;
+    const std::uint32_t tokens = m_facts.outputEstimate.value_or(m_facts.outputTokens);
+    return tokens / static_cast<std::uint32_t>(std::max(1, service->engine->tokensPerEvent));
+}
+
 asio::awaitable<bool> RequestFlow::waitForUpstream()
 {
     m_ticket = m_state.nextTicket();
@@ -385,6 +397,10 @@
     }
     if (m_events.hasPartial())
         co_return AttemptEnd::Broken;
+    if (m_sends == 1 && m_events.events() > 1)
+        m_state.upstreams.learnEvents(*m_assignment->upstream,
+                                      static_cast<std::uint32_t>(m_events.events() - 1),
+                                      steadyNow() - m_firstTokenAt);
     co_return m_stop == Stop::None ? AttemptEnd::Whole : AttemptEnd::Broken;
 }
 
@@ -420,8 +436,9 @@
     if (std::exchange(m_prefillCounted, false)) {
         m_state.upstreams.firstToken(upstream, m_assignment->freshTokens);
         const Duration took = steadyNow() - m_sentAt;
+        m_firstTokenAt = steadyNow();
         if (!m_firstToken)
-            m_firstToken = steadyNow() - m_arrivedAt;
+            m_firstToken = m_firstTokenAt - m_arrivedAt;
         if (m_head.status == okStatus)
             m_state.upstreams.learnFirstToken(
                 upstream, m_assignment->backlogTokens + m_assignment->freshTokens, took);
@@ -599,6 +616,8 @@
               {"config", m_configVersion},
               {"proof_age_ms", proofAge ? proofAge->count() : -1},
               {"prompt", m_facts.promptTokens.value_or(0)},
+              {"expected_events", m_expectedEvents},
+              {"events", m_events.events()},
               {"upstream", m_assignment ? m_assignment->upstream->record.id : ""},
               {"sends", m_sends},
               {"peers_heard", m_state.peers.heard(now)},
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -49,6 +49,8 @@
     /// Ends a request whose wait ended without an upstream.
     boost::asio::awaitable<void> answerUnserved(ErrorKind reason, Duration retryAfter);
     QueuedRequest queuedRequest() const;
+    /// Events that the answer probably has after its first.
+    std::uint32_t expectedEvents() const;
     boost::asio::awaitable<AttemptEnd> attempt();
     boost::asio::awaitable<AttemptEnd> sendAndRead();
     boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> connect();
@@ -99,6 +101,8 @@
     std::shared_ptr<UpstreamConnection> m_connection;
     bool m_reusedConnection = false;
     TimePoint m_sentAt{};
+    TimePoint m_firstTokenAt{};
+    std::uint32_t m_expectedEvents = 0;
     std::optional<Duration> m_firstToken;
     bool m_prefillCounted = false;
 
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <ranges>
 
 namespace tamarack {
@@ -19,6 +20,14 @@
 constexpr double otherDataCentreMs = 4;
 /// Cost of sharing an engine: each running request slows the tokens of the others.
 constexpr double fullEngineMs = 25;
+/// An upstream this much faster than the mean is fast: long prompts and answers need it. Its places
+/// cost others more the fewer are left.
+constexpr double fastShare = 0.75;
+constexpr double fastPlaceMs = 170;
+/// Cost of a first token after its objective.
+constexpr double lateFirstTokenMs = 400;
+/// Part of the time to the deadline that an answer may be expected to take.
+constexpr double deadlineUse = 0.8;
 /// Places that lower tiers leave free, as a share of all; the lowest leaves the most.
 constexpr double reservedShare = 0.08;
 /// A refused request is told to return after this, and later the lower its tier.
@@ -148,6 +157,7 @@
 {
     const auto &upstreams = m_upstreams.ofService(request.service);
     const UpstreamKey home = homeOf(request.prefix, upstreams);
+    const Speeds bySpeed = speeds(upstreams, now);
     Choice best;
     best.costMs = std::numeric_limits<double>::max();
     for (const UpstreamPtr &upstream : upstreams) {
@@ -155,15 +165,53 @@
             static_cast<int>(upstream->inFlight()) >= UpstreamTable::limit(*upstream, now);
         if (full || std::ranges::find(request.excluded, upstream->key) != request.excluded.end())
             continue;
-        Choice choice = evaluate(request, upstream, home);
+        Choice choice = evaluate(request, upstream, home, bySpeed, now);
         if (choice.costMs < best.costMs)
             best = std::move(choice);
     }
     return best;
 }
 
+DispatchQueue::Speeds DispatchQueue::speeds(const std::vector<UpstreamPtr> &upstreams,
+                                            TimePoint now) const
+{
+    Speeds speeds;
+    if (upstreams.empty())
+        return speeds;
+    const double sum =
+        std::accumulate(upstreams.begin(), upstreams.end(), 0.0,
+                        [](double total, const UpstreamPtr &each) { return total + each->factor; });
+    speeds.fastFactor = fastShare * sum / static_cast<double>(upstreams.size());
+    int places = 0;
+    int taken = 0;
+    for (const UpstreamPtr &upstream : upstreams) {
+        if (upstream->factor > speeds.fastFactor)
+            continue;
+        const int limit = UpstreamTable::limit(*upstream, now);
+        places += limit;
+        taken += std::min(limit, static_cast<int>(upstream->inFlight()));
+    }
+    speeds.fastTaken = places > 0 ? static_cast<double>(taken) / places : 0;
+    return speeds;
+}
+
+double DispatchQueue::lateCost(const QueuedRequest &request, const UpstreamState &upstream,
+                               Duration firstToken, TimePoint now) const
+{
+    const EngineTimeModel &model = m_upstreams.model(request.service);
+    const Duration whole = firstToken + model.predictEvents(upstream.factor, request.answerEvents);
+    double cost = 0;
+    const bool onTimeAtAll = now < request.objectiveAt;
+    if (onTimeAtAll && now + firstToken > request.objectiveAt)
+        cost += lateFirstTokenMs;
+    if (whole * 1.0 > (request.deadlineAt - now) * deadlineUse)
+        cost += toMilliseconds(whole);
+    return cost;
+}
+
 DispatchQueue::Choice DispatchQueue::evaluate(const QueuedRequest &request,
-                                              const UpstreamPtr &upstream, UpstreamKey home) const
+                                              const UpstreamPtr &upstream, UpstreamKey home,
+                                              const Speeds &speeds, TimePoint now) const
 {
     double freshShare = 1;
     if (request.prefix != 0 && m_affinity.matches(request.prefix, upstream->record.id))
@@ -173,11 +221,14 @@
     Choice choice;
     choice.upstream = upstream;
     choice.freshTokens = static_cast<std::uint32_t>(freshShare * request.promptTokens);
-    const FirstTokenModel &model = m_upstreams.model(request.service);
+    const EngineTimeModel &model = m_upstreams.model(request.service);
     choice.predicted =
         model.predict(upstream->factor, upstream->prefillTokens() + choice.freshTokens);
     const double filled = static_cast<double>(upstream->inFlight()) / upstream->record.slots;
     choice.costMs = toMilliseconds(choice.predicted) + filled * upstream->factor * fullEngineMs;
+    choice.costMs += lateCost(request, *upstream, choice.predicted, now);
+    if (upstream->engine && upstream->factor <= speeds.fastFactor)
+        choice.costMs += fastPlaceMs * speeds.fastTaken * speeds.fastTaken;
     if (upstream->record.dataCentre != m_dataCentre)
         choice.costMs += otherDataCentreMs;
     return choice;
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -33,12 +33,16 @@
     std::string service;
     QueueRank rank = 0;
     std::uint32_t promptTokens = 0;
+    /// Expected events of the answer after its first; 0 when it does not stream.
+    std::uint32_t answerEvents = 0;
     /// Identity of the prompt's last part, for the caches of engines; 0: none.
     std::uint64_t prefix = 0;
     /// When the client asked first; earlier attempts count.
     TimePoint arrived{};
     /// Until when the first token counts as on time.
     TimePoint objectiveAt{};
+    /// The whole answer must be there then.
+    TimePoint deadlineAt = TimePoint::max();
     /// It is refused when it still waits then.
     TimePoint refuseAt{};
     /// Upstreams at which it was tried before.
@@ -141,8 +145,20 @@
     int reserve(const std::string &service, QueueRank rank, const Line &line, int places) const;
     std::uint32_t peersWaitingAbove(const std::string &service, QueueRank rank) const;
     Choice choose(const QueuedRequest &request, TimePoint now) const;
-    Choice evaluate(const QueuedRequest &request, const UpstreamPtr &upstream,
-                    UpstreamKey home) const;
+    /// Upstreams of a service by speed, as far as free places go.
+    struct Speeds
+    {
+        /// Faster than this is fast.
+        double fastFactor = 0;
+        /// Share of the places of fast upstreams that are taken.
+        double fastTaken = 0;
+    };
+    Speeds speeds(const std::vector<UpstreamPtr> &upstreams, TimePoint now) const;
+    Choice evaluate(const QueuedRequest &request, const UpstreamPtr &upstream, UpstreamKey home,
+                    const Speeds &speeds, TimePoint now) const;
+    /// Time that is wasted or late if the request runs there.
+    double lateCost(const QueuedRequest &request, const UpstreamState &upstream,
+                    Duration firstToken, TimePoint now) const;
     static UpstreamKey homeOf(std::uint64_t prefix, const std::vector<UpstreamPtr> &upstreams);
     Duration retryAfter(const QueuedRequest &request, TimePoint now) const;
 
--- a/src/serving/FirstTokenModel.cpp
+++ b/src/serving/EngineTimeModel.cpp
@@ -1,4 +1,4 @@
-#include "serving/FirstTokenModel.h"
+#include "serving/EngineTimeModel.h"
 
 #include <algorithm>
 
@@ -18,6 +18,10 @@
 /// engine.
 constexpr double largestRatio = 6;
 
+/// Share of a new stream in the time of an event; shorter streams tell too little.
+constexpr double eventShare = 0.05;
+constexpr std::uint32_t fewestEvents = 4;
+
 double toMilliseconds(Duration duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
@@ -30,17 +34,17 @@
 
 } // namespace
 
-Duration FirstTokenModel::nominal(std::uint32_t tokens) const
+Duration EngineTimeModel::nominal(std::uint32_t tokens) const
 {
     return fromMilliseconds(m_fixedMs + m_msPerToken * tokens);
 }
 
-Duration FirstTokenModel::predict(double factor, std::uint32_t tokens) const
+Duration EngineTimeModel::predict(double factor, std::uint32_t tokens) const
 {
     return fromMilliseconds(factor * (m_fixedMs + m_msPerToken * tokens));
 }
 
-double FirstTokenModel::learn(double factor, std::uint32_t tokens, Duration took)
+double EngineTimeModel::learn(double factor, std::uint32_t tokens, Duration took)
 {
     const double predicted = toMilliseconds(nominal(tokens));
     const double ratio = toMilliseconds(took) / predicted;
@@ -57,7 +61,20 @@
     return newFactor;
 }
 
-void FirstTokenModel::fit()
+Duration EngineTimeModel::predictEvents(double factor, std::uint32_t events) const
+{
+    return fromMilliseconds(factor * m_msPerEvent * events);
+}
+
+void EngineTimeModel::learnEvents(double factor, std::uint32_t events, Duration took)
+{
+    if (events < fewestEvents)
+        return;
+    const double sample = toMilliseconds(took) / events / factor;
+    m_msPerEvent += eventShare * (std::min(sample, m_msPerEvent * largestRatio) - m_msPerEvent);
+}
+
+void EngineTimeModel::fit()
 {
     const double spread = m_sums.weight * m_sums.squares - m_sums.tokens * m_sums.tokens;
     if (m_sums.weight < fewestSamples || spread <= 0)
--- a/src/serving/RequestFacts.h
+++ b/src/serving/RequestFacts.h
@@ -28,6 +28,8 @@
     /// Prompt tokens and the most tokens of the answer; empty when not told.
     std::optional<std::uint32_t> promptTokens;
     std::uint32_t outputTokens = 0;
+    /// The client's estimate of the output tokens.
+    std::optional<std::uint32_t> outputEstimate;
     std::vector<PromptPart> promptParts;
     /// The client resumes a stream after this event.
     std::optional<std::uint64_t> resumeAfter;
--- a/src/serving/ServingConfig.h
+++ b/src/serving/ServingConfig.h
@@ -57,6 +57,8 @@
 {
     int slots = 0;
     std::uint64_t kvTokens = 0;
+    /// Output tokens in one event of a stream.
+    int tokensPerEvent = 1;
 };
 
 struct Service
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -103,10 +103,15 @@
 
 void UpstreamTable::learnFirstToken(UpstreamState &upstream, std::uint32_t tokens, Duration took)
 {
-    FirstTokenModel &model = m_services[upstream.record.service].model;
+    EngineTimeModel &model = m_services[upstream.record.service].model;
     upstream.factor = model.learn(upstream.factor, tokens, took);
 }
 
+void UpstreamTable::learnEvents(const UpstreamState &upstream, std::uint32_t events, Duration took)
+{
+    m_services[upstream.record.service].model.learnEvents(upstream.factor, events, took);
+}
+
 void UpstreamTable::learnHealth(UpstreamState &upstream, HealthSign sign, TimePoint now)
 {
     if (sign == HealthSign::Full) {
@@ -128,9 +133,9 @@
     upstream.blockedUntil = std::max(upstream.blockedUntil, now + block);
 }
 
-const FirstTokenModel &UpstreamTable::model(std::string_view service) const
+const EngineTimeModel &UpstreamTable::model(std::string_view service) const
 {
-    static const FirstTokenModel untaught;
+    static const EngineTimeModel untaught;
     const auto found = m_services.find(service);
     return found == m_services.end() ? untaught : found->second.model;
 }
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/Time.h"
-#include "serving/FirstTokenModel.h"
+#include "serving/EngineTimeModel.h"
 #include "serving/UpstreamRecord.h"
 
 #include <cstdint>
@@ -92,9 +92,10 @@
     void firstToken(UpstreamState &upstream, std::uint32_t promptTokens);
     void ended(UpstreamState &upstream);
     void learnFirstToken(UpstreamState &upstream, std::uint32_t tokens, Duration took);
+    void learnEvents(const UpstreamState &upstream, std::uint32_t events, Duration took);
     void learnHealth(UpstreamState &upstream, HealthSign sign, TimePoint now);
 
-    const FirstTokenModel &model(std::string_view service) const;
+    const EngineTimeModel &model(std::string_view service) const;
 
     /// Requests that the upstream should hold at a time.
     static int limit(const UpstreamState &upstream, TimePoint now);
@@ -110,7 +111,7 @@
     struct ServiceState
     {
         std::vector<UpstreamPtr> upstreams;
-        FirstTokenModel model;
+        EngineTimeModel model;
     };
 
     std::map<std::string, ServiceState, std::less<>> m_services;
--- a/tests/DispatchQueueTest.cpp
+++ b/tests/DispatchQueueTest.cpp
@@ -156,6 +156,27 @@
     BOOST_TEST(decisions.assignments[0].upstream->record.id == "fast");
 }
 
+// fleetbench grown scale-1: long answers ran into their deadlines on slow engines.
+BOOST_AUTO_TEST_CASE(aLongAnswerGoesWhereItEndsInTime)
+{
+    upstreams.assign({upstream("slow", 10), upstream("fast", 10)});
+    for (const UpstreamPtr &each : upstreams.ofService("models"))
+        each->factor = each->record.id == "fast" ? 0.6 : 1.7;
+    upstreams.setOthers({{upstreamKey(upstream("fast", 10)), {9, 0}}});
+    QueuedRequest shortAnswer = request(1);
+    shortAnswer.answerEvents = 5;
+    shortAnswer.deadlineAt = now + std::chrono::seconds(5);
+    QueuedRequest longAnswer = request(2);
+    longAnswer.answerEvents = 130;
+    longAnswer.deadlineAt = now + std::chrono::seconds(5);
+    queue.push(shortAnswer);
+    queue.push(longAnswer);
+    const auto decisions = queue.decide(now);
+    BOOST_REQUIRE(decisions.assignments.size() == 2U);
+    BOOST_TEST(decisions.assignments[0].upstream->record.id == "slow");
+    BOOST_TEST(decisions.assignments[1].upstream->record.id == "fast");
+}
+
 BOOST_AUTO_TEST_CASE(aPromptReturnsToTheEngineThatHasIt)
 {
     upstreams.assign({upstream("a", 10), upstream("b", 10), upstream("c", 10)});
