--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -18,10 +18,14 @@
 
 namespace {
 
-/// Wait of a watch. Its return proves the configuration, and a silent connection shows soon.
-constexpr milliseconds configWait{1000};
-constexpr milliseconds upstreamWait{1500};
+/// Wait of a watch. The return of that of the configuration proves it; the others are bounded so
+/// that a store that forgets a watch is noticed.
+constexpr milliseconds configWait{1300};
+constexpr milliseconds upstreamWait{4000};
 constexpr milliseconds entryWait{8000};
+/// Pause before the next watch once changes have come: more of them come in one answer.
+constexpr milliseconds upstreamPause{150};
+constexpr milliseconds entryPause{1000};
 /// Pause after a failed call, with as much again at random.
 constexpr milliseconds retryPause{120};
 /// Own kind of object: one for each entry.
@@ -171,9 +175,11 @@
             }
             for (const auto &event : changes->events)
                 takeUpstream(event);
-            if (!changes->events.empty())
-                publishUpstreams();
             revision = changes->revision;
+            if (changes->events.empty())
+                continue;
+            publishUpstreams();
+            co_await pause(upstreamPause);
         }
     }
 
@@ -254,9 +260,11 @@
             }
             for (const auto &event : changes->events)
                 takeEntry(event);
-            if (!changes->events.empty())
-                listener.entriesChanged(entries);
             revision = changes->revision;
+            if (changes->events.empty())
+                continue;
+            listener.entriesChanged(entries);
+            co_await pause(entryPause);
         }
     }
 
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpClient.h"
 
 #include "base/AsioPch.h"
+#include "http/SocketOptions.h"
 
 #include <map>
 
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr auto useTuple = asio::as_tuple(use_awaitable);
+/// A server that does not acknowledge for this long is gone, though a call may wait longer.
+constexpr milliseconds silenceBound{2000};
 constexpr std::size_t readBytes = 16 << 10;
 constexpr std::size_t idleConnectionsPerServer = 64;
 constexpr std::uint64_t largestAnswerBytes = 64ULL << 20;
@@ -58,8 +61,7 @@
     if (error)
         co_return failure(ErrorKind::UpstreamRefused,
                           "connect to " + toString(server) + ": " + error.message());
-    beast::error_code ignored;
-    stream.socket().set_option(tcp::no_delay(true), ignored);
+    tuneSocket(stream.socket(), silenceBound);
     co_return Result<void>();
 }
 
--- a/src/serving/WaitPolicy.cpp
+++ b/src/serving/WaitPolicy.cpp
@@ -15,8 +15,9 @@
 constexpr milliseconds shortestPatience{2000};
 constexpr int objectivesOfPatience = 4;
 constexpr int pausesOfPatience = 8;
-/// Shorter differences in deadlines are no sign of an earlier attempt.
-constexpr milliseconds ageNoise{20};
+/// Clients differ in their patience: shorter differences, as a part of the longest deadline, are no
+/// sign of an earlier attempt. The mean of first attempts lies at half of it.
+constexpr double patienceSpread = 0.16;
 
 Duration share(Duration whole, double part)
 {
@@ -50,7 +51,8 @@
         found = m_longest.emplace(std::string(route), deadline).first;
     found->second = std::max(found->second, deadline);
     const Duration age = found->second - deadline;
-    return age > ageNoise ? age : Duration::zero();
+    const Duration spread = share(found->second, patienceSpread);
+    return age > spread ? age - spread / 2 : Duration::zero();
 }
 
 } // namespace tamarack
