--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -250,6 +250,7 @@
     if (std::exchange(m_prefillCounted, false))
         m_state.upstreams.firstToken(upstream, m_assignment->freshTokens);
     m_state.upstreams.ended(upstream);
+    m_state.queue.ended(m_service, queueRank(m_tier, m_route.tier));
     m_state.pump();
 }
 
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -98,10 +98,10 @@
             const BootTime callStart = bootNow();
             const auto changes = co_await store.watch(platform::configKind(), revision, configWait);
             if (!noteResult(changes, "watch_config")) {
-                if (changes.error().kind == ErrorKind::HistoryGone)
-                    co_return;
-                co_await pauseAfterFailure();
-                continue;
+                if (changes.error().kind != ErrorKind::HistoryGone)
+                    co_await pauseAfterFailure();
+                // A listing proves the configuration at once.
+                co_return;
             }
             for (const auto &event : changes->events)
                 if (!event.deleted)
--- a/src/peer/EntryLoadCodec.cpp
+++ b/src/peer/EntryLoadCodec.cpp
@@ -39,7 +39,8 @@
     for (unsigned i = 0; i < load.demand.size(); ++i) {
         demand[i].setService(textOf(load.demand[i].service));
         demand[i].setRank(load.demand[i].rank);
-        demand[i].setCount(load.demand[i].count);
+        demand[i].setWaiting(load.demand[i].waiting);
+        demand[i].setRunning(load.demand[i].running);
     }
     auto quotas = to.initQuotas(load.quotas.size());
     for (unsigned i = 0; i < load.quotas.size(); ++i) {
@@ -65,7 +66,8 @@
         load.loads.emplace_back(row.getUpstream(),
                                 UpstreamLoad{row.getInFlight(), row.getPrefillTokens()});
     for (const auto row : from.getDemand())
-        load.demand.push_back({stringOf(row.getService()), row.getRank(), row.getCount()});
+        load.demand.push_back(
+            {stringOf(row.getService()), row.getRank(), row.getWaiting(), row.getRunning()});
     for (const auto row : from.getQuotas())
         load.quotas.push_back({stringOf(row.getWorkspace()), row.getTotal()});
     for (const auto row : from.getCrashes())
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -140,7 +140,8 @@
 struct QueueDemand {
     service @0 :Text;
     rank @1 :UInt16;
-    count @2 :UInt32;
+    waiting @2 :UInt32;
+    running @3 :UInt32;
 }
 
 struct QuotaUse {
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -28,11 +28,15 @@
 constexpr double lateFirstTokenMs = 400;
 /// Part of the time to the deadline that an answer may be expected to take.
 constexpr double deadlineUse = 0.8;
-/// Places that lower tiers leave free, as a share of all; the lowest leaves the most.
-constexpr double reservedShare = 0.08;
-/// A refused request is told to return after this, and later the lower its tier.
-constexpr milliseconds shortestReturn{300};
-constexpr milliseconds returnPerTier{300};
+/// Places that a rank leaves free, as a part of those that higher ranks hold.
+constexpr double reservedShare = 0.1;
+/// Requests of a rank that may wait at an entry whatever the rate of starts.
+constexpr double fewestWaiting = 2;
+/// A refused request is told to return within these parts of the time that is left to its client,
+/// spread evenly: clients follow up to a third.
+constexpr double earliestReturnShare = 0.15;
+constexpr double returnSpreadShare = 0.17;
+constexpr milliseconds shortestReturn{200};
 
 double toMilliseconds(Duration duration)
 {
@@ -62,7 +66,6 @@
     const Place place{request.rank, request.arrived, request.ticket};
     m_places[request.ticket] = {request.service, place};
     Line &line = m_lines[request.service];
-    line.ranks.insert(request.rank);
     line.waiting.emplace(place, std::move(request));
 }
 
@@ -89,16 +92,16 @@
                                   QueueDecisions &decisions)
 {
     int free = m_upstreams.freePlaces(service, now);
-    const int places = m_upstreams.places(service, now);
     std::vector<Ticket> ended;
+    std::map<QueueRank, std::size_t> ahead;
     for (const QueuedRequest *request : startOrder(service, line, now)) {
         Choice choice;
-        if (free > reserve(service, request->rank, line, places))
+        if (free > reserve(service, request->rank, line))
             choice = choose(*request, now);
         if (choice.upstream) {
-            assign(*request, choice, decisions);
+            assign(*request, choice, now, decisions);
             --free;
-        } else if (now >= request->refuseAt) {
+        } else if (isHopeless(*request, ahead[request->rank]++, line, now)) {
             decisions.refusals.push_back({request->ticket, retryAfter(*request, now)});
         } else {
             continue;
@@ -123,34 +126,54 @@
     return order;
 }
 
-void DispatchQueue::assign(const QueuedRequest &request, const Choice &choice,
+bool DispatchQueue::isHopeless(const QueuedRequest &request, std::size_t ahead, const Line &line,
+                               TimePoint now)
+{
+    if (now >= request.refuseAt)
+        return true;
+    const auto rate = line.startRates.find(request.rank);
+    const double perSecond = rate == line.startRates.end() ? 0 : rate->second.perSecond(now);
+    const double secondsLeft = std::chrono::duration<double>(request.refuseAt - now).count();
+    return static_cast<double>(ahead) >= std::max(fewestWaiting, perSecond * secondsLeft);
+}
+
+void DispatchQueue::assign(const QueuedRequest &request, const Choice &choice, TimePoint now,
                            QueueDecisions &decisions)
 {
     decisions.assignments.push_back({request.ticket, choice.upstream,
                                      choice.upstream->prefillTokens(), choice.freshTokens,
                                      choice.predicted});
     m_upstreams.started(*choice.upstream, choice.freshTokens);
+    Line &line = m_lines[request.service];
+    ++line.running[request.rank];
+    line.startRates[request.rank].count(now);
     if (request.prefix != 0)
         m_affinity.record(request.prefix, choice.upstream->record.id);
 }
 
-int DispatchQueue::reserve(const std::string &service, QueueRank rank, const Line &line,
-                           int places) const
+int DispatchQueue::reserve(const std::string &service, QueueRank rank, const Line &line) const
 {
-    const auto above =
-        static_cast<double>(std::distance(line.ranks.begin(), line.ranks.find(rank)));
-    const double lower = std::max(1.0, static_cast<double>(line.ranks.size()) - 1);
-    const double share = reservedShare * above / lower;
-    return static_cast<int>(peersWaitingAbove(service, rank)) + static_cast<int>(share * places);
+    std::uint32_t waitingAbove = 0;
+    std::uint32_t runningAbove = 0;
+    for (const QueueDemand &row : m_peerDemand) {
+        if (row.service != service || row.rank >= rank)
+            continue;
+        waitingAbove += row.waiting;
+        runningAbove += row.running;
+    }
+    for (const auto &[runningRank, count] : line.running)
+        runningAbove += runningRank < rank ? count : 0;
+    return static_cast<int>(waitingAbove) + static_cast<int>(reservedShare * runningAbove);
 }
 
-std::uint32_t DispatchQueue::peersWaitingAbove(const std::string &service, QueueRank rank) const
+void DispatchQueue::ended(std::string_view service, QueueRank rank)
 {
-    std::uint32_t count = 0;
-    for (const QueueDemand &row : m_peerDemand)
-        if (row.service == service && row.rank < rank)
-            count += row.count;
-    return count;
+    const auto line = m_lines.find(service);
+    if (line == m_lines.end())
+        return;
+    const auto running = line->second.running.find(rank);
+    if (running != line->second.running.end() && --running->second == 0)
+        line->second.running.erase(running);
 }
 
 DispatchQueue::Choice DispatchQueue::choose(const QueuedRequest &request, TimePoint now) const
@@ -244,22 +267,26 @@
     return (*std::ranges::max_element(upstreams, {}, weight))->key;
 }
 
-Duration DispatchQueue::retryAfter(const QueuedRequest &request, TimePoint now) const
+Duration DispatchQueue::retryAfter(const QueuedRequest &request, TimePoint now)
 {
-    const Duration waited = std::max(Duration::zero(), now - request.arrived);
-    const auto routeTier = static_cast<int>(request.rank & 0xFFU);
-    return shortestReturn + routeTier * returnPerTier + waited / 2;
+    constexpr double spreads = 1024;
+    const double place = static_cast<double>(mix(request.ticket, request.prefix) % 1024) / spreads;
+    const double share = earliestReturnShare + returnSpreadShare * place;
+    const Duration left = std::max(Duration::zero(), request.deadlineAt - now);
+    return std::max<Duration>(shortestReturn, std::chrono::duration_cast<Duration>(left * share));
 }
 
 std::vector<QueueDemand> DispatchQueue::demand() const
 {
     std::vector<QueueDemand> rows;
     for (const auto &[service, line] : m_lines) {
-        for (const auto &[place, request] : line.waiting) {
-            if (rows.empty() || rows.back().service != service || rows.back().rank != place.rank)
-                rows.push_back({service, place.rank, 0});
-            ++rows.back().count;
-        }
+        std::map<QueueRank, QueueDemand> byRank;
+        for (const auto &[place, request] : line.waiting)
+            ++byRank[place.rank].waiting;
+        for (const auto &[rank, count] : line.running)
+            byRank[rank].running = count;
+        for (const auto &[rank, row] : byRank)
+            rows.push_back({service, rank, row.waiting, row.running});
     }
     return rows;
 }
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 #include "config/FleetConfig.h"
 #include "sched/AffinityMap.h"
+#include "serving/StartRate.h"
 #include "serving/UpstreamTable.h"
 
 #include <cstdint>
@@ -75,12 +76,13 @@
     std::vector<QueueRefusal> refusals;
 };
 
-/// Requests of one service and rank that wait at an entry.
+/// Requests of one service and rank at an entry.
 struct QueueDemand
 {
     std::string service;
     QueueRank rank = 0;
-    std::uint32_t count = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
 
     bool operator==(const QueueDemand &) const = default;
 };
@@ -89,9 +91,11 @@
 /// when an upstream can start it, the most important first.
 ///
 /// Load: bursts of twice the capacity, of tiers unlike in worth and length. Of one rank, those
-/// that can still be on time go first: in arrival order, all of them would be late. Long requests
-/// of low tiers may not take the last free places, which turn over slowly; a lower tier does not
-/// start while more requests of higher tiers wait at other entries than places are free.
+/// that can still be on time go first: in arrival order, all of them would be late. A request
+/// leaves free as many places as requests of higher ranks wait at other entries, and a part of
+/// those that higher ranks hold: their next burst comes sooner than long requests end. What will
+/// not be reached in time at the present rate of starts is refused at once, so that its client
+/// can come back.
 class DispatchQueue
 {
 public:
@@ -100,6 +104,8 @@
     void push(QueuedRequest request);
     /// False when the ticket does not wait.
     bool remove(Ticket ticket);
+    /// An assigned request has ended.
+    void ended(std::string_view service, QueueRank rank);
 
     /// Demand at the other entries, as last told.
     void setPeerDemand(std::vector<QueueDemand> demand) { m_peerDemand = std::move(demand); }
@@ -124,8 +130,9 @@
     struct Line
     {
         std::map<Place, QueuedRequest> waiting;
-        /// Ranks that requests of the service have had.
-        std::set<QueueRank> ranks;
+        /// Requests that were assigned and have not ended, by rank.
+        std::map<QueueRank, std::uint32_t> running;
+        std::map<QueueRank, StartRate> startRates;
     };
     struct Choice
     {
@@ -140,10 +147,13 @@
     /// Waiting requests in the order in which they may start.
     std::vector<const QueuedRequest *> startOrder(const std::string &service, const Line &line,
                                                   TimePoint now) const;
-    void assign(const QueuedRequest &request, const Choice &choice, QueueDecisions &decisions);
+    void assign(const QueuedRequest &request, const Choice &choice, TimePoint now,
+                QueueDecisions &decisions);
+    /// Whether a request with so many of its rank before it will not be reached in time.
+    static bool isHopeless(const QueuedRequest &request, std::size_t ahead, const Line &line,
+                           TimePoint now);
     /// Places that a request of the rank leaves free: for those that rank above it.
-    int reserve(const std::string &service, QueueRank rank, const Line &line, int places) const;
-    std::uint32_t peersWaitingAbove(const std::string &service, QueueRank rank) const;
+    int reserve(const std::string &service, QueueRank rank, const Line &line) const;
     Choice choose(const QueuedRequest &request, TimePoint now) const;
     /// Upstreams of a service by speed, as far as free places go.
     struct Speeds
@@ -160,7 +170,7 @@
     double lateCost(const QueuedRequest &request, const UpstreamState &upstream,
                     Duration firstToken, TimePoint now) const;
     static UpstreamKey homeOf(std::uint64_t prefix, const std::vector<UpstreamPtr> &upstreams);
-    Duration retryAfter(const QueuedRequest &request, TimePoint now) const;
+    static Duration retryAfter(const QueuedRequest &request, TimePoint now);
 
     UpstreamTable &m_upstreams;
     std::string m_dataCentre;
