--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -42,6 +42,7 @@
         , supervisor(contexts.control().get_executor(),
                      [this](const std::string &) { contexts.stop(); })
         , follower(contexts.control().get_executor(), settings, listener())
+        , proof(settings.direct.revokeBound, proofMargin)
     {}
 
     /// Hands what the control thread learns to the traffic thread.
@@ -53,6 +54,7 @@
             asio::post(traffic, [this, config = std::move(config)] { applyConfig(config); });
         };
         listener.configProved = [this](BootTime callStart) {
+            proof.prove(callStart);
             asio::post(traffic, [this, callStart] { state.freshness.prove(callStart); });
         };
         listener.upstreamsChanged = [this](std::vector<UpstreamRecord> records) {
@@ -132,7 +134,7 @@
 
     asio::awaitable<void> serveReadiness(HttpExchange &request)
     {
-        const bool ready = hasConfig && hasUpstreams && !draining;
+        const bool ready = hasConfig && hasUpstreams && !draining && proof.isFresh(bootNow());
         HttpResponse response{ready ? readyStatus : notReadyStatus, {}, ""};
         co_await request.respond(std::move(response));
     }
@@ -193,6 +195,8 @@
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> adminServer;
+    /// The control thread's view of the proof, for readiness.
+    FreshnessGuard proof;
     bool hasConfig = false;
     bool hasUpstreams = false;
     bool draining = false;
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -270,10 +270,8 @@
 {
     UpstreamState &upstream = *m_assignment->upstream;
     m_tried.push_back(upstream.key);
-    m_state.attemptStarted(upstream.key, m_fingerprint);
     const AttemptEnd end = co_await sendAndRead();
     finishConnection(end);
-    m_state.attemptEnded(upstream.key, m_fingerprint);
     if (m_stop == Stop::None)
         learn(end);
     releaseUpstream();
@@ -485,8 +483,10 @@
     m_state.upstreams.learnHealth(upstream, sign, now);
     if (sign != HealthSign::Good && sign != HealthSign::Full) {
         m_state.pool.drop(upstream.key);
-        const bool ran = end == AttemptEnd::Broken;
-        m_state.attemptBroke(upstream, ran ? m_fingerprint : 0, now);
+        if (end == AttemptEnd::Broken)
+            m_state.attemptBroke(upstream, m_fingerprint, now);
+        if (end == AttemptEnd::NotSent)
+            m_state.upstreamUnreachable(upstream, now);
     }
     if (end == AttemptEnd::Whole)
         return;
@@ -595,6 +595,9 @@
     response.body = boost::json::serialize(boost::json::object{{"error", fault}});
     m_state.metrics.add("tamarack_refusals_total", fmt::format("reason=\"{}\"", answer.name));
     logEnd(answer.name, answer.httpStatus);
+    // Another entry may have a proof: the client's next connection can reach it.
+    if (kind == ErrorKind::ConfigUnproved)
+        m_exchange.closeAfterAnswer();
     co_await m_exchange.respond(std::move(response));
 }
 
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -10,11 +10,8 @@
 
 namespace {
 
-/// A watch of the store may hear nothing for a second while changes are made, and the send of a
-/// request takes a moment after its check.
-constexpr milliseconds proofMargin{1250};
-/// Breaks at one upstream within this time belong together.
-constexpr milliseconds breakWindow{500};
+/// A refused connection within this time of a break shows that the upstream crashed then.
+constexpr milliseconds breakWindow{1000};
 /// Messages of other entries that come within this time are used together.
 constexpr milliseconds peerRefresh{5};
 /// Crash rows in one message to the other entries.
@@ -155,24 +152,7 @@
     });
 }
 
-void TrafficState::attemptStarted(UpstreamKey upstream, RequestFingerprint fingerprint)
-{
-    m_running[upstream].insert(fingerprint);
-}
-
-void TrafficState::attemptEnded(UpstreamKey upstream, RequestFingerprint fingerprint)
-{
-    const auto found = m_running.find(upstream);
-    if (found == m_running.end())
-        return;
-    const auto row = found->second.find(fingerprint);
-    if (row != found->second.end())
-        found->second.erase(row);
-    if (found->second.empty())
-        m_running.erase(found);
-}
-
-void TrafficState::attemptBroke(UpstreamState &upstream, RequestFingerprint fingerprint,
+void TrafficState::attemptBroke(const UpstreamState &upstream, RequestFingerprint fingerprint,
                                 TimePoint now)
 {
     auto &[firstAt, fingerprints] = m_broken[upstream.key];
@@ -180,17 +160,21 @@
         firstAt = now;
         fingerprints.clear();
     }
-    if (fingerprint != 0)
-        fingerprints.push_back(fingerprint);
-    const bool crashed = upstream.failuresInRow > 1;
-    if (!crashed)
+    fingerprints.push_back(fingerprint);
+}
+
+void TrafficState::upstreamUnreachable(const UpstreamState &upstream, TimePoint now)
+{
+    const auto broken = m_broken.find(upstream.key);
+    if (broken == m_broken.end() || now - broken->second.first > breakWindow)
         return;
-    for (const RequestFingerprint suspect : fingerprints) {
+    for (const RequestFingerprint suspect : broken->second.second) {
         if (!crashes.add({suspect, upstream.key}, now))
             continue;
         logEvent(LogLevel::Warning, "crash_suspect",
                  {{"fingerprint", hex64(suspect)}, {"upstream", upstream.record.id}});
     }
+    m_broken.erase(broken);
 }
 
 EntryLoad TrafficState::ownLoad() const
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -25,6 +25,10 @@
 
 namespace tamarack {
 
+/// A watch of the store may hear nothing for a second while changes are made, and the send of a
+/// request takes a moment after its check.
+constexpr milliseconds proofMargin{1250};
+
 /// One request's wait for an upstream.
 struct QueueWait
 {
@@ -62,11 +66,10 @@
     void pump();
     Ticket nextTicket() { return ++m_lastTicket; }
 
-    /// Follows a running attempt, so that a crash of its upstream is told to all of them.
-    void attemptStarted(UpstreamKey upstream, RequestFingerprint fingerprint);
-    void attemptEnded(UpstreamKey upstream, RequestFingerprint fingerprint);
-    /// Attempts at the upstream broke off; more than one, or no new connection, is a crash.
-    void attemptBroke(UpstreamState &upstream, RequestFingerprint fingerprint, TimePoint now);
+    /// An attempt at the upstream broke off before its answer was whole.
+    void attemptBroke(const UpstreamState &upstream, RequestFingerprint fingerprint, TimePoint now);
+    /// No connection could be made: attempts that broke off just before met a crash.
+    void upstreamUnreachable(const UpstreamState &upstream, TimePoint now);
 
     /// What this entry tells the others now.
     EntryLoad ownLoad() const;
@@ -98,13 +101,15 @@
     void usePeers(TimePoint now);
     void settle(const QueueDecisions &decisions);
     void armRefusals();
+    /// Logs entries that are heard no longer or again.
+    void notePeers(TimePoint now);
 
     std::unordered_map<Ticket, std::shared_ptr<QueueWait>> m_waits;
-    std::unordered_map<UpstreamKey, std::multiset<RequestFingerprint>> m_running;
     std::unordered_map<UpstreamKey, std::pair<TimePoint, std::vector<RequestFingerprint>>> m_broken;
     boost::asio::steady_timer m_refusalTimer;
     boost::asio::steady_timer m_peerTimer;
     bool m_peersChanged = false;
+    std::set<std::string> m_heard;
     TimePoint m_refusalAt = TimePoint::max();
     Ticket m_lastTicket = 0;
 };
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -199,6 +199,8 @@
         co_return !error;
     }
 
+    void closeAfterAnswer() override { m_keepAlive = false; }
+
     void abort() override { close(); }
 
     void onGone(std::function<void()> callback) override
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -30,6 +30,8 @@
     virtual boost::asio::awaitable<bool> startStream(int status, HttpHeaders headers) = 0;
     virtual boost::asio::awaitable<bool> write(std::string_view bytes) = 0;
     virtual boost::asio::awaitable<bool> finish() = 0;
+    /// The next answer announces that the connection ends with it.
+    virtual void closeAfterAnswer() = 0;
     /// Closes the connection without ending the answer, so that it cannot pass for complete.
     virtual void abort() = 0;
     /// Calls `callback` once if the caller closes its connection before the answer has ended.
--- a/src/serving/PeerBook.cpp
+++ b/src/serving/PeerBook.cpp
@@ -55,6 +55,14 @@
     return rows;
 }
 
+std::set<std::string> PeerBook::heardNames(TimePoint now) const
+{
+    std::set<std::string> names;
+    for (const EntryLoad *load : heardLoads(now))
+        names.insert(load->name);
+    return names;
+}
+
 std::size_t PeerBook::heard(TimePoint now) const
 {
     return heardLoads(now).size() + 1;
--- a/src/serving/PeerBook.h
+++ b/src/serving/PeerBook.h
@@ -31,6 +31,7 @@
     /// Load of the heard entries, summed by upstream.
     std::unordered_map<UpstreamKey, UpstreamLoad> loads(TimePoint now) const;
     std::vector<QueueDemand> demand(TimePoint now) const;
+    std::set<std::string> heardNames(TimePoint now) const;
     /// Heard entries, this one included.
     std::size_t heard(TimePoint now) const;
     /// Heard entries against all that may be serving.
--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -347,6 +347,27 @@
     BOOST_TEST(eventually([this] { return call("/read/x").status == 200; }, milliseconds(2000)));
 }
 
+// fleetbench incident inc-1c70: an entry that the store turned away took connections for eight
+// seconds and refused every keyed request on them.
+BOOST_AUTO_TEST_CASE(anEntryWithoutProofSendsItsClientsElsewhere)
+{
+    store.mood = StoreMood::Unavailable;
+    BOOST_TEST(eventually([this] { return readiness() == 503; }, milliseconds(4000)));
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), callerPort});
+    std::string kept = request("/read/x", "Api-Key: k1\r\n");
+    kept.erase(kept.find("Connection: close\r\n"), 19);
+    asio::write(socket, asio::buffer(kept));
+    std::string answer;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+    store.mood = StoreMood::Well;
+    BOOST_TEST(eventually([this] { return readiness() == 200; }, milliseconds(2000)));
+}
+
 BOOST_AUTO_TEST_CASE(aSilentStoreIsNoticed)
 {
     store.mood = StoreMood::Silent;
