A request whose client has left is not sent

Cause: an overloaded host read requests 1.5 s late; the client's end lay behind the request in the socket, but the send was made before the reactor told of it. Change: the connection is peeked right before the send. Test: aRequestWhoseClientHasLeftIsNotSent, failing before the change (2 sends for 1).

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -232,6 +232,9 @@
     m_prefillCounted = true;
     const auto wait = std::exchange(m_wait, nullptr);
     m_assignment = wait->assignment;
+    // A busy process reads requests late: the client's end may lie behind its request unread.
+    if (m_assignment && m_exchange.isGone())
+        stop(Stop::ClientGone);
     const bool proved = m_workspace.empty() || m_state.freshness.isFresh(bootNow());
     if (m_assignment && m_stop == Stop::None && proved)
         co_return true;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -209,7 +209,15 @@
         watch();
     }
 
+    bool isGone() override
+    {
+        m_closed = m_closed || peek() == Peeked::End;
+        return m_closed;
+    }
+
 private:
+    enum class Peeked : std::uint8_t { Nothing, Bytes, End };
+
     asio::awaitable<bool> handshake()
     {
         if constexpr (std::is_same_v<Stream, TlsStream>) {
@@ -358,23 +366,29 @@
         m_watching = false;
         if (!m_gone || error)
             return;
-        beast::error_code peekError;
-        char byte = 0;
-        auto &socket = beast::get_lowest_layer(m_stream).socket();
-        socket.non_blocking(true, peekError);
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
-        const bool pipelined = !peekError;
-        if (pipelined)
-            return;
-        if (peekError == asio::error::would_block) {
+        const Peeked peeked = peek();
+        if (peeked == Peeked::Nothing)
             watch();
+        if (peeked != Peeked::End)
             return;
-        }
         m_closed = true;
         const auto callback = std::exchange(m_gone, nullptr);
         callback();
     }
 
+    /// What the connection holds next. Bytes can be a pipelined request.
+    Peeked peek()
+    {
+        beast::error_code error;
+        char byte = 0;
+        auto &socket = beast::get_lowest_layer(m_stream).socket();
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        if (error == asio::error::would_block)
+            return Peeked::Nothing;
+        return error ? Peeked::End : Peeked::Bytes;
+    }
+
     void arm(int timeoutMs)
     {
         beast::get_lowest_layer(m_stream).expires_after(std::chrono::milliseconds(timeoutMs));
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -36,6 +36,9 @@
     virtual void abort() = 0;
     /// Calls `callback` once if the caller closes its connection before the answer has ended.
     virtual void onGone(std::function<void()> callback) = 0;
+    /// Whether the caller has closed its connection, as far as the system knows now. Costs a
+    /// system call; meant for a request that may have lain unread while the process was busy.
+    virtual bool isGone() = 0;
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -340,6 +340,27 @@
                           milliseconds(500)));
 }
 
+BOOST_AUTO_TEST_CASE(aRequestWhoseClientHasLeftIsNotSent)
+{
+    // Leaves a connection to the upstream open, on which the next request can be sent at once.
+    BOOST_REQUIRE(call("/read/x").status == 200);
+    asio::io_context context;
+    tcp::socket socket(context);
+    std::promise<void> clientLeft;
+    // The process reads the request only after the client has closed its connection.
+    asio::post(contexts->nextTraffic(), [&] { clientLeft.get_future().wait(); });
+    socket.connect({asio::ip::make_address("127.0.0.1"), callerPort});
+    asio::write(socket, asio::buffer(request("/read/late", "Api-Key: k1\r\n")));
+    socket.close();
+    clientLeft.set_value();
+    BOOST_TEST(eventually([this] {
+        const std::string metrics =
+            exchange(adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        return metrics.find("outcome=\"client_gone\"") != std::string::npos;
+    }));
+    BOOST_TEST(sends() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(aDeadlineIsAnsweredInTime)
 {
     setMoods(UpstreamMood::Hangs);
