--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -1,51 +1,28 @@
 #include "direct/DirectProcess.h"
 
 #include "base/Log.h"
+#include "model/LoopbackListener.h"
+#include "model/StoreServer.h"
+#include "model/UpstreamServer.h"
 #include "process/Contexts.h"
-#include "support/StoreServer.h"
-#include "support/UpstreamServer.h"
 
 #include <array>
 #include <future>
 #include <regex>
 #include <thread>
 
-#include <unistd.h>
-
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace tamarack;
-using namespace tamarack::test;
+using namespace tamarack::standin;
 namespace asio = boost::asio;
 namespace json = boost::json;
 using tcp = asio::ip::tcp;
 
 namespace {
 
-/// A port below those that the system gives to outgoing connections, which could take it between
-/// this call and its use.
-unsigned short freePort()
-{
-    constexpr int lowest = 12000;
-    constexpr int processes = 45;
-    constexpr int portsPerProcess = 400;
-    static std::atomic<int> next{0};
-    asio::io_context context;
-    while (true) {
-        const int offset = (::getpid() % processes) * portsPerProcess + next++ % portsPerProcess;
-        const auto port = static_cast<unsigned short>(lowest + offset);
-        tcp::acceptor acceptor(context);
-        boost::system::error_code error;
-        acceptor.open(tcp::v4());
-        acceptor.set_option(asio::socket_base::reuse_address(true));
-        acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, error);
-        if (!error)
-            return port;
-    }
-}
-
 /// Ends a context whatever happens to what it serves.
 struct ContextStopper
 {
@@ -115,7 +92,7 @@
     Fixture()
     {
         setLogLevel("off");
-        store.with([&](standin::PlatformStore &model) {
+        store.with([&](PlatformStore &model) {
             model.create("config", "main", configuration(1));
             model.create("servers", "a", upstreamEntry(portA));
             model.create("servers", "b", upstreamEntry(portB));
@@ -234,7 +211,7 @@
 
 std::string eventsOf(const std::string &chunked)
 {
-    static const std::regex id("id: (\\d+)\ndata: piece-(\\d+)\n\n");
+    static const std::regex id("id: (\\d+)\ndata: piece-(\\d+) of q\\d+\n\n");
     std::string ids;
     for (std::sregex_iterator it(chunked.begin(), chunked.end(), id), end; it != end; ++it)
         ids += (*it)[1] == (*it)[2] ? (*it)[1].str() : "?";
--- a/tests/support/StoreServer.cpp
+++ b/tools/model/StoreServer.cpp
@@ -1,9 +1,10 @@
-#include "support/StoreServer.h"
+#include "model/StoreServer.h"
 
 #include "base/AsioPch.h"
+#include "model/LoopbackListener.h"
 #include "process/Timers.h"
 
-namespace tamarack::test {
+namespace tamarack::standin {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
@@ -36,14 +37,13 @@
 } // namespace
 
 StoreServer::StoreServer(asio::io_context &context, unsigned short port)
+    : m_server(
+        listenOnLoopback(context, port, [this](HttpExchange &exchange) { return serve(exchange); }))
+{}
+
+unsigned short StoreServer::port() const
 {
-    const ListenerSettings listener{{"127.0.0.1", port}, std::nullopt};
-    asio::io_context *only = &context;
-    auto made = HttpServer::makeServer(listener, {}, {&only, 1},
-                                       [this](HttpExchange &exchange) { return serve(exchange); });
-    if (!made)
-        throw std::runtime_error(made.error().message);
-    m_server = std::move(*made);
+    return m_server->port();
 }
 
 asio::awaitable<void> StoreServer::serve(HttpExchange &exchange)
@@ -71,7 +71,7 @@
     const std::uint64_t revision = numberOf(exchange.request().query("watch"));
     const milliseconds wait(numberOf(exchange.request().query("waitMs")));
     const TimePoint end = steadyNow() + wait;
-    std::optional<standin::PlatformStore::Answer> answer;
+    std::optional<PlatformStore::Answer> answer;
     while (!answer && steadyNow() < end && mood == StoreMood::Well) {
         with([&](auto &store) { answer = store.changes(kind, revision); });
         if (!answer)
@@ -83,7 +83,7 @@
     co_await exchange.respond(std::move(response));
 }
 
-standin::PlatformStore::Answer StoreServer::act(const HttpRequest &request)
+PlatformStore::Answer StoreServer::act(const HttpRequest &request)
 {
     const std::lock_guard lock(m_mutex);
     const ObjectPath path = objectPath(request);
@@ -103,4 +103,4 @@
                            revision ? revision->to_number<std::uint64_t>() : 0);
 }
 
-} // namespace tamarack::test
+} // namespace tamarack::standin
--- a/tests/support/StoreServer.h
+++ b/tools/model/StoreServer.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <mutex>
 
-namespace tamarack::test {
+namespace tamarack::standin {
 
 /// How the store stand-in treats calls.
 enum class StoreMood { Well, Unavailable, Busy, Silent };
@@ -16,8 +16,11 @@
 class StoreServer
 {
 public:
+    /// Port 0 stands for any.
     StoreServer(boost::asio::io_context &context, unsigned short port);
 
+    unsigned short port() const;
+
     /// Calls `change` on the model while no call is served.
     template <typename Change>
     void with(Change change)
@@ -32,11 +35,11 @@
 private:
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
     boost::asio::awaitable<void> watch(HttpExchange &exchange, std::string kind);
-    standin::PlatformStore::Answer act(const HttpRequest &request);
+    PlatformStore::Answer act(const HttpRequest &request);
 
     std::mutex m_mutex;
-    standin::PlatformStore m_store{2};
+    PlatformStore m_store{2};
     std::unique_ptr<HttpServer> m_server;
 };
 
-} // namespace tamarack::test
+} // namespace tamarack::standin
--- a/tests/support/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -1,9 +1,10 @@
-#include "support/UpstreamServer.h"
+#include "model/UpstreamServer.h"
 
 #include "base/AsioPch.h"
+#include "model/LoopbackListener.h"
 #include "process/Timers.h"
 
-namespace tamarack::test {
+namespace tamarack::standin {
 
 namespace asio = boost::asio;
 
@@ -12,23 +13,23 @@
 constexpr milliseconds hangPoll{5};
 constexpr int eventsBeforeBreak = 2;
 
-std::string eventText(int id)
+std::string eventText(int id, const std::string &requestId)
 {
-    return "id: " + std::to_string(id) + "\ndata: piece-" + std::to_string(id) + "\n\n";
+    const std::string number = std::to_string(id);
+    return "id: " + number + "\ndata: piece-" + number + " of " + requestId + "\n\n";
 }
 
 } // namespace
 
 UpstreamServer::UpstreamServer(asio::io_context &context, unsigned short port, std::string id)
     : m_id(std::move(id))
+    , m_server(listenOnLoopback(context, port,
+                                [this](HttpExchange &exchange) { return serve(exchange); }))
+{}
+
+unsigned short UpstreamServer::port() const
 {
-    const ListenerSettings listener{{"127.0.0.1", port}, std::nullopt};
-    asio::io_context *only = &context;
-    auto made = HttpServer::makeServer(listener, {}, {&only, 1},
-                                       [this](HttpExchange &exchange) { return serve(exchange); });
-    if (!made)
-        throw std::runtime_error(made.error().message);
-    m_server = std::move(*made);
+    return m_server->port();
 }
 
 std::vector<HttpRequest> UpstreamServer::seen() const
@@ -54,6 +55,8 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
+    if (onRun)
+        onRun(request);
     if (now == UpstreamMood::Hangs) {
         exchange.onGone([this] { clientGone = true; });
         while (!clientGone)
@@ -80,20 +83,21 @@
 asio::awaitable<void> UpstreamServer::stream(HttpExchange &exchange, HttpHeaders headers)
 {
     const auto after = findHeader(exchange.request().headers, "Last-Event-Id");
+    const std::string requestId(findHeader(exchange.request().headers, "Request-Id").value_or(""));
     headers.emplace_back("Content-Type", "text/event-stream");
     co_await exchange.startStream(200, std::move(headers));
     const int first = after ? std::stoi(std::string(*after)) + 1 : 1;
     for (int id = first; id <= streamEvents; ++id) {
         if (mood == UpstreamMood::Breaks && id > eventsBeforeBreak) {
-            co_await exchange.write(eventText(id).substr(0, 9));
+            co_await exchange.write(eventText(id, requestId).substr(0, 9));
             exchange.abort();
             co_return;
         }
-        const std::string event = eventText(id);
+        const std::string event = eventText(id, requestId);
         co_await exchange.write(event);
         co_await pause(milliseconds(eventPauseMs));
     }
     co_await exchange.finish();
 }
 
-} // namespace tamarack::test
+} // namespace tamarack::standin
--- a/tests/support/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -3,12 +3,13 @@
 #include "http/HttpServer.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
 
-namespace tamarack::test {
+namespace tamarack::standin {
 
 /// How the upstream stand-in answers.
 enum class UpstreamMood {
@@ -28,13 +29,18 @@
 class UpstreamServer
 {
 public:
+    /// Port 0 stands for any.
     UpstreamServer(boost::asio::io_context &context, unsigned short port, std::string id);
 
+    unsigned short port() const;
+
     std::vector<HttpRequest> seen() const;
 
     std::atomic<UpstreamMood> mood{UpstreamMood::Well};
     std::atomic<bool> clientGone{false};
     std::atomic<int> eventPauseMs{0};
+    /// Called on the server's thread for each request that it runs.
+    std::function<void(const HttpRequest &)> onRun;
 
     static constexpr int streamEvents = 5;
 
@@ -48,4 +54,4 @@
     std::unique_ptr<HttpServer> m_server;
 };
 
-} // namespace tamarack::test
+} // namespace tamarack::standin
