Fault soak: real entries between stand-ins, under faults that follow from a seed

Change: tools/soak runs three entries as processes (killed, paused, stopped, reloaded), each with a relay to the store stand-in (refuses, silent, one way, slow), and four upstream stand-ins behind relays. 24 clients call; Promises checks while it runs: bookings once, true words on runs, whole answers of the own request, cuts and lost calls excused by faults only, revoked and new keys, leaving upstreams, planned stops, recovery, processes that end by themselves.

--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -69,6 +69,7 @@
         co_await stream(exchange, std::move(response.headers));
         co_return;
     }
+    co_await pause(milliseconds(workMs));
     if (now == UpstreamMood::Breaks) {
         exchange.abort();
         co_return;
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -39,6 +39,8 @@
     std::atomic<UpstreamMood> mood{UpstreamMood::Well};
     std::atomic<bool> clientGone{false};
     std::atomic<int> eventPauseMs{0};
+    /// Before an answer that does not stream.
+    std::atomic<int> workMs{0};
     /// Called on the server's thread for each request that it runs.
     std::function<void(const HttpRequest &)> onRun;
 
--- /dev/null
+++ b/tools/soak/SoakRun.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "soak/FaultPlan.h"
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+namespace tamarack::soak {
+
+struct SoakOptions
+{
+    /// The daemon's program.
+    std::filesystem::path daemon;
+    /// Settings and logs of the entries are written here.
+    std::filesystem::path directory;
+    milliseconds length{8000};
+};
+
+struct SoakReport
+{
+    std::vector<Fault> faults;
+    std::size_t calls = 0;
+    std::size_t served = 0;
+    std::vector<std::string> violations;
+};
+
+/// Runs entries as real processes between stand-ins of the store and of upstreams, under the faults
+/// and the calls that follow from the seed, and checks the promises while it runs.
+SoakReport runSoak(std::uint64_t seed, const SoakOptions &options);
+
+} // namespace tamarack::soak
