RequestFlow split by decision: admission, attempt, relay; a held suspect gives back no quota

Cause: RequestFlow.cpp was 640 lines and mixed the decision whether a request may wait with sockets; a test of that decision alone was not possible. Change: serving/Admission decides route, key, quarantine and quota without input and output; direct/UpstreamAttempt is one attempt, direct/AnswerRelay the answer on its way to the client. The new test showed a fault: a request held as a crash suspect was not charged, but its refusal gave its cost back, so that its workspace's quota grew with each. Cost and charge are two fields now. An attempt that fails after a part of the answer was sent ends with a log line as well. requestFingerprint, which nobody called, is gone.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -17,24 +17,9 @@
 
 namespace {
 
-constexpr int okStatus = 200;
-constexpr int firstServerError = 500;
-/// An answer that is held whole until its end is known.
-constexpr std::size_t largestHeldAnswer = 16 << 20;
-/// An answer to another request, which the upstream sent late, is read up to this size.
-constexpr std::size_t largestSkippedAnswer = 1 << 20;
-constexpr int mostSkippedAnswers = 2;
-/// The view of the configuration is proved again within about a second.
-constexpr milliseconds unprovedReturn{500};
 /// Less time than this is not worth an attempt.
 constexpr milliseconds shortestAttempt{20};
-
-/// Statuses that promise that a request did not run; an upstream that ran it cannot say them.
-bool promisesNotRun(int status)
-{
-    constexpr std::array promises{408, 421, 429, 503};
-    return std::ranges::find(promises, status) != promises.end();
-}
+constexpr int okStatus = 200;
 
 std::string_view endName(AttemptEnd end)
 {
@@ -55,11 +40,6 @@
     return "unknown";
 }
 
-std::string hostWithoutPort(std::string_view host)
-{
-    return std::string(host.substr(0, host.find(':')));
-}
-
 std::string fractionalSeconds(Duration duration)
 {
     return fmt::format("{:.2f}", std::chrono::duration<double>(duration).count());
@@ -70,6 +50,7 @@
 RequestFlow::RequestFlow(TrafficState &state, HttpExchange &exchange)
     : m_state(state)
     , m_exchange(exchange)
+    , m_relay(exchange)
     , m_arrivedAt(steadyNow())
     , m_endTimer(state.executor)
 {}
@@ -83,72 +64,23 @@
         co_await serve();
 }
 
-std::optional<RequestFlow::Denial> RequestFlow::admit()
+std::optional<Denial> RequestFlow::admit()
 {
     auto facts = platform::decodeRequest(m_exchange.request().headers);
     if (!facts)
         return Denial{ErrorKind::BadRequest, {}};
     m_facts = std::move(*facts);
-    if (auto denial = findRoute())
-        return denial;
-    if (auto denial = checkKey())
-        return denial;
-    m_fingerprint =
-        fingerprint(m_workspace + ' ' + m_exchange.request().target, m_exchange.request().body);
-    if (m_state.crashes.isQuarantined(m_fingerprint, m_arrivedAt))
-        return Denial{ErrorKind::SuspectHeld, std::chrono::seconds(5)};
-    return chargeQuota();
-}
-
-std::optional<RequestFlow::Denial> RequestFlow::findRoute()
-{
-    if (!m_state.config)
-        return Denial{ErrorKind::ConfigUnproved, unprovedReturn};
-    const ServingConfig &config = *m_state.config;
-    m_configVersion = config.version;
-    const Route *route = config.route(hostWithoutPort(m_facts.host), m_exchange.request().path());
-    if (!route) {
-        const bool current = m_state.freshness.isCurrent(bootNow());
-        return Denial{current ? ErrorKind::NotFound : ErrorKind::ConfigUnproved, unprovedReturn};
-    }
-    m_route = *route;
-    m_service = chooseService(m_route, fnv1a(m_facts.id));
-    m_tier = m_route.tier;
-    return std::nullopt;
-}
-
-std::optional<RequestFlow::Denial> RequestFlow::checkKey()
-{
-    if (m_state.config->workspaces.empty() || m_route.open)
-        return std::nullopt;
-    const Workspace *workspace = m_state.config->workspaceOf(m_facts.key);
-    const BootTime now = bootNow();
-    if (!workspace && m_state.freshness.isCurrent(now))
-        return Denial{ErrorKind::Unauthorized, {}};
-    if (!workspace || !m_state.freshness.isFresh(now))
-        return Denial{ErrorKind::ConfigUnproved, unprovedReturn};
-    m_workspace = workspace->name;
-    m_tier = workspace->tier.value_or(m_route.tier);
-    const bool counted = workspace->unit == QuotaUnit::Tokens && m_facts.promptTokens;
-    m_charged = counted ? *m_facts.promptTokens + m_facts.outputTokens : workspace->plainCost;
-    return std::nullopt;
-}
-
-std::optional<RequestFlow::Denial> RequestFlow::chargeQuota()
-{
-    if (m_workspace.empty() || m_state.quotas.tryTake(m_workspace, m_charged, m_arrivedAt))
-        return std::nullopt;
-    constexpr milliseconds shortestReturn{200};
-    const Duration room = m_state.quotas.untilRoom(m_workspace);
-    m_charged = 0;
-    return Denial{ErrorKind::QuotaExceeded, std::max<Duration>(room, shortestReturn)};
+    const HttpRequest &request = m_exchange.request();
+    const RequestParts parts{request.path(), request.target, request.body};
+    return m_state.admission.admit(m_state.config.get(), m_facts, parts, m_admitted, m_arrivedAt,
+                                   bootNow());
 }
 
 void RequestFlow::startClocks()
 {
-    const milliseconds deadline = m_facts.deadline.value_or(m_route.timeout);
-    m_elapsed = m_state.attemptAge.learn(m_route.name, deadline);
-    m_endAt = m_arrivedAt + std::min(deadline, m_route.timeout);
+    const milliseconds deadline = m_facts.deadline.value_or(m_admitted.route.timeout);
+    m_elapsed = m_state.attemptAge.learn(m_admitted.route.name, deadline);
+    m_endAt = m_arrivedAt + std::min(deadline, m_admitted.route.timeout);
     m_endTimer.expires_at(m_endAt);
     m_endTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
@@ -168,14 +100,14 @@
     m_stop = reason;
     if (m_wait && !m_wait->decided())
         m_state.abandon(m_ticket);
-    if (m_connection)
-        m_connection->close();
+    if (m_attempt)
+        m_attempt->cancel();
 }
 
 asio::awaitable<void> RequestFlow::serve()
 {
     startClocks();
-    m_state.retries.countRequest(m_service, m_arrivedAt);
+    m_state.retries.countRequest(m_admitted.service, m_arrivedAt);
     m_expectedEvents = expectedEvents();
     bool goesOn = true;
     while (goesOn) {
@@ -196,24 +128,25 @@
 {
     QueuedRequest request;
     request.ticket = m_ticket;
-    request.service = m_service;
-    request.rank = queueRank(m_tier, m_route.tier);
+    request.service = m_admitted.service;
+    request.rank = queueRank(m_admitted.tier, m_admitted.route.tier);
     request.promptTokens = m_facts.promptTokens.value_or(0);
     request.answerEvents = m_expectedEvents;
     request.deadlineAt = m_endAt;
-    if (m_route.affinity && !m_facts.promptParts.empty())
+    if (m_admitted.route.affinity && !m_facts.promptParts.empty())
         request.prefix = m_facts.promptParts.back().id;
     request.arrived = m_arrivedAt - m_elapsed;
-    request.objectiveAt = request.arrived + m_route.objective;
-    request.refuseAt = refusalTime(
-        {steadyNow(), m_route.objective, m_route.pauseBound, isStream(), timeLeft(), m_elapsed});
+    request.objectiveAt = request.arrived + m_admitted.route.objective;
+    request.refuseAt =
+        refusalTime({steadyNow(), m_admitted.route.objective, m_admitted.route.pauseBound,
+                     isStream(), timeLeft(), m_elapsed});
     request.excluded = m_tried;
     return request;
 }
 
 std::uint32_t RequestFlow::expectedEvents() const
 {
-    const Service *service = m_state.config->service(m_service);
+    const Service *service = m_state.config->service(m_admitted.service);
     if (!isStream() || !service || !service->engine)
         return 0;
     const std::uint32_t tokens = m_facts.outputEstimate.value_or(m_facts.outputTokens);
@@ -229,13 +162,13 @@
     if (!m_wait->decided())
         co_await m_wait->signal.async_wait(asio::as_tuple(asio::use_awaitable));
     m_waited += steadyNow() - queuedAt;
-    m_prefillCounted = true;
+    m_attempt.reset();
     const auto wait = std::exchange(m_wait, nullptr);
     m_assignment = wait->assignment;
     // A busy process reads requests late: the client's end may lie behind its request unread.
     if (m_assignment && m_exchange.isGone())
         stop(Stop::ClientGone);
-    const bool proved = m_workspace.empty() || m_state.freshness.isFresh(bootNow());
+    const bool proved = m_admitted.workspace.empty() || m_state.freshness.isFresh(bootNow());
     if (m_assignment && m_stop == Stop::None && proved)
         co_return true;
     if (m_assignment)
@@ -248,10 +181,11 @@
 void RequestFlow::releaseUpstream()
 {
     UpstreamState &upstream = *m_assignment->upstream;
-    if (std::exchange(m_prefillCounted, false))
+    const bool prefilled = m_attempt && m_attempt->firstTokenAt();
+    if (!prefilled)
         m_state.upstreams.firstToken(upstream, m_assignment->freshTokens);
     m_state.upstreams.ended(upstream);
-    m_state.queue.ended(m_service, queueRank(m_tier, m_route.tier));
+    m_state.queue.ended(m_admitted.service, queueRank(m_admitted.tier, m_admitted.route.tier));
     m_state.pump();
 }
 
@@ -259,8 +193,8 @@
 {
     if (m_stop != Stop::None) {
         co_await answerStopped();
-    } else if (m_answerStarted) {
-        m_exchange.abort();
+    } else if (m_relay.started()) {
+        m_relay.abort();
         logEnd("cut", 0);
     } else {
         co_await answerError(m_mayHaveRun ? ErrorKind::UpstreamLost : reason, retryAfter);
@@ -269,203 +203,29 @@
 
 asio::awaitable<AttemptEnd> RequestFlow::attempt()
 {
-    UpstreamState &upstream = *m_assignment->upstream;
-    m_tried.push_back(upstream.key);
-    const AttemptEnd end = co_await sendAndRead();
-    finishConnection(end);
+    m_tried.push_back(m_assignment->upstream->key);
+    m_attempt.emplace(m_state, *m_assignment, m_relay,
+                      AttemptRequest{m_exchange.request(), m_facts, m_admitted.workspace, m_endAt,
+                                     isStream(), m_sends == 0});
+    const AttemptEnd end = co_await m_attempt->run();
+    m_sends += m_attempt->sent() ? 1 : 0;
+    if (!m_firstToken && m_attempt->firstTokenAt())
+        m_firstToken = *m_attempt->firstTokenAt() - m_arrivedAt;
+    if (m_attempt->clientGone())
+        stop(Stop::ClientGone);
     if (m_stop == Stop::None)
         learn(end);
     releaseUpstream();
     co_return end;
 }
 
-asio::awaitable<AttemptEnd> RequestFlow::sendAndRead()
-{
-    m_connection = co_await connect();
-    if (!m_connection || m_stop != Stop::None)
-        co_return AttemptEnd::NotSent;
-    m_sentAt = steadyNow();
-    ++m_sends;
-    m_connection->send(upstreamRequest());
-    co_return co_await readAnswer();
-}
-
-asio::awaitable<std::shared_ptr<UpstreamConnection>> RequestFlow::connect()
-{
-    const UpstreamState &upstream = *m_assignment->upstream;
-    auto idle = m_state.pool.take(upstream.key, steadyNow());
-    m_reusedConnection = idle != nullptr;
-    if (idle)
-        co_return idle;
-    m_state.metrics.add("tamarack_upstream_connections_total", "");
-    auto made =
-        co_await UpstreamConnection::makeConnection(m_state.executor, upstream.record.endpoint);
-    if (!made) {
-        logEvent(LogLevel::Info, "connect_failed",
-                 {{"request", m_facts.id},
-                  {"upstream", upstream.record.id},
-                  {"reason", made.error().message}});
-        co_return nullptr;
-    }
-    co_return *made;
-}
-
-HttpRequest RequestFlow::upstreamRequest()
-{
-    const HttpRequest &incoming = m_exchange.request();
-    platform::DispatchFacts dispatch;
-    dispatch.upstreamId = m_assignment->upstream->record.id;
-    dispatch.timeLeft = std::chrono::duration_cast<milliseconds>(timeLeft());
-    dispatch.workspace = m_workspace;
-    dispatch.resumeAfter = m_facts.resumeAfter;
-    if (m_events.lastId())
-        dispatch.resumeAfter = m_events.lastId();
-    return {incoming.method, incoming.target, platform::encodeDispatch(m_facts, dispatch),
-            incoming.body};
-}
-
-asio::awaitable<AttemptEnd> RequestFlow::readAnswer()
-{
-    for (int skipped = 0; skipped <= mostSkippedAnswers; ++skipped) {
-        auto head = co_await m_connection->readHead();
-        if (!head) {
-            const bool spoiled = head.error().kind == ErrorKind::UpstreamFailed;
-            co_return spoiled ? AttemptEnd::Spoiled : AttemptEnd::Broken;
-        }
-        m_answer = platform::decodeAnswer(head->status, head->headers);
-        if (m_answer.requestId.empty() || m_answer.requestId == m_facts.id) {
-            m_head = std::move(*head);
-            const AttemptEnd meaning = judgeHead(m_head.status);
-            const bool streams = isStream() && m_head.status == okStatus;
-            if (meaning == AttemptEnd::Whole && streams)
-                co_return co_await relayStream();
-            co_return co_await readWhole(meaning);
-        }
-        logEvent(LogLevel::Warning, "answer_of_another_request",
-                 {{"request", m_facts.id}, {"answers", m_answer.requestId}});
-        const bool skippable = co_await skipAnswer();
-        if (!skippable)
-            co_return AttemptEnd::Spoiled;
-    }
-    co_return AttemptEnd::Spoiled;
-}
-
-asio::awaitable<bool> RequestFlow::skipAnswer()
-{
-    std::size_t size = 0;
-    while (size < largestSkippedAnswer) {
-        const auto piece = co_await m_connection->readBody();
-        if (!piece)
-            co_return false;
-        if (piece->empty())
-            co_return true;
-        size += piece->size();
-    }
-    co_return false;
-}
-
-AttemptEnd RequestFlow::judgeHead(int status) const
-{
-    if (m_answer.notExecuted || m_answer.misdirected)
-        return AttemptEnd::NotExecuted;
-    const bool answersThis = m_answer.requestId == m_facts.id;
-    if (!answersThis || !m_answer.hasSignature || m_answer.encoded)
-        return AttemptEnd::Spoiled;
-    if (status >= firstServerError || promisesNotRun(status))
-        return promisesNotRun(status) ? AttemptEnd::Spoiled : AttemptEnd::Failed;
-    return AttemptEnd::Whole;
-}
-
-asio::awaitable<AttemptEnd> RequestFlow::relayStream()
-{
-    m_events.restart();
-    while (true) {
-        const auto piece = co_await m_connection->readBody();
-        if (!piece)
-            co_return AttemptEnd::Broken;
-        if (piece->empty())
-            break;
-        const std::string_view events = m_events.take(*piece);
-        if (events.empty())
-            continue;
-        noteFirstToken();
-        const bool forwarded = co_await forward(events);
-        if (!forwarded) {
-            stop(Stop::ClientGone);
-            co_return AttemptEnd::Broken;
-        }
-    }
-    if (m_events.hasPartial())
-        co_return AttemptEnd::Broken;
-    if (m_sends == 1 && m_events.events() > 1)
-        m_state.upstreams.learnEvents(*m_assignment->upstream,
-                                      static_cast<std::uint32_t>(m_events.events() - 1),
-                                      steadyNow() - m_firstTokenAt);
-    co_return m_stop == Stop::None ? AttemptEnd::Whole : AttemptEnd::Broken;
-}
-
-asio::awaitable<bool> RequestFlow::forward(std::string_view events)
-{
-    if (!m_answerStarted) {
-        m_answerStarted = true;
-        const bool started = co_await m_exchange.startStream(m_head.status, m_answer.forwarded);
-        if (!started)
-            co_return false;
-    }
-    co_return co_await m_exchange.write(events);
-}
-
-asio::awaitable<AttemptEnd> RequestFlow::readWhole(AttemptEnd meaning)
-{
-    m_body.clear();
-    while (true) {
-        const auto piece = co_await m_connection->readBody();
-        if (!piece || m_body.size() > largestHeldAnswer)
-            co_return meaning == AttemptEnd::NotExecuted ? meaning : AttemptEnd::Broken;
-        if (piece->empty())
-            break;
-        m_body.append(*piece);
-    }
-    noteFirstToken();
-    co_return meaning;
-}
-
-void RequestFlow::noteFirstToken()
-{
-    UpstreamState &upstream = *m_assignment->upstream;
-    if (std::exchange(m_prefillCounted, false)) {
-        m_state.upstreams.firstToken(upstream, m_assignment->freshTokens);
-        const Duration took = steadyNow() - m_sentAt;
-        m_firstTokenAt = steadyNow();
-        if (!m_firstToken)
-            m_firstToken = m_firstTokenAt - m_arrivedAt;
-        if (m_head.status == okStatus)
-            m_state.upstreams.learnFirstToken(
-                upstream, m_assignment->backlogTokens + m_assignment->freshTokens, took);
-    }
-}
-
-void RequestFlow::finishConnection(AttemptEnd end)
-{
-    const auto connection = std::exchange(m_connection, nullptr);
-    if (!connection)
-        return;
-    const bool clean = end == AttemptEnd::Whole || end == AttemptEnd::Failed
-                       || (end == AttemptEnd::NotExecuted && !m_answer.misdirected);
-    const UpstreamState &upstream = *m_assignment->upstream;
-    if (clean && connection->reusable() && !m_answer.closing && !upstream.gone)
-        m_state.pool.keep(upstream.key, connection, m_answer.keepAlive, steadyNow());
-    else
-        connection->close();
-}
-
 HealthSign RequestFlow::healthSign(AttemptEnd end) const
 {
     switch (end) {
     case AttemptEnd::NotSent:
         return HealthSign::Unreachable;
     case AttemptEnd::NotExecuted:
-        return m_answer.misdirected ? HealthSign::Unreachable : HealthSign::Full;
+        return m_attempt->answer().facts.misdirected ? HealthSign::Unreachable : HealthSign::Full;
     case AttemptEnd::Broken:
     case AttemptEnd::Spoiled:
         return HealthSign::Faulty;
@@ -485,7 +245,7 @@
     if (sign != HealthSign::Good && sign != HealthSign::Full) {
         m_state.pool.drop(upstream.key);
         if (end == AttemptEnd::Broken)
-            m_state.attemptBroke(upstream, m_fingerprint, now);
+            m_state.attemptBroke(upstream, m_admitted.fingerprint, now);
         if (end == AttemptEnd::NotSent)
             m_state.upstreamUnreachable(upstream, now);
     }
@@ -497,8 +257,8 @@
              {{"request", m_facts.id},
               {"upstream", upstream.record.id},
               {"end", endName(end)},
-              {"status", m_head.status},
-              {"reused", m_reusedConnection},
+              {"status", m_attempt->answer().status},
+              {"reused", m_attempt->reusedConnection()},
               {"in_flight", upstream.inFlight()},
               {"failures_in_row", upstream.failuresInRow},
               {"ms", toMs(now - m_arrivedAt)}});
@@ -511,30 +271,29 @@
     m_upstreamsRun += ran ? 1 : 0;
     AttemptFacts facts;
     facts.end = end;
-    facts.kind = m_route.kind;
-    facts.resumable = m_route.resumable;
-    facts.answerStarted = m_answerStarted;
+    facts.kind = m_admitted.route.kind;
+    facts.resumable = m_admitted.route.resumable;
+    facts.answerStarted = m_relay.started();
     facts.mayHaveRun = m_mayHaveRun;
     facts.upstreamsRun = m_upstreamsRun;
-    facts.maxAttempts = m_route.maxAttempts;
+    facts.maxAttempts = m_admitted.route.maxAttempts;
     facts.sends = m_sends;
     facts.timeLeft = timeLeft() > shortestAttempt;
     const AttemptVerdict verdict = judgeAttempt(facts);
     // A send that was not made costs the upstreams nothing.
     const bool free = end == AttemptEnd::NotSent;
     const bool retried = verdict.step == NextStep::Retry
-                         && (free || m_state.retries.trySpend(m_service, steadyNow()));
+                         && (free || m_state.retries.trySpend(m_admitted.service, steadyNow()));
     if (retried) {
         m_state.metrics.add("tamarack_retries_total", fmt::format("reason=\"{}\"", endName(end)));
         co_return true;
     }
-    if (verdict.step == NextStep::Deliver || end == AttemptEnd::Failed) {
-        if (m_answerStarted && end != AttemptEnd::Whole)
-            m_exchange.abort();
-        else
-            co_await deliver();
-    } else if (m_answerStarted) {
-        m_exchange.abort();
+    const bool deliverable = verdict.step == NextStep::Deliver || end == AttemptEnd::Failed;
+    const bool joins = !m_relay.started() || end == AttemptEnd::Whole;
+    if (deliverable && joins) {
+        co_await deliver();
+    } else if (m_relay.started()) {
+        m_relay.abort();
         logEnd("cut", 0);
     } else {
         constexpr milliseconds refusedReturn{300};
@@ -545,31 +304,22 @@
 
 asio::awaitable<void> RequestFlow::deliver()
 {
-    if (m_answerStarted) {
-        const bool finished = co_await m_exchange.finish();
-        logEnd(finished ? "served" : "client_gone", m_head.status);
-        co_return;
-    }
-    const bool emptyStream = isStream() && m_head.status == okStatus && m_body.empty();
-    HttpResponse response{m_head.status, m_answer.forwarded, std::move(m_body)};
-    if (emptyStream) {
-        co_await m_exchange.startStream(m_head.status, m_answer.forwarded);
-        co_await m_exchange.finish();
-    } else {
-        co_await m_exchange.respond(std::move(response));
-    }
-    logEnd("served", m_head.status);
+    const int status = m_attempt->answer().status;
+    HeldAnswer answer = m_attempt->takeAnswer();
+    const bool streams = isStream() && status == okStatus;
+    const bool finished = co_await m_relay.deliver(std::move(answer), streams);
+    logEnd(finished ? "served" : "client_gone", status);
 }
 
 asio::awaitable<void> RequestFlow::answerStopped()
 {
     if (m_stop == Stop::ClientGone) {
         logEnd("client_gone", 0);
-        m_exchange.abort();
+        m_relay.abort();
         co_return;
     }
-    if (m_answerStarted) {
-        m_exchange.abort();
+    if (m_relay.started()) {
+        m_relay.abort();
         logEnd("timed_out", 0);
         co_return;
     }
@@ -581,9 +331,9 @@
 asio::awaitable<void> RequestFlow::answerError(ErrorKind kind, Duration retryAfter)
 {
     const ErrorAnswer &answer = errorAnswer(kind);
-    const bool neverSent = answer.outcome == Outcome::NotRun && m_charged > 0;
+    const bool neverSent = answer.outcome == Outcome::NotRun && m_admitted.charged > 0;
     if (neverSent)
-        m_state.quotas.giveBack(m_workspace, m_charged);
+        m_state.quotas.giveBack(m_admitted.workspace, m_admitted.charged);
     HttpResponse response{answer.httpStatus, platform::encodeOwnAnswer(m_facts), ""};
     response.headers.emplace_back("Content-Type", "application/json");
     response.headers.emplace_back("Tamarack-Outcome", outcomeName(answer.outcome));
@@ -606,7 +356,7 @@
 {
     const TimePoint now = steadyNow();
     const auto proofAge = m_state.freshness.age(bootNow());
-    const std::string tier = fmt::format("tier=\"{}\"", m_tier);
+    const std::string tier = fmt::format("tier=\"{}\"", m_admitted.tier);
     m_state.metrics.add("tamarack_requests_total", fmt::format("outcome=\"{}\"", outcome));
     m_state.metrics.observe("tamarack_request_seconds", tier,
                             std::chrono::duration<double>(now - m_arrivedAt).count());
@@ -615,18 +365,18 @@
                                 std::chrono::duration<double>(*m_firstToken).count());
     logEvent(LogLevel::Info, "request",
              {{"id", m_facts.id},
-              {"route", m_route.name},
-              {"workspace", m_workspace},
-              {"tier", static_cast<int>(m_tier)},
-              {"config", m_configVersion},
+              {"route", m_admitted.route.name},
+              {"workspace", m_admitted.workspace},
+              {"tier", static_cast<int>(m_admitted.tier)},
+              {"config", m_admitted.configVersion},
               {"proof_age_ms", proofAge ? proofAge->count() : -1},
               {"prompt", m_facts.promptTokens.value_or(0)},
               {"expected_events", m_expectedEvents},
-              {"events", m_events.events()},
+              {"events", m_relay.events().events()},
               {"upstream", m_assignment ? m_assignment->upstream->record.id : ""},
               {"sends", m_sends},
               {"peers_heard", m_state.peers.heard(now)},
-              {"quota_left", m_state.quotas.level(m_workspace)},
+              {"quota_left", m_state.quotas.level(m_admitted.workspace)},
               {"returned_ms", toMs(m_elapsed)},
               {"waited_ms", toMs(m_waited)},
               {"first_ms", m_firstToken ? toMs(*m_firstToken) : -1},
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "direct/AnswerRelay.h"
 #include "direct/TrafficState.h"
+#include "direct/UpstreamAttempt.h"
 #include "http/HttpServer.h"
+#include "serving/Admission.h"
 #include "serving/AttemptPolicy.h"
-#include "serving/EventScanner.h"
 #include "serving/RequestFacts.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -28,17 +30,7 @@
 private:
     enum class Stop : std::uint8_t { None, ClientGone, TimedOut };
 
-    /// A refusal that is decided before the request waits.
-    struct Denial
-    {
-        ErrorKind kind = ErrorKind::Internal;
-        Duration retryAfter{};
-    };
-
     std::optional<Denial> admit();
-    std::optional<Denial> findRoute();
-    std::optional<Denial> checkKey();
-    std::optional<Denial> chargeQuota();
     void startClocks();
     void stop(Stop reason);
 
@@ -52,20 +44,9 @@
     /// Events that the answer probably has after its first.
     std::uint32_t expectedEvents() const;
     boost::asio::awaitable<AttemptEnd> attempt();
-    boost::asio::awaitable<AttemptEnd> sendAndRead();
-    boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> connect();
-    HttpRequest upstreamRequest();
-    /// Reads heads until one answers this request.
-    boost::asio::awaitable<AttemptEnd> readAnswer();
-    boost::asio::awaitable<bool> skipAnswer();
-    AttemptEnd judgeHead(int status) const;
-    boost::asio::awaitable<AttemptEnd> relayStream();
-    boost::asio::awaitable<AttemptEnd> readWhole(AttemptEnd meaning);
-    boost::asio::awaitable<bool> forward(std::string_view events);
-    void finishConnection(AttemptEnd end);
+    /// Takes over what the ended attempt shows of its upstream.
     void learn(AttemptEnd end);
     HealthSign healthSign(AttemptEnd end) const;
-    void noteFirstToken();
 
     /// Decides what follows an attempt; true when the request goes on.
     boost::asio::awaitable<bool> conclude(AttemptEnd end);
@@ -75,18 +56,13 @@
     void logEnd(std::string_view outcome, int status);
 
     Duration timeLeft() const;
-    bool isStream() const { return m_route.kind == RequestKind::Stream; }
+    bool isStream() const { return m_admitted.route.kind == RequestKind::Stream; }
 
     TrafficState &m_state;
     HttpExchange &m_exchange;
+    AnswerRelay m_relay;
     RequestFacts m_facts;
-    Route m_route;
-    std::string m_service;
-    std::string m_workspace;
-    TierRank m_tier = 0;
-    std::uint64_t m_configVersion = 0;
-    double m_charged = 0;
-    RequestFingerprint m_fingerprint = 0;
+    AdmittedRequest m_admitted;
     TimePoint m_arrivedAt;
     TimePoint m_endAt{};
     Duration m_elapsed{};
@@ -96,21 +72,12 @@
     Ticket m_ticket = 0;
     std::shared_ptr<QueueWait> m_wait;
     Duration m_waited{};
+    std::uint32_t m_expectedEvents = 0;
     std::optional<Assignment> m_assignment;
+    /// The latest attempt.
+    std::optional<UpstreamAttempt> m_attempt;
     std::vector<UpstreamKey> m_tried;
-    std::shared_ptr<UpstreamConnection> m_connection;
-    bool m_reusedConnection = false;
-    TimePoint m_sentAt{};
-    TimePoint m_firstTokenAt{};
-    std::uint32_t m_expectedEvents = 0;
     std::optional<Duration> m_firstToken;
-    bool m_prefillCounted = false;
-
-    UpstreamHead m_head;
-    AnswerFacts m_answer;
-    std::string m_body;
-    EventScanner m_events;
-    bool m_answerStarted = false;
     bool m_mayHaveRun = false;
     int m_upstreamsRun = 0;
     int m_sends = 0;
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -30,6 +30,7 @@
     , queue(upstreams, settings.dataCentre)
     , quotas(settings.direct.quotaWindow)
     , retries(settings.direct.retries)
+    , admission(freshness, crashes, quotas)
     , peers(settings.name)
     , m_refusalTimer(executor)
     , m_peerTimer(executor)
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -3,6 +3,7 @@
 #include "base/Metrics.h"
 #include "config/Settings.h"
 #include "direct/UpstreamPool.h"
+#include "serving/Admission.h"
 #include "serving/CrashLedger.h"
 #include "serving/DispatchQueue.h"
 #include "serving/EntryLoad.h"
@@ -90,6 +91,7 @@
     QuotaLedger quotas;
     RetryBudget retries;
     CrashLedger crashes;
+    Admission admission;
     PeerBook peers;
     AttemptAge attemptAge;
     UpstreamPool pool;
--- /dev/null
+++ b/src/serving/Admission.cpp
@@ -0,0 +1,91 @@
+#include "serving/Admission.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::chrono::seconds quarantineReturn{5};
+constexpr milliseconds shortestQuotaReturn{200};
+
+std::string_view hostWithoutPort(std::string_view host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+} // namespace
+
+Admission::Admission(const FreshnessGuard &freshness, const CrashLedger &crashes,
+                     QuotaLedger &quotas)
+    : m_freshness(freshness)
+    , m_crashes(crashes)
+    , m_quotas(quotas)
+{}
+
+std::optional<Denial> Admission::admit(const ServingConfig *config, const RequestFacts &facts,
+                                       const RequestParts &parts, AdmittedRequest &admitted,
+                                       TimePoint now, BootTime bootTime) const
+{
+    if (!config)
+        return Denial{ErrorKind::ConfigUnproved, unprovedReturn};
+    if (auto denial = findRoute(*config, facts, parts.path, admitted, bootTime))
+        return denial;
+    if (auto denial = checkKey(*config, facts, admitted, bootTime))
+        return denial;
+    admitted.fingerprint =
+        fingerprint(admitted.workspace + ' ' + std::string(parts.target), parts.body);
+    if (m_crashes.isQuarantined(admitted.fingerprint, now))
+        return Denial{ErrorKind::SuspectHeld, quarantineReturn};
+    return chargeQuota(admitted, now);
+}
+
+std::optional<Denial> Admission::findRoute(const ServingConfig &config, const RequestFacts &facts,
+                                           std::string_view path, AdmittedRequest &admitted,
+                                           BootTime bootTime) const
+{
+    admitted.configVersion = config.version;
+    const Route *route = config.route(hostWithoutPort(facts.host), path);
+    if (!route) {
+        const bool current = m_freshness.isCurrent(bootTime);
+        return Denial{current ? ErrorKind::NotFound : ErrorKind::ConfigUnproved, unprovedReturn};
+    }
+    admitted.route = *route;
+    admitted.service = chooseService(*route, fnv1a(facts.id));
+    admitted.tier = route->tier;
+    return std::nullopt;
+}
+
+std::optional<Denial> Admission::checkKey(const ServingConfig &config, const RequestFacts &facts,
+                                          AdmittedRequest &admitted, BootTime bootTime) const
+{
+    if (config.workspaces.empty() || admitted.route.open)
+        return std::nullopt;
+    const Workspace *workspace = config.workspaceOf(facts.key);
+    if (!workspace && m_freshness.isCurrent(bootTime))
+        return Denial{ErrorKind::Unauthorized, {}};
+    if (!workspace || !m_freshness.isFresh(bootTime))
+        return Denial{ErrorKind::ConfigUnproved, unprovedReturn};
+    admitted.workspace = workspace->name;
+    admitted.tier = workspace->tier.value_or(admitted.route.tier);
+    const bool counted = workspace->unit == QuotaUnit::Tokens && facts.promptTokens;
+    admitted.cost = counted ? *facts.promptTokens + facts.outputTokens : workspace->plainCost;
+    return std::nullopt;
+}
+
+std::optional<Denial> Admission::chargeQuota(AdmittedRequest &admitted, TimePoint now) const
+{
+    const std::string &workspace = admitted.workspace;
+    if (workspace.empty())
+        return std::nullopt;
+    if (m_quotas.tryTake(workspace, admitted.cost, now)) {
+        admitted.charged = admitted.cost;
+        return std::nullopt;
+    }
+    const Duration room = m_quotas.untilRoom(workspace);
+    return Denial{ErrorKind::QuotaExceeded, std::max<Duration>(room, shortestQuotaReturn)};
+}
+
+} // namespace tamarack
--- a/src/serving/CrashLedger.cpp
+++ b/src/serving/CrashLedger.cpp
@@ -1,24 +1,9 @@
 #include "serving/CrashLedger.h"
 
-#include "base/Hash.h"
-
 #include <algorithm>
-#include <string>
 
 namespace tamarack {
 
-RequestFingerprint requestFingerprint(std::string_view workspace, std::string_view target,
-                                      std::string_view body)
-{
-    constexpr std::size_t endBytes = 512;
-    std::string text(workspace);
-    text.append("\n").append(target).append("\n").append(std::to_string(body.size())).append("\n");
-    text.append(body.substr(0, endBytes));
-    if (body.size() > endBytes)
-        text.append(body.substr(std::max(endBytes, body.size() - endBytes)));
-    return fnv1a(text);
-}
-
 bool CrashLedger::add(CrashRow row, TimePoint now)
 {
     return m_rows.try_emplace(row, now).second;
--- a/src/serving/CrashLedger.h
+++ b/src/serving/CrashLedger.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <map>
-#include <string_view>
 #include <vector>
 
 namespace tamarack {
@@ -13,11 +12,6 @@
 /// Identity of a request by content: workspace, path and body.
 using RequestFingerprint = std::uint64_t;
 
-/// Looks at the ends of a long body only: requests that differ in between are told apart by the
-/// number of crashes that each has to meet.
-RequestFingerprint requestFingerprint(std::string_view workspace, std::string_view target,
-                                      std::string_view body);
-
 /// A request was running at an upstream incarnation when that crashed.
 struct CrashRow
 {
