status shows every entry at once, not after the regular report

Cause: gates told an entry of the other entries every 2 s only; a status call within that time showed the entry that was asked, and no other. Change: a gate reports as soon as an entry has come or gone. Tests: anOperatorSeesEveryEntryBeforeTheRegularReport, which failed before (1 entry for 2 after 1.5 s).

--- a/src/gate/GateCore.cpp
+++ b/src/gate/GateCore.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cassert>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace tamarack {
@@ -500,12 +501,17 @@
         return message;
     }
 
-    /// Only operators need the reports of the other entries, so they go out less often.
+    /// Only operators need the reports of the other entries, so they go out less often, unless an
+    /// entry has come or gone.
     void addEntryReports(GateHeartbeat &message, TimePoint now)
     {
-        if (now - lastReports < reportInterval)
+        std::set<Incarnation> known;
+        for (const auto &[id, link] : links)
+            known.insert(link.heartbeat.report.incarnation);
+        if (now - lastReports < reportInterval && known == reportedEntries)
             return;
         lastReports = now;
+        reportedEntries = std::move(known);
         for (const auto &[id, link] : links)
             message.entries.push_back(link.heartbeat.report);
     }
@@ -711,6 +717,8 @@
     TimePoint lastProgress{};
     TimePoint lastHeartbeat{};
     TimePoint lastReports{};
+    /// Entries in the last reports.
+    std::set<Incarnation> reportedEntries;
 };
 
 GateCore::GateCore(GateOptions options)
--- a/tests/DrainTest.cpp
+++ b/tests/DrainTest.cpp
@@ -1,3 +1,4 @@
+#include "control/StatusReport.h"
 #include "support/CoreHarness.h"
 
 #include <algorithm>
@@ -127,4 +128,16 @@
     BOOST_TEST(harness.violations().empty());
 }
 
+BOOST_AUTO_TEST_CASE(anOperatorSeesEveryEntryBeforeTheRegularReport)
+{
+    HarnessOptions options;
+    CoreHarness harness(options);
+    harness.run(milliseconds(1500));
+    const boost::json::value report = statusReport(harness.entry(0));
+    std::size_t entries = 0;
+    for (const auto &process : report.at("processes").as_array())
+        entries += process.at("role").as_string() == "entry" ? 1 : 0;
+    BOOST_TEST(entries == static_cast<std::size_t>(options.entries));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
