--- a/tests/ShedOrderTest.cpp
+++ b/tests/ShedOrderTest.cpp
@@ -1,3 +1,4 @@
+#include "sched/ShedControl.h"
 #include "support/CoreHarness.h"
 
 #include <boost/test/unit_test.hpp>
@@ -120,4 +121,41 @@
     requireNoViolations(harness);
 }
 
+BOOST_AUTO_TEST_CASE(tiersOpenOneAtATimeAndNotBeforeTheOthers)
+{
+    constexpr Duration step = milliseconds(300);
+    ShedControl control{seconds(3)};
+    control.setTierCount(4);
+    TimePoint now = TimePoint{} + std::chrono::hours(1);
+    std::array<TierQueue, 4> queues{};
+    GateHeartbeat gate;
+    const auto update = [&] {
+        now += step;
+        control.observeGate(1, gate, now);
+        control.update(queues, now);
+    };
+    queues[0] = {10, 5, true};
+    for (int i = 0; i < 10; ++i) {
+        gate.wantedLevel = gate.promisedLevel = gate.closedLevel = control.closedLevel();
+        update();
+    }
+    BOOST_REQUIRE(control.closedLevel() == 3);
+    queues[0] = {};
+    gate.wantedLevel = gate.promisedLevel = 0;
+    std::vector<ShedLevel> levels;
+    for (int i = 0; i < 20; ++i) {
+        update();
+        levels.push_back(control.closedLevel());
+    }
+    // The gate knows of an entry that is still at 3: this one opens one tier and waits.
+    BOOST_TEST((std::ranges::find(levels, 1) == levels.end()));
+    BOOST_TEST(levels.back() == 2);
+    gate.closedLevel = 2;
+    update();
+    BOOST_TEST(control.closedLevel() == 1);
+    gate.closedLevel = 0;
+    update();
+    BOOST_TEST(control.closedLevel() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tools/mutate.sh
+++ b/tools/mutate.sh
@@ -1,9 +1,11 @@
 #!/usr/bin/env bash
 # Shows that the checks can fail: builds the tests with one deliberate fault at a time and
-# expects the named suites to find it. Works on a copy; usage: mutate.sh [SCRATCH_DIR]
+# expects the named suites to find it. Works on a copy; usage: mutate.sh [SCRATCH_DIR [PATTERN]]
+# PATTERN picks the faults by their line in mutations.txt.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 scratch=${1:-$(mktemp -d)}
+pattern=${2:-.}
 mkdir -p "$scratch/tree"
 (cd "$root" && git ls-files -z | xargs -0 tar cf -) | tar xf - -C "$scratch/tree"
 rm -rf "$scratch/original"
@@ -31,5 +33,5 @@
         echo "found | $name | $suites | $(grep -c 'error: in' "$scratch/run.log") failed checks"
     fi
     cp "$scratch/original/$file" "$scratch/tree/$file"
-done <"$scratch/original/tools/mutations.txt"
+done < <(grep -E "$pattern" "$scratch/original/tools/mutations.txt")
 exit $((missed > 0))
