Soak: longer faults from fewer kinds, so that every check can apply; interrupted runs end their entries

Change: a run draws from three to seven kinds; one fault in four outlasts the bounds; upstreams stay leaving for 4 s; the stand-in answers another with another's body. SIGINT and SIGTERM end the entries, too.

--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -76,8 +76,10 @@
     }
     if (now == UpstreamMood::Fails)
         response.status = 500;
-    if (now == UpstreamMood::AnswersAnother)
+    if (now == UpstreamMood::AnswersAnother) {
         response.headers.front().second = "another";
+        response.body = "from " + m_id + " to another";
+    }
     co_await exchange.respond(std::move(response));
 }
 
--- a/tools/soak/FaultPlan.cpp
+++ b/tools/soak/FaultPlan.cpp
@@ -20,11 +20,19 @@
     std::string_view("upstream_misbehaves"), std::string_view("upstream_leaves"),
     std::string_view("key_changed")};
 
-constexpr std::size_t fewestFaults = 3;
-constexpr std::size_t extraFaults = 8;
+/// A run draws its faults from a few kinds, so that some runs leave the store, or the upstreams,
+/// alone and the checks that need them apply.
+constexpr std::size_t fewestKinds = 3;
+constexpr std::size_t extraKinds = 5;
+constexpr std::size_t fewestFaults = 4;
+constexpr std::size_t extraFaults = 9;
 constexpr milliseconds firstFault{300};
 constexpr milliseconds shortestFault{100};
 constexpr milliseconds longestFault{2500};
+/// One fault in so many lasts longer than the platform's bounds allow a host to serve on.
+constexpr std::size_t faultsPerLong = 4;
+constexpr milliseconds shortestLong{4500};
+constexpr milliseconds longestLong{7500};
 
 } // namespace
 
@@ -45,12 +53,20 @@
     std::mt19937_64 random(seed);
     // Distributions of the standard library differ between its versions; a remainder does not.
     const auto below = [&random](std::size_t bound) { return random() % bound; };
+    const auto between = [&below](milliseconds from, milliseconds to) {
+        return from + milliseconds(below((to - from).count()));
+    };
+    std::vector<FaultKind> kinds(fewestKinds + below(extraKinds));
+    for (FaultKind &kind : kinds)
+        kind = static_cast<FaultKind>(below(names.size()));
     constexpr std::size_t manyTargets = 60;
     std::vector<Fault> faults(fewestFaults + below(extraFaults));
     for (Fault &fault : faults) {
-        fault.kind = static_cast<FaultKind>(below(names.size()));
-        fault.at = firstFault + milliseconds(below((length - firstFault).count()));
-        fault.lasts = shortestFault + milliseconds(below((longestFault - shortestFault).count()));
+        fault.kind = kinds[below(kinds.size())];
+        fault.at = between(firstFault, length);
+        const bool isLong = below(faultsPerLong) == 0;
+        fault.lasts =
+            isLong ? between(shortestLong, longestLong) : between(shortestFault, longestFault);
         fault.target = below(manyTargets);
         fault.variant = below(manyTargets);
     }
--- a/tools/soak/SoakRun.cpp
+++ b/tools/soak/SoakRun.cpp
@@ -28,16 +28,17 @@
 constexpr std::size_t entryCount = 3;
 constexpr std::size_t upstreamCount = 4;
 constexpr std::size_t clientCount = 24;
-constexpr int slotsOfUpstream = 3;
+constexpr int slotsOfUpstream = 4;
 constexpr int eventPauseMs = 12;
-constexpr int workMs = 15;
+constexpr int workMs = 40;
 constexpr milliseconds poll{20};
 /// Entries are ready so soon after their start or the last fault.
 constexpr milliseconds recoverBound{8000};
 /// A planned stop: the grace of the settings, and what the machine takes to end a process.
 constexpr milliseconds stopGrace{5000};
 constexpr milliseconds endMargin{1500};
-constexpr milliseconds leavingBeforeRemoval{1500};
+/// Longer than entries may take to notice.
+constexpr milliseconds leavingBeforeRemoval{4000};
 constexpr int readyStatus = 200;
 
 tcp::endpoint onLoopback(unsigned short port)
@@ -153,6 +154,14 @@
                 m_promises.broken("the soak itself failed");
             m_context.stop();
         });
+        // The entries end with this process.
+        asio::signal_set signals(m_context, SIGINT, SIGTERM);
+        signals.async_wait([this](boost::system::error_code error, int) {
+            if (error)
+                return;
+            m_report.interrupted = true;
+            m_context.stop();
+        });
         m_context.run();
         m_report.calls = m_promises.calls();
         m_report.served = m_promises.served();
--- a/tools/soak/SoakRun.h
+++ b/tools/soak/SoakRun.h
@@ -14,7 +14,7 @@
     std::filesystem::path daemon;
     /// Settings and logs of the entries are written here.
     std::filesystem::path directory;
-    milliseconds length{8000};
+    milliseconds length{10000};
 };
 
 struct SoakReport
@@ -23,6 +23,8 @@
     std::size_t calls = 0;
     std::size_t served = 0;
     std::vector<std::string> violations;
+    /// A signal ended the run before its time.
+    bool interrupted = false;
 };
 
 /// Runs entries as real processes between stand-ins of the store and of upstreams, under the faults
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -9,19 +9,40 @@
 #include <iostream>
 
 ABSL_FLAG(std::string, daemon, "build/tamarackseamd", "program of the daemon");
-ABSL_FLAG(std::string, logs, "build/soak-logs", "directory of settings and logs, one folder a seed");
+ABSL_FLAG(std::string, logs, "build/soak-logs",
+          "directory of settings and logs, one folder a seed");
 ABSL_FLAG(std::uint64_t, first, 1, "first seed");
 ABSL_FLAG(std::uint64_t, seeds, 1, "number of seeds, one after the other");
 ABSL_FLAG(double, minutes, 0, "go on with further seeds for so long; 0: run --seeds seeds");
-ABSL_FLAG(int, length_ms, 8000, "time under faults of one seed, in milliseconds");
+ABSL_FLAG(bool, plan, false, "print the faults of the seeds and run nothing");
+ABSL_FLAG(int, length_ms, 10000, "time under faults of one seed, in milliseconds");
 
 namespace {
 
 using namespace tamarack;
 using namespace tamarack::soak;
 
-/// False when a promise was broken. The logs of a good run are removed.
-bool runSeed(std::uint64_t seed)
+void printFaults(const std::vector<Fault> &faults)
+{
+    for (const Fault &fault : faults)
+        std::cout << "  fault " << toString(fault) << '\n';
+}
+
+int printPlans(std::uint64_t first, std::uint64_t seeds)
+{
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+        std::cout << "seed " << seed << '\n';
+        printFaults(drawFaults(seed, milliseconds(absl::GetFlag(FLAGS_length_ms))));
+    }
+    return 0;
+}
+
+constexpr int interruptedExit = 130;
+
+enum class Outcome { Good, Broken, Interrupted };
+
+/// The logs of a good run are removed.
+Outcome runSeed(std::uint64_t seed)
 {
     SoakOptions options;
     options.daemon = absl::GetFlag(FLAGS_daemon);
@@ -29,19 +50,20 @@
     options.length = milliseconds(absl::GetFlag(FLAGS_length_ms));
     std::filesystem::remove_all(options.directory);
     const SoakReport report = runSoak(seed, options);
+    if (report.interrupted)
+        return Outcome::Interrupted;
     std::cout << "seed " << seed << ": " << report.faults.size() << " faults, " << report.calls
               << " calls, " << report.served << " served, " << report.violations.size()
               << " promises broken" << std::endl;
     if (report.violations.empty()) {
         std::filesystem::remove_all(options.directory);
-        return true;
+        return Outcome::Good;
     }
-    for (const Fault &fault : report.faults)
-        std::cout << "  fault " << toString(fault) << '\n';
+    printFaults(report.faults);
     for (const std::string &violation : report.violations)
         std::cout << "  broken: " << violation << '\n';
     std::cout << "  logs: " << options.directory.string() << std::endl;
-    return false;
+    return Outcome::Broken;
 }
 
 } // namespace
@@ -53,12 +75,18 @@
     setLogLevel("off");
     const std::uint64_t first = absl::GetFlag(FLAGS_first);
     const std::uint64_t seeds = absl::GetFlag(FLAGS_seeds);
+    if (absl::GetFlag(FLAGS_plan))
+        return printPlans(first, seeds);
     const std::chrono::duration<double, std::ratio<60>> minutes(absl::GetFlag(FLAGS_minutes));
     const TimePoint start = steadyNow();
     std::uint64_t failed = 0;
     std::uint64_t seed = first;
-    while (minutes.count() > 0 ? steadyNow() - start < minutes : seed < first + seeds)
-        failed += runSeed(seed++) ? 0 : 1;
+    while (minutes.count() > 0 ? steadyNow() - start < minutes : seed < first + seeds) {
+        const Outcome outcome = runSeed(seed++);
+        failed += outcome == Outcome::Broken ? 1 : 0;
+        if (outcome == Outcome::Interrupted)
+            return interruptedExit;
+    }
     std::cout << seed - first << " seeds, " << failed << " failed\n";
     return failed == 0 ? 0 : 1;
 }
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -19,5 +19,9 @@
 printf '%s\n' "${linted[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy-16 --quiet -p build-lint 2>&1 \
     | { grep -vE '^[0-9]+ warnings? (generated|treated)|^Suppressed|^Use -' || true; }
 ctest --test-dir build --output-on-failure
+build/soak --first=1 --seeds=2 --length_ms=5000
+{ grep -v '^#' tools/soak/seeds.txt || true; } | while read -r seed length _; do
+    build/soak --first="$seed" --length_ms="$length"
+done
 echo "Known to be red (KNOWN-RED.txt):"
 cat KNOWN-RED.txt
