Fewer calls of the store while it is down; entries are read where it costs least

While the store was away, three loops tried it every 120 to 240 ms each, though entries and upstreams are known well enough for a while. Tests: aStoreThatIsDownIsNotPressed (34 calls in 2 s before, at most 23 allowed) and entriesAreReadWhereItCostsTheStoreLeast; both failed before.

--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -26,8 +26,13 @@
 /// Pause before the next watch once changes have come: more of them come in one answer.
 constexpr milliseconds upstreamPause{150};
 constexpr milliseconds entryPause{1000};
-/// Pause after a failed call, with as much again at random.
-constexpr milliseconds retryPause{120};
+/// Pause after a failed call, with as much again at random. The proof of the configuration is
+/// needed soonest; entries and upstreams are known well enough for a while.
+constexpr milliseconds configRetry{120};
+constexpr milliseconds upstreamRetry{400};
+constexpr milliseconds entryRetry{1000};
+/// Entries find one another in seconds; their changes are told by datagrams anyway.
+constexpr auto entryAge = platform::StoreClient::Age::SecondsOld;
 /// Own kind of object: one for each entry.
 const std::string entryKind = "tamarack-entries";
 
@@ -69,10 +74,10 @@
         return result.has_value();
     }
 
-    asio::awaitable<void> pauseAfterFailure() const
+    static asio::awaitable<void> pauseAfterFailure(milliseconds shortest)
     {
-        const auto spread = static_cast<std::int64_t>(randomBits64() % retryPause.count());
-        co_await pause(retryPause + milliseconds(spread));
+        const auto spread = static_cast<std::int64_t>(randomBits64() % shortest.count());
+        co_await pause(shortest + milliseconds(spread));
     }
 
     asio::awaitable<void> configLoop()
@@ -81,7 +86,7 @@
             const BootTime callStart = bootNow();
             const auto listing = co_await store.list(platform::configKind());
             if (!noteResult(listing, "list_config")) {
-                co_await pauseAfterFailure();
+                co_await pauseAfterFailure(configRetry);
                 continue;
             }
             for (const auto &object : listing->objects)
@@ -99,7 +104,7 @@
             const auto changes = co_await store.watch(platform::configKind(), revision, configWait);
             if (!noteResult(changes, "watch_config")) {
                 if (changes.error().kind != ErrorKind::HistoryGone)
-                    co_await pauseAfterFailure();
+                    co_await pauseAfterFailure(configRetry);
                 // A listing proves the configuration at once.
                 co_return;
             }
@@ -149,7 +154,7 @@
         while (true) {
             const auto listing = co_await store.list(platform::upstreamKind());
             if (!noteResult(listing, "list_upstreams")) {
-                co_await pauseAfterFailure();
+                co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
             std::vector<UpstreamRecord> records;
@@ -170,7 +175,7 @@
             if (!noteResult(changes, "watch_upstreams")) {
                 if (changes.error().kind == ErrorKind::HistoryGone)
                     co_return;
-                co_await pauseAfterFailure();
+                co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
             for (const auto &event : changes->events)
@@ -224,9 +229,9 @@
     {
         co_await registerEntry();
         while (true) {
-            const auto listing = co_await store.list(entryKind);
+            const auto listing = co_await store.list(entryKind, entryAge);
             if (!noteResult(listing, "list_entries")) {
-                co_await pauseAfterFailure();
+                co_await pauseAfterFailure(entryRetry);
                 continue;
             }
             entries.clear();
@@ -244,18 +249,19 @@
             const auto written = co_await store.put(entryKind, settings.name, own);
             if (noteResult(written, "register"))
                 co_return;
-            co_await pauseAfterFailure();
+            co_await pauseAfterFailure(entryRetry);
         }
     }
 
     asio::awaitable<void> watchEntries(platform::Revision revision)
     {
         while (true) {
-            const auto changes = co_await store.watch(entryKind, revision, entryWait);
+            const auto changes = co_await store.watch(entryKind, revision, entryWait, entryAge);
             if (!noteResult(changes, "watch_entries")) {
+                // An old listing can begin before the history that is left, again and again.
+                co_await pauseAfterFailure(entryRetry);
                 if (changes.error().kind == ErrorKind::HistoryGone)
                     co_return;
-                co_await pauseAfterFailure();
                 continue;
             }
             for (const auto &event : changes->events)
--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -400,6 +400,24 @@
     BOOST_TEST(eventually([this] { return call("/read/x").status == 200; }, milliseconds(3500)));
 }
 
+BOOST_AUTO_TEST_CASE(aStoreThatIsDownIsNotPressed)
+{
+    // Two seconds allow the configuration 16 tries, the upstreams 5 and the entries 2.
+    constexpr int mostCalls = 23;
+    std::this_thread::sleep_for(milliseconds(300));
+    store.mood = StoreMood::Unavailable;
+    std::this_thread::sleep_for(milliseconds(500));
+    const int before = store.calls;
+    std::this_thread::sleep_for(milliseconds(2000));
+    BOOST_TEST(store.calls - before <= mostCalls);
+}
+
+BOOST_AUTO_TEST_CASE(entriesAreReadWhereItCostsTheStoreLeast)
+{
+    BOOST_TEST(store.staleCalls > 0);
+    BOOST_TEST(store.staleCalls < store.calls);
+}
+
 BOOST_AUTO_TEST_CASE(aLeavingUpstreamGetsNothingNew)
 {
     store.with(
--- a/tools/model/StoreServer.cpp
+++ b/tools/model/StoreServer.cpp
@@ -49,6 +49,8 @@
 asio::awaitable<void> StoreServer::serve(HttpExchange &exchange)
 {
     ++calls;
+    if (exchange.request().query("serializable"))
+        ++staleCalls;
     while (mood == StoreMood::Silent)
         co_await pause(watchPoll);
     if (mood != StoreMood::Well) {
--- a/tools/model/StoreServer.h
+++ b/tools/model/StoreServer.h
@@ -31,6 +31,8 @@
 
     std::atomic<StoreMood> mood{StoreMood::Well};
     std::atomic<int> calls{0};
+    /// Calls among them whose answer may be old; this store answers them like the others.
+    std::atomic<int> staleCalls{0};
 
 private:
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
