New upstreams are taken in together

Cause: each entry made 23 calls of the store while 50 upstreams registered, one for each 150 ms. Change: after events that only add upstreams the next watch waits 700 ms; what leaves is still taken in after 150 ms.

--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -23,8 +23,10 @@
 constexpr milliseconds configWait{1300};
 constexpr milliseconds upstreamWait{4000};
 constexpr milliseconds entryWait{8000};
-/// Pause before the next watch once changes have come: more of them come in one answer.
+/// Pause before the next watch once changes have come: more of them come in one answer. New
+/// upstreams come in numbers and can wait; what leaves cannot.
 constexpr milliseconds upstreamPause{150};
+constexpr milliseconds newUpstreamPause{700};
 constexpr milliseconds entryPause{1000};
 /// Pause after a failed call, with as much again at random. The proof of the configuration is
 /// needed soonest; entries and upstreams are known well enough for a while.
@@ -178,17 +180,19 @@
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
+            bool onlyNew = true;
             for (const auto &event : changes->events)
-                takeUpstream(event);
+                onlyNew = takeUpstream(event) && onlyNew;
             revision = changes->revision;
             if (changes->events.empty())
                 continue;
             publishUpstreams();
-            co_await pause(upstreamPause);
+            co_await pause(onlyNew ? newUpstreamPause : upstreamPause);
         }
     }
 
-    void takeUpstream(const platform::StoreEvent &event)
+    /// Whether the event tells of an upstream that was not known.
+    bool takeUpstream(const platform::StoreEvent &event)
     {
         auto record = event.deleted ? std::nullopt : decode(event.object);
         logEvent(LogLevel::Info, "upstream_changed",
@@ -196,10 +200,13 @@
                   {"revision", event.object.revision},
                   {"listed", record.has_value()},
                   {"draining", record && record->draining}});
-        if (record)
-            directory.put(std::move(*record));
-        else
+        if (!record) {
             directory.remove(event.object.name, steadyNow());
+            return false;
+        }
+        const bool isNew = !record->draining && !directory.knows(record->id);
+        directory.put(std::move(*record));
+        return isNew;
     }
 
     std::optional<UpstreamRecord> decode(const platform::StoredObject &object)
--- a/src/serving/UpstreamDirectory.h
+++ b/src/serving/UpstreamDirectory.h
@@ -22,6 +22,7 @@
     /// A call of the store succeeded.
     void storeAnswered(TimePoint now);
 
+    bool knows(const std::string &id) const { return m_entries.contains(id); }
     void put(UpstreamRecord record);
     void remove(const std::string &id, TimePoint now);
     /// Replaces everything by a listing.
--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -412,6 +412,20 @@
     BOOST_TEST(store.calls - before <= mostCalls);
 }
 
+BOOST_AUTO_TEST_CASE(manyNewUpstreamsAreTakenInTogether)
+{
+    // Three watches of upstreams, two of the configuration, and one to spare.
+    constexpr int mostCalls = 6;
+    const int before = store.calls;
+    for (int i = 0; i < 15; ++i) {
+        store.with([&](PlatformStore &model) {
+            model.create("servers", "new-" + std::to_string(i), upstreamEntry(portA));
+        });
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    BOOST_TEST(store.calls - before <= mostCalls);
+}
+
 BOOST_AUTO_TEST_CASE(entriesAreReadWhereItCostsTheStoreLeast)
 {
     BOOST_TEST(store.staleCalls > 0);
