Crash rows keep their age when entries tell them on

A request that stood beside three crashes stayed refused for good. Change: a row goes out with its age and is taken in with it. Test: entriesThatTellOneAnotherForgetToo (three entries, the later join 10 and 20 s after the crash; 300 s later the request is free again), which failed with the rows taken in as new.

--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -62,8 +62,8 @@
     if (!peers.learn(load, now))
         return;
     quotas.learn(load.incarnation, load.quotas);
-    for (const CrashRow &row : load.crashes)
-        crashes.add(row, now);
+    for (const ToldCrash &told : load.crashes)
+        crashes.learn(told, now);
     if (std::exchange(m_peersChanged, true))
         return;
     m_peerTimer.expires_after(peerRefresh);
@@ -187,7 +187,7 @@
     load.loads = upstreams.ownLoads();
     load.demand = queue.demand();
     load.quotas = quotas.uses();
-    load.crashes = crashes.rows(toldCrashes);
+    load.crashes = crashes.rows(toldCrashes, steadyNow());
     load.leaving = draining;
     return load;
 }
--- a/src/peer/EntryLoadCodec.cpp
+++ b/src/peer/EntryLoadCodec.cpp
@@ -49,8 +49,9 @@
     }
     auto crashes = to.initCrashes(load.crashes.size());
     for (unsigned i = 0; i < load.crashes.size(); ++i) {
-        crashes[i].setFingerprint(load.crashes[i].fingerprint);
-        crashes[i].setUpstream(load.crashes[i].upstream);
+        crashes[i].setFingerprint(load.crashes[i].row.fingerprint);
+        crashes[i].setUpstream(load.crashes[i].row.upstream);
+        crashes[i].setAgeMs(static_cast<std::uint32_t>(load.crashes[i].age.count()));
     }
 }
 
@@ -71,7 +72,8 @@
     for (const auto row : from.getQuotas())
         load.quotas.push_back({stringOf(row.getWorkspace()), row.getTotal()});
     for (const auto row : from.getCrashes())
-        load.crashes.push_back({row.getFingerprint(), row.getUpstream()});
+        load.crashes.push_back(
+            {{row.getFingerprint(), row.getUpstream()}, milliseconds(row.getAgeMs())});
     return load;
 }
 
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -152,6 +152,7 @@
 struct CrashRow {
     fingerprint @0 :UInt64;
     upstream @1 :UInt64;
+    ageMs @2 :UInt32;
 }
 
 struct EntryLoad {
--- a/src/serving/CrashLedger.cpp
+++ b/src/serving/CrashLedger.cpp
@@ -9,6 +9,12 @@
     return m_rows.try_emplace(row, now).second;
 }
 
+void CrashLedger::learn(const ToldCrash &told, TimePoint now)
+{
+    if (told.age < retention)
+        m_rows.try_emplace(told.row, now - told.age);
+}
+
 bool CrashLedger::isQuarantined(RequestFingerprint fingerprint, TimePoint now) const
 {
     std::size_t crashes = 0;
@@ -19,7 +25,7 @@
     return crashes >= crashesToQuarantine;
 }
 
-std::vector<CrashRow> CrashLedger::rows(std::size_t most) const
+std::vector<ToldCrash> CrashLedger::rows(std::size_t most, TimePoint now) const
 {
     std::vector<std::pair<TimePoint, CrashRow>> byAge;
     byAge.reserve(m_rows.size());
@@ -27,9 +33,11 @@
         byAge.emplace_back(at, row);
     std::ranges::sort(byAge, std::greater());
     byAge.resize(std::min(most, byAge.size()));
-    std::vector<CrashRow> rows;
-    std::ranges::transform(byAge, std::back_inserter(rows),
-                           [](const auto &item) { return item.second; });
+    std::vector<ToldCrash> rows;
+    std::ranges::transform(byAge, std::back_inserter(rows), [now](const auto &item) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - item.first);
+        return ToldCrash{item.second, age};
+    });
     return rows;
 }
 
--- a/src/serving/CrashLedger.h
+++ b/src/serving/CrashLedger.h
@@ -21,19 +21,31 @@
     auto operator<=>(const CrashRow &) const = default;
 };
 
+/// A row and how long ago its crash was, for another entry.
+struct ToldCrash
+{
+    CrashRow row;
+    milliseconds age{0};
+
+    bool operator==(const ToldCrash &) const = default;
+};
+
 /// Recognises requests that crash the upstreams that run them.
 ///
 /// Load: one request crashes each upstream that begins to run it, and its client sends it again
 /// at any entry. Entries tell one another their rows; rows only accumulate, so their order does
-/// not matter. Rows are forgotten after a while: neighbours of a crash are no culprits for ever.
+/// not matter. Rows are forgotten after a while: neighbours of a crash are no culprits for ever. A
+/// row keeps its age when it is told on; otherwise entries would remind one another for ever.
 class CrashLedger
 {
 public:
     /// Adds a row; false when it was known.
     bool add(CrashRow row, TimePoint now);
+    /// Takes a row that another entry told.
+    void learn(const ToldCrash &told, TimePoint now);
     bool isQuarantined(RequestFingerprint fingerprint, TimePoint now) const;
     /// Rows that are still held, newest first, at most `most`.
-    std::vector<CrashRow> rows(std::size_t most) const;
+    std::vector<ToldCrash> rows(std::size_t most, TimePoint now) const;
     void forgetOld(TimePoint now);
 
     /// Crashes after which a request is refused.
--- a/src/serving/EntryLoad.h
+++ b/src/serving/EntryLoad.h
@@ -23,7 +23,7 @@
     std::vector<std::pair<UpstreamKey, UpstreamLoad>> loads;
     std::vector<QueueDemand> demand;
     std::vector<QuotaUse> quotas;
-    std::vector<CrashRow> crashes;
+    std::vector<ToldCrash> crashes;
     /// Stops as planned; takes no new requests.
     bool leaving = false;
 
--- a/tests/EntryLoadCodecTest.cpp
+++ b/tests/EntryLoadCodecTest.cpp
@@ -18,7 +18,7 @@
     load.loads = {{1, {2, 300}}, {4, {5, 0}}};
     load.demand = {{"models", queueRank(1, 2), 7, 3}};
     load.quotas = {{"w", 12345.5}};
-    load.crashes = {{8, 9}};
+    load.crashes = {{{8, 9}, milliseconds(10)}};
     load.leaving = true;
     return load;
 }
--- a/tests/ServingBudgetsTest.cpp
+++ b/tests/ServingBudgetsTest.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cmath>
 #include <numeric>
+#include <ranges>
 
 #include <boost/test/unit_test.hpp>
 
@@ -184,7 +185,33 @@
     BOOST_TEST(!ledger.isQuarantined(8, start + seconds(2)));
     BOOST_TEST(!ledger.isQuarantined(7, start + CrashLedger::retention));
     ledger.forgetOld(start + CrashLedger::retention);
-    BOOST_TEST(ledger.rows(10).size() == 1U);
+    BOOST_TEST(ledger.rows(10, start + CrashLedger::retention).size() == 1U);
+}
+
+// Rows that were told on came back to those who had forgotten them.
+BOOST_AUTO_TEST_CASE(entriesThatTellOneAnotherForgetToo)
+{
+    std::array<CrashLedger, 3> ledgers;
+    for (UpstreamKey upstream = 1; upstream <= CrashLedger::crashesToQuarantine; ++upstream)
+        ledgers[0].add({7, upstream}, start);
+    constexpr int joinEvery = 10;
+    for (int second = 0; second < 300; ++second) {
+        const TimePoint now = start + seconds(second);
+        const auto joined = ledgers | std::views::take(1 + second / joinEvery);
+        for (CrashLedger &from : joined)
+            for (CrashLedger &to : joined)
+                for (const ToldCrash &told : from.rows(32, now))
+                    to.learn(told, now);
+        for (CrashLedger &ledger : ledgers)
+            ledger.forgetOld(now);
+        if (second == 2 * joinEvery)
+            BOOST_TEST(std::ranges::all_of(ledgers, [now](const CrashLedger &ledger) {
+                return ledger.isQuarantined(7, now);
+            }));
+    }
+    const TimePoint end = start + seconds(300);
+    BOOST_TEST(std::ranges::none_of(
+        ledgers, [end](const CrashLedger &ledger) { return ledger.isQuarantined(7, end); }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
