A request's fingerprint is worked out when a crash makes it matter

Change: admission works it out while any request is quarantined, an attempt when its connection breaks. Tests: the cases of CrashLedgerSuite and AdmissionSuite, with quarantinesAny.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -70,12 +70,16 @@
     if (!facts)
         return Denial{ErrorKind::BadRequest, {}};
     m_facts = std::move(*facts);
-    const HttpRequest &request = m_exchange.request();
-    const RequestParts parts{request.path(), request.target, request.body};
-    return m_state.admission.admit(m_state.config.get(), m_facts, parts, m_admitted, m_arrivedAt,
+    return m_state.admission.admit(m_state.config.get(), m_facts, parts(), m_admitted, m_arrivedAt,
                                    bootNow());
 }
 
+RequestParts RequestFlow::parts() const
+{
+    const HttpRequest &request = m_exchange.request();
+    return {request.path(), request.target, request.body};
+}
+
 void RequestFlow::startClocks()
 {
     const milliseconds deadline = m_facts.deadline.value_or(m_admitted.route.timeout);
@@ -245,7 +249,7 @@
     if (sign != HealthSign::Good && sign != HealthSign::Full) {
         m_state.pool.drop(upstream.key);
         if (end == AttemptEnd::Broken)
-            m_state.attemptBroke(upstream, m_admitted.fingerprint, now);
+            m_state.attemptBroke(upstream, requestFingerprint(m_admitted.workspace, parts()), now);
         if (end == AttemptEnd::NotSent)
             m_state.upstreamUnreachable(upstream, now);
     }
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -31,6 +31,7 @@
     enum class Stop : std::uint8_t { None, ClientGone, TimedOut };
 
     std::optional<Denial> admit();
+    RequestParts parts() const;
     void startClocks();
     void stop(Stop reason);
 
--- a/src/serving/Admission.cpp
+++ b/src/serving/Admission.cpp
@@ -18,6 +18,11 @@
 
 } // namespace
 
+RequestFingerprint requestFingerprint(const std::string &workspace, const RequestParts &parts)
+{
+    return fingerprint(workspace + ' ' + std::string(parts.target), parts.body);
+}
+
 Admission::Admission(const FreshnessGuard &freshness, const CrashLedger &crashes,
                      QuotaLedger &quotas)
     : m_freshness(freshness)
@@ -35,9 +40,8 @@
         return denial;
     if (auto denial = checkKey(*config, facts, admitted, bootTime))
         return denial;
-    admitted.fingerprint =
-        fingerprint(admitted.workspace + ' ' + std::string(parts.target), parts.body);
-    if (m_crashes.isQuarantined(admitted.fingerprint, now))
+    if (m_crashes.quarantinesAny()
+        && m_crashes.isQuarantined(requestFingerprint(admitted.workspace, parts), now))
         return Denial{ErrorKind::SuspectHeld, quarantineReturn};
     return chargeQuota(admitted, now);
 }
--- a/src/serving/Admission.h
+++ b/src/serving/Admission.h
@@ -32,7 +32,6 @@
     /// What the request costs the workspace's quota, in its unit, and what was taken.
     double cost = 0;
     double charged = 0;
-    RequestFingerprint fingerprint = 0;
 };
 
 /// The parts of a request that admission looks at beyond its facts.
@@ -44,6 +43,8 @@
     std::string_view body;
 };
 
+RequestFingerprint requestFingerprint(const std::string &workspace, const RequestParts &parts);
+
 /// The configuration that is proved to be in force again is known within about this time.
 constexpr milliseconds unprovedReturn{500};
 
--- a/src/serving/CrashLedger.cpp
+++ b/src/serving/CrashLedger.cpp
@@ -6,13 +6,16 @@
 
 bool CrashLedger::add(CrashRow row, TimePoint now)
 {
-    return m_rows.try_emplace(row, now).second;
+    const bool isNew = m_rows.try_emplace(row, now).second;
+    if (isNew)
+        updateQuarantines();
+    return isNew;
 }
 
 void CrashLedger::learn(const ToldCrash &told, TimePoint now)
 {
-    if (told.age < retention)
-        m_rows.try_emplace(told.row, now - told.age);
+    if (told.age < retention && m_rows.try_emplace(told.row, now - told.age).second)
+        updateQuarantines();
 }
 
 bool CrashLedger::isQuarantined(RequestFingerprint fingerprint, TimePoint now) const
@@ -43,7 +46,21 @@
 
 void CrashLedger::forgetOld(TimePoint now)
 {
-    std::erase_if(m_rows, [now](const auto &item) { return now - item.second >= retention; });
+    const auto isOld = [now](const auto &item) { return now - item.second >= retention; };
+    if (std::erase_if(m_rows, isOld) > 0)
+        updateQuarantines();
+}
+
+void CrashLedger::updateQuarantines()
+{
+    std::size_t crashes = 0;
+    RequestFingerprint last = 0;
+    m_quarantinesAny = false;
+    for (const auto &[row, at] : m_rows) {
+        crashes = row.fingerprint == last ? crashes + 1 : 1;
+        last = row.fingerprint;
+        m_quarantinesAny = m_quarantinesAny || crashes >= crashesToQuarantine;
+    }
 }
 
 } // namespace tamarack
--- a/src/serving/CrashLedger.h
+++ b/src/serving/CrashLedger.h
@@ -44,6 +44,8 @@
     /// Takes a row that another entry told.
     void learn(const ToldCrash &told, TimePoint now);
     bool isQuarantined(RequestFingerprint fingerprint, TimePoint now) const;
+    /// Whether any request may be quarantined: fingerprints need not be worked out otherwise.
+    bool quarantinesAny() const { return m_quarantinesAny; }
     /// Rows that are still held, newest first, at most `most`.
     std::vector<ToldCrash> rows(std::size_t most, TimePoint now) const;
     void forgetOld(TimePoint now);
@@ -53,7 +55,10 @@
     static constexpr std::chrono::seconds retention{120};
 
 private:
+    void updateQuarantines();
+
     std::map<CrashRow, TimePoint> m_rows;
+    bool m_quarantinesAny = false;
 };
 
 } // namespace tamarack
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -112,9 +112,9 @@
 
 BOOST_AUTO_TEST_CASE(aSuspectIsHeldBeforeItIsCharged)
 {
-    BOOST_TEST(!decide("/a/x").has_value());
+    const RequestFingerprint suspect = requestFingerprint("w1", {"/a/x", "/a/x", "body"});
     for (UpstreamKey upstream = 1; upstream <= CrashLedger::crashesToQuarantine; ++upstream)
-        crashes.add({admitted.fingerprint, upstream}, now);
+        crashes.add({suspect, upstream}, now);
     BOOST_TEST((decide("/a/x") == ErrorKind::SuspectHeld));
     BOOST_TEST(admitted.charged == 0);
 }
--- a/tests/ServingBudgetsTest.cpp
+++ b/tests/ServingBudgetsTest.cpp
@@ -180,11 +180,14 @@
     ledger.add({7, 2}, start);
     BOOST_TEST(!ledger.add({7, 2}, start));
     BOOST_TEST(!ledger.isQuarantined(7, start));
+    BOOST_TEST(!ledger.quarantinesAny());
     ledger.add({7, 3}, start + seconds(1));
     BOOST_TEST(ledger.isQuarantined(7, start + seconds(2)));
+    BOOST_TEST(ledger.quarantinesAny());
     BOOST_TEST(!ledger.isQuarantined(8, start + seconds(2)));
     BOOST_TEST(!ledger.isQuarantined(7, start + CrashLedger::retention));
     ledger.forgetOld(start + CrashLedger::retention);
+    BOOST_TEST(!ledger.quarantinesAny());
     BOOST_TEST(ledger.rows(10, start + CrashLedger::retention).size() == 1U);
 }
 
