Time that a request lay unread counts for its deadline

Change: the lateness of a regular tick tells how far the traffic thread is behind; requests count as arrived half of it before they are read. traffic_behind and traffic_caught_up are logged, unread_ms stands in each request's line. Test: timeThatARequestLayUnreadCountsForItsDeadline, which failed before (1.40 s for a deadline of 0.8 s and a block of 0.6 s; at most 1.25 s allowed).

--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -155,8 +155,10 @@
     asio::awaitable<void> tickLoop()
     {
         while (true) {
+            const TimePoint due = steadyNow() + tickInterval;
             co_await pause(tickInterval);
-            state.tick(steadyNow());
+            const TimePoint now = steadyNow();
+            state.tick(now, now - due);
         }
     }
 
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -51,7 +51,8 @@
     : m_state(state)
     , m_exchange(exchange)
     , m_relay(exchange)
-    , m_arrivedAt(steadyNow())
+    , m_readAt(steadyNow())
+    , m_arrivedAt(m_readAt - state.readDelay())
     , m_endTimer(state.executor)
 {}
 
@@ -70,7 +71,7 @@
     if (!facts)
         return Denial{ErrorKind::BadRequest, {}};
     m_facts = std::move(*facts);
-    return m_state.admission.admit(m_state.config.get(), m_facts, parts(), m_admitted, m_arrivedAt,
+    return m_state.admission.admit(m_state.config.get(), m_facts, parts(), m_admitted, m_readAt,
                                    bootNow());
 }
 
@@ -111,7 +112,7 @@
 asio::awaitable<void> RequestFlow::serve()
 {
     startClocks();
-    m_state.retries.countRequest(m_admitted.service, m_arrivedAt);
+    m_state.retries.countRequest(m_admitted.service, m_readAt);
     m_expectedEvents = expectedEvents();
     bool goesOn = true;
     while (goesOn) {
@@ -382,6 +383,7 @@
               {"peers_heard", m_state.peers.heard(now)},
               {"quota_left", m_state.quotas.level(m_admitted.workspace)},
               {"returned_ms", toMs(m_elapsed)},
+              {"unread_ms", toMs(m_readAt - m_arrivedAt)},
               {"waited_ms", toMs(m_waited)},
               {"first_ms", m_firstToken ? toMs(*m_firstToken) : -1},
               {"total_ms", toMs(now - m_arrivedAt)},
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -64,6 +64,8 @@
     AnswerRelay m_relay;
     RequestFacts m_facts;
     AdmittedRequest m_admitted;
+    TimePoint m_readAt;
+    /// When its bytes have probably come.
     TimePoint m_arrivedAt;
     TimePoint m_endAt{};
     Duration m_elapsed{};
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds breakWindow{1000};
 /// Messages of other entries that come within this time are used together.
 constexpr milliseconds peerRefresh{5};
+/// A tick that comes later than this shows that the process is behind its work.
+constexpr milliseconds lateTick{200};
 /// Crash rows in one message to the other entries.
 constexpr std::size_t toldCrashes = 32;
 
@@ -192,8 +194,13 @@
     return load;
 }
 
-void TrafficState::tick(TimePoint now)
+void TrafficState::tick(TimePoint now, Duration lateness)
 {
+    m_lateness = std::max(Duration::zero(), lateness);
+    const bool behind = m_lateness > lateTick;
+    if (behind != std::exchange(m_behind, behind))
+        logEvent(LogLevel::Warning, behind ? "traffic_behind" : "traffic_caught_up",
+                 {{"late_ms", toMs(m_lateness)}, {"waiting", queue.size()}});
     quotas.setHeardShare(peers.heardShare(now), now);
     retries.setEntries(peers.heard(now));
     crashes.forgetOld(now);
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -77,8 +77,11 @@
     /// Called when `ownLoad` has changed in a way that others wait for.
     std::function<void()> onLoadChanged;
 
-    /// Regular work: forgets what is old.
-    void tick(TimePoint now);
+    /// Regular work: forgets what is old. `lateness`: of this call against its time.
+    void tick(TimePoint now, Duration lateness);
+    /// How long requests that are read now have probably lain unread. A process that is behind
+    /// reads in large batches: what it reads arrived during the batch before, half of it ago.
+    Duration readDelay() const { return m_lateness / 2; }
 
     Settings settings;
     boost::asio::any_io_executor executor;
@@ -110,6 +113,8 @@
     boost::asio::steady_timer m_refusalTimer;
     boost::asio::steady_timer m_peerTimer;
     bool m_peersChanged = false;
+    Duration m_lateness{};
+    bool m_behind = false;
     std::set<std::string> m_heard;
     TimePoint m_refusalAt = TimePoint::max();
     Ticket m_lastTicket = 0;
--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -338,6 +338,27 @@
     BOOST_TEST(sends() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(timeThatARequestLayUnreadCountsForItsDeadline)
+{
+    constexpr milliseconds block{600};
+    setMoods(UpstreamMood::Hangs);
+    // The process is behind: it learns by how much from the first block, reads during the second.
+    const auto blockTraffic = [&] {
+        asio::post(contexts->nextTraffic(), [block] { std::this_thread::sleep_for(block); });
+    };
+    blockTraffic();
+    std::this_thread::sleep_for(block + milliseconds(20));
+    blockTraffic();
+    const auto sentAt = std::chrono::steady_clock::now();
+    const std::string late = std::regex_replace(
+        request("/read/x", "Api-Key: k1\r\n"), std::regex("Deadline-Ms: \\d+"), "Deadline-Ms: 800");
+    const ClientAnswer answer = parseAnswer(exchange(callerPort, late));
+    const auto took = std::chrono::steady_clock::now() - sentAt;
+    BOOST_TEST(answer.status == 504);
+    // Without the time unread it takes the block and the whole deadline.
+    BOOST_TEST(toMs(took) < toMs(block) + 800 - 150);
+}
+
 BOOST_AUTO_TEST_CASE(aDeadlineIsAnsweredInTime)
 {
     setMoods(UpstreamMood::Hangs);
