--- a/tools/soak/SoakRun.cpp
+++ b/tools/soak/SoakRun.cpp
@@ -12,6 +12,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <optional>
 
 namespace tamarack::soak {
 
@@ -41,6 +42,50 @@
 constexpr milliseconds leavingBeforeRemoval{4000};
 constexpr int readyStatus = 200;
 
+std::optional<StoreMood> storeMood(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::StoreUnavailable:
+        return StoreMood::Unavailable;
+    case FaultKind::StoreBusy:
+        return StoreMood::Busy;
+    case FaultKind::StoreSilent:
+        return StoreMood::Silent;
+    default:
+        return std::nullopt;
+    }
+}
+
+std::optional<LinkFault> storeLinkFault(const Fault &fault)
+{
+    switch (fault.kind) {
+    case FaultKind::StoreLinkRefused:
+        return LinkFault::Refused;
+    case FaultKind::StoreLinkSilent:
+        return LinkFault::Silent;
+    case FaultKind::StoreLinkOneWay:
+        return fault.variant % 2 == 0 ? LinkFault::SilentForward : LinkFault::SilentBackward;
+    case FaultKind::StoreLinkSlow:
+        return LinkFault::Slow;
+    default:
+        return std::nullopt;
+    }
+}
+
+std::optional<LinkFault> upstreamLinkFault(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::UpstreamCrashed:
+        return LinkFault::Refused;
+    case FaultKind::UpstreamSilent:
+        return LinkFault::Silent;
+    case FaultKind::UpstreamSlow:
+        return LinkFault::Slow;
+    default:
+        return std::nullopt;
+    }
+}
+
 tcp::endpoint onLoopback(unsigned short port)
 {
     return {asio::ip::make_address("127.0.0.1"), port};
@@ -318,66 +363,39 @@
     {
         ++m_playing;
         co_await pause(fault.at);
-        Entry &entry = *m_entries.at(fault.target % entryCount);
-        Upstream &upstream = *m_upstreams.at(fault.target % upstreamCount);
-        switch (fault.kind) {
-        case FaultKind::EntryKilled:
-        case FaultKind::EntryPaused:
-        case FaultKind::EntryStopped:
-        case FaultKind::EntryReloaded:
-            co_await disturbProcess(fault, entry);
-            break;
-        case FaultKind::StoreUnavailable:
-            co_await disturbStore(fault, StoreMood::Unavailable);
-            break;
-        case FaultKind::StoreBusy:
-            co_await disturbStore(fault, StoreMood::Busy);
-            break;
-        case FaultKind::StoreSilent:
-            co_await disturbStore(fault, StoreMood::Silent);
-            break;
-        case FaultKind::StoreForgets:
-            m_store.with([](standin::PlatformStore &store) { store.compact(); });
-            break;
-        case FaultKind::StoreLinkRefused:
-            co_await disturbLink(fault, entry.storeLink, LinkFault::Refused);
-            break;
-        case FaultKind::StoreLinkSilent:
-            co_await disturbLink(fault, entry.storeLink, LinkFault::Silent);
-            break;
-        case FaultKind::StoreLinkOneWay:
-            co_await disturbLink(fault, entry.storeLink,
-                                 fault.variant % 2 == 0 ? LinkFault::SilentForward
-                                                        : LinkFault::SilentBackward);
-            break;
-        case FaultKind::StoreLinkSlow:
-            co_await disturbLink(fault, entry.storeLink, LinkFault::Slow);
-            break;
-        case FaultKind::UpstreamCrashed:
-            co_await disturbLink(fault, upstream.link, LinkFault::Refused);
-            break;
-        case FaultKind::UpstreamSilent:
-            co_await disturbLink(fault, upstream.link, LinkFault::Silent);
-            break;
-        case FaultKind::UpstreamSlow:
-            co_await disturbLink(fault, upstream.link, LinkFault::Slow);
-            break;
-        case FaultKind::UpstreamReset:
-            resetUpstream(upstream);
-            break;
-        case FaultKind::UpstreamMisbehaves:
-            co_await misbehave(fault, upstream);
-            break;
-        case FaultKind::UpstreamLeaves:
-            co_await leave(fault, upstream);
-            break;
-        case FaultKind::KeyChanged:
-            changeKey();
-            break;
-        }
+        if (const auto mood = storeMood(fault.kind))
+            co_await disturbStore(fault, *mood);
+        else if (const auto linkFault = storeLinkFault(fault))
+            co_await disturbLink(fault, entryOf(fault).storeLink, *linkFault);
+        else if (const auto upstreamFault = upstreamLinkFault(fault.kind))
+            co_await disturbLink(fault, upstreamOf(fault).link, *upstreamFault);
+        else
+            co_await playOther(fault);
         --m_playing;
     }
 
+    asio::awaitable<void> playOther(const Fault &fault)
+    {
+        if (fault.kind == FaultKind::UpstreamMisbehaves)
+            co_await misbehave(fault, upstreamOf(fault));
+        else if (fault.kind == FaultKind::UpstreamLeaves)
+            co_await leave(fault, upstreamOf(fault));
+        else if (fault.kind == FaultKind::UpstreamReset)
+            resetUpstream(upstreamOf(fault));
+        else if (fault.kind == FaultKind::KeyChanged)
+            changeKey();
+        else if (fault.kind == FaultKind::StoreForgets)
+            m_store.with([](standin::PlatformStore &store) { store.compact(); });
+        else
+            co_await disturbProcess(fault, entryOf(fault));
+    }
+
+    Entry &entryOf(const Fault &fault) { return *m_entries.at(fault.target % entryCount); }
+    Upstream &upstreamOf(const Fault &fault)
+    {
+        return *m_upstreams.at(fault.target % upstreamCount);
+    }
+
     asio::awaitable<void> disturbProcess(const Fault &fault, Entry &entry)
     {
         if (fault.kind == FaultKind::EntryReloaded) {
