--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -256,6 +256,19 @@
     BOOST_TEST(!upstreamA.seen().empty());
 }
 
+BOOST_AUTO_TEST_CASE(aStreamThatEndsInsideAnEventGoesOnElsewhere)
+{
+    upstreamA.mood = UpstreamMood::EndsInEvent;
+    for (int i = 0; i < 4; ++i) {
+        const ClientAnswer answer = call("/stream/x");
+        BOOST_TEST(eventsOf(answer.body) == "12345");
+        BOOST_TEST(answer.whole);
+    }
+    BOOST_TEST(!upstreamA.seen().empty());
+    setMoods(UpstreamMood::EndsInEvent);
+    BOOST_TEST(!call("/stream/x").whole);
+}
+
 BOOST_AUTO_TEST_CASE(aStreamThatCannotGoOnDoesNotLookWhole)
 {
     setMoods(UpstreamMood::Breaks);
--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -96,6 +96,10 @@
             exchange.abort();
             co_return;
         }
+        if (mood == UpstreamMood::EndsInEvent && id > eventsBeforeBreak) {
+            co_await exchange.write(eventText(id, requestId).substr(0, 9));
+            break;
+        }
         const std::string event = eventText(id, requestId);
         co_await exchange.write(event);
         co_await pause(milliseconds(eventPauseMs));
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -16,6 +16,8 @@
     Well,
     /// Ends a stream in the middle of its third event, or any other answer before its head.
     Breaks,
+    /// Ends a stream in the middle of its third event, with the last chunk of a whole answer.
+    EndsInEvent,
     /// Refuses without running.
     NotExecuted,
     Fails,
