--- a/src/base/Time.h
+++ b/src/base/Time.h
@@ -16,4 +16,10 @@
     return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
+/// Milliseconds with their fraction.
+inline double toFractionalMs(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 } // namespace tamarack
--- a/src/direct/AnswerRelay.h
+++ b/src/direct/AnswerRelay.h
@@ -42,7 +42,6 @@
     /// Part of the answer has been sent.
     bool started() const { return m_started; }
     const EventScanner &events() const { return m_events; }
-    HttpExchange &exchange() { return m_exchange; }
 
 private:
     HttpExchange &m_exchange;
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -134,7 +134,7 @@
     QueuedRequest request;
     request.ticket = m_ticket;
     request.service = m_admitted.service;
-    request.rank = queueRank(m_admitted.tier, m_admitted.route.tier);
+    request.rank = rank();
     request.promptTokens = m_facts.promptTokens.value_or(0);
     request.answerEvents = m_expectedEvents;
     request.deadlineAt = m_endAt;
@@ -190,7 +190,7 @@
     if (!prefilled)
         m_state.upstreams.firstToken(upstream, m_assignment->freshTokens);
     m_state.upstreams.ended(upstream);
-    m_state.queue.ended(m_admitted.service, queueRank(m_admitted.tier, m_admitted.route.tier));
+    m_state.queue.ended(m_admitted.service, rank());
     m_state.pump();
 }
 
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -57,6 +57,7 @@
     void logEnd(std::string_view outcome, int status);
 
     Duration timeLeft() const;
+    QueueRank rank() const { return queueRank(m_admitted.tier, m_admitted.route.tier); }
     bool isStream() const { return m_admitted.route.kind == RequestKind::Stream; }
 
     TrafficState &m_state;
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -196,9 +196,10 @@
 
 void TrafficState::tick(TimePoint now, Duration lateness)
 {
+    const bool wasBehind = m_lateness > lateTick;
     m_lateness = std::max(Duration::zero(), lateness);
     const bool behind = m_lateness > lateTick;
-    if (behind != std::exchange(m_behind, behind))
+    if (behind != wasBehind)
         logEvent(LogLevel::Warning, behind ? "traffic_behind" : "traffic_caught_up",
                  {{"late_ms", toMs(m_lateness)}, {"waiting", queue.size()}});
     quotas.setHeardShare(peers.heardShare(now), now);
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -114,7 +114,6 @@
     boost::asio::steady_timer m_peerTimer;
     bool m_peersChanged = false;
     Duration m_lateness{};
-    bool m_behind = false;
     std::set<std::string> m_heard;
     TimePoint m_refusalAt = TimePoint::max();
     Ticket m_lastTicket = 0;
--- a/src/direct/UpstreamConnection.cpp
+++ b/src/direct/UpstreamConnection.cpp
@@ -1,6 +1,7 @@
 #include "direct/UpstreamConnection.h"
 
 #include "base/AsioPch.h"
+#include "http/HeaderCopy.h"
 #include "http/SocketOptions.h"
 
 #include <array>
@@ -105,11 +106,7 @@
         const int status = static_cast<int>(p.parser->get().result_int());
         if (status < firstFinalStatus)
             continue;
-        UpstreamHead head;
-        head.status = status;
-        for (const auto &field : p.parser->get())
-            head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-        co_return head;
+        co_return UpstreamHead{status, toHeaders(p.parser->get())};
     }
 }
 
@@ -142,12 +139,7 @@
 
 bool UpstreamConnection::stale()
 {
-    auto &socket = m_private->stream.socket();
-    beast::error_code error;
-    char byte = 0;
-    socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error != asio::error::would_block;
+    return peekSocket(m_private->stream.socket()) != Peeked::Nothing;
 }
 
 void UpstreamConnection::close()
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpClient.h"
 
 #include "base/AsioPch.h"
+#include "http/HeaderCopy.h"
 #include "http/SocketOptions.h"
 
 #include <map>
@@ -36,15 +37,6 @@
     return message;
 }
 
-template <typename Fields>
-HttpHeaders toHeaders(const Fields &fields)
-{
-    HttpHeaders headers;
-    for (const auto &field : fields)
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    return headers;
-}
-
 Error toError(beast::error_code error, std::string_view step)
 {
     const auto kind = error == beast::error::timeout ? ErrorKind::Timeout : ErrorKind::IoFailed;
@@ -68,11 +60,7 @@
 /// A kept connection is stale once the server has closed it or sent something unasked.
 bool isStale(beast::tcp_stream &stream)
 {
-    beast::error_code error;
-    char byte = 0;
-    stream.socket().non_blocking(true, error);
-    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error != asio::error::would_block;
+    return peekSocket(stream.socket()) != Peeked::Nothing;
 }
 
 } // namespace
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -2,6 +2,8 @@
 
 #include "base/AsioPch.h"
 #include "base/Log.h"
+#include "http/HeaderCopy.h"
+#include "http/SocketOptions.h"
 
 #include <algorithm>
 #include <atomic>
@@ -33,8 +35,7 @@
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
-    for (const auto &field : message)
-        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    request.headers = toHeaders(message);
     request.body = std::move(message.body());
     return request;
 }
@@ -216,7 +217,8 @@
     }
 
 private:
-    enum class Peeked : std::uint8_t { Nothing, Bytes, End };
+    /// What the client sent next. Bytes can be a pipelined request.
+    Peeked peek() { return peekSocket(beast::get_lowest_layer(m_stream).socket()); }
 
     asio::awaitable<bool> handshake()
     {
@@ -376,19 +378,6 @@
         callback();
     }
 
-    /// What the connection holds next. Bytes can be a pipelined request.
-    Peeked peek()
-    {
-        beast::error_code error;
-        char byte = 0;
-        auto &socket = beast::get_lowest_layer(m_stream).socket();
-        socket.non_blocking(true, error);
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        if (error == asio::error::would_block)
-            return Peeked::Nothing;
-        return error ? Peeked::End : Peeked::Bytes;
-    }
-
     void arm(int timeoutMs)
     {
         beast::get_lowest_layer(m_stream).expires_after(std::chrono::milliseconds(timeoutMs));
--- a/src/http/SocketOptions.cpp
+++ b/src/http/SocketOptions.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <netinet/tcp.h>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+
 namespace tamarack {
 
 namespace {
@@ -27,4 +30,15 @@
     socket.set_option(IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(bound), ignored);
 }
 
+Peeked peekSocket(boost::asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code error;
+    char byte = 0;
+    socket.non_blocking(true, error);
+    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
+    if (error == boost::asio::error::would_block)
+        return Peeked::Nothing;
+    return error ? Peeked::End : Peeked::Bytes;
+}
+
 } // namespace tamarack
--- a/src/http/SocketOptions.h
+++ b/src/http/SocketOptions.h
@@ -2,6 +2,8 @@
 
 #include "base/Time.h"
 
+#include <cstdint>
+
 #include <boost/asio/ip/tcp.hpp>
 
 namespace tamarack {
@@ -10,4 +12,9 @@
 /// `silence`: data not acknowledged, or keep-alive probes not answered.
 void tuneSocket(boost::asio::ip::tcp::socket &socket, milliseconds silence);
 
+enum class Peeked : std::uint8_t { Nothing, Bytes, End };
+
+/// What the connection holds next, without taking it. Makes the socket non-blocking.
+Peeked peekSocket(boost::asio::ip::tcp::socket &socket);
+
 } // namespace tamarack
--- a/src/serving/CrashLedger.cpp
+++ b/src/serving/CrashLedger.cpp
@@ -14,8 +14,8 @@
 
 void CrashLedger::learn(const ToldCrash &told, TimePoint now)
 {
-    if (told.age < retention && m_rows.try_emplace(told.row, now - told.age).second)
-        updateQuarantines();
+    if (told.age < retention)
+        add(told.row, now - told.age);
 }
 
 bool CrashLedger::isQuarantined(RequestFingerprint fingerprint, TimePoint now) const
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -38,11 +38,6 @@
 constexpr double returnSpreadShare = 0.17;
 constexpr milliseconds shortestReturn{200};
 
-double toMilliseconds(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 std::uint64_t mix(std::uint64_t a, std::uint64_t b)
 {
     std::uint64_t x = a ^ (b * 0x9E3779B97F4A7C15ULL);
@@ -248,7 +243,7 @@
     if (onTimeAtAll && now + firstToken > request.objectiveAt)
         cost += lateFirstTokenMs;
     if (whole * 1.0 > (request.deadlineAt - now) * deadlineUse)
-        cost += toMilliseconds(whole);
+        cost += toFractionalMs(whole);
     return cost;
 }
 
@@ -268,7 +263,7 @@
     choice.predicted =
         model.predict(upstream->factor, upstream->prefillTokens() + choice.freshTokens);
     const double filled = static_cast<double>(upstream->inFlight()) / upstream->record.slots;
-    choice.costMs = toMilliseconds(choice.predicted) + filled * upstream->factor * fullEngineMs;
+    choice.costMs = toFractionalMs(choice.predicted) + filled * upstream->factor * fullEngineMs;
     choice.costMs += lateCost(request, *upstream, choice.predicted, now);
     if (upstream->engine && upstream->factor <= speeds.fastFactor)
         choice.costMs += fastPlaceMs * speeds.fastTaken * speeds.fastTaken;
--- a/src/serving/EngineTimeModel.cpp
+++ b/src/serving/EngineTimeModel.cpp
@@ -22,11 +22,6 @@
 constexpr double eventShare = 0.05;
 constexpr std::uint32_t fewestEvents = 4;
 
-double toMilliseconds(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 Duration fromMilliseconds(double ms)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
@@ -46,12 +41,12 @@
 
 double EngineTimeModel::learn(double factor, std::uint32_t tokens, Duration took)
 {
-    const double predicted = toMilliseconds(nominal(tokens));
-    const double ratio = toMilliseconds(took) / predicted;
+    const double predicted = toFractionalMs(nominal(tokens));
+    const double ratio = toFractionalMs(took) / predicted;
     const double bounded = std::clamp(ratio, lowestFactor, factor * largestRatio);
     const double newFactor =
         std::clamp(factor + factorShare * (bounded - factor), lowestFactor, highestFactor);
-    const double time = std::min(toMilliseconds(took) / factor, predicted * largestRatio);
+    const double time = std::min(toFractionalMs(took) / factor, predicted * largestRatio);
     m_sums.weight = m_sums.weight * fading + 1;
     m_sums.tokens = m_sums.tokens * fading + tokens;
     m_sums.squares = m_sums.squares * fading + static_cast<double>(tokens) * tokens;
@@ -70,7 +65,7 @@
 {
     if (events < fewestEvents)
         return;
-    const double sample = toMilliseconds(took) / events / factor;
+    const double sample = toFractionalMs(took) / events / factor;
     m_msPerEvent += eventShare * (std::min(sample, m_msPerEvent * largestRatio) - m_msPerEvent);
 }
 
--- a/src/serving/QuotaLedger.cpp
+++ b/src/serving/QuotaLedger.cpp
@@ -18,9 +18,7 @@
                                   const std::vector<QuotaUse> &now)
 {
     std::vector<QuotaUse> changed;
-    std::ranges::copy_if(now, std::back_inserter(changed), [&before](const QuotaUse &use) {
-        return std::ranges::find(before, use) == before.end();
-    });
+    std::ranges::set_difference(now, before, std::back_inserter(changed));
     return changed;
 }
 
--- a/src/serving/QuotaLedger.h
+++ b/src/serving/QuotaLedger.h
@@ -18,10 +18,11 @@
     std::string workspace;
     double total = 0;
 
-    bool operator==(const QuotaUse &) const = default;
+    auto operator<=>(const QuotaUse &) const = default;
 };
 
-/// The uses in `now` that `before` lacks or tells otherwise.
+/// The uses in `now` that `before` lacks or tells otherwise. Both by workspace, each once, in
+/// order.
 std::vector<QuotaUse> changedUses(const std::vector<QuotaUse> &before,
                                   const std::vector<QuotaUse> &now);
 
@@ -60,6 +61,7 @@
     /// Share of the known entries that are heard, this one included.
     void setHeardShare(double share, TimePoint now);
 
+    /// By workspace, in order.
     std::vector<QuotaUse> uses() const;
 
 private:
--- a/tests/ServingBudgetsTest.cpp
+++ b/tests/ServingBudgetsTest.cpp
@@ -58,6 +58,15 @@
     BOOST_TEST(taken >= 1000 * 8 * 0.9);
 }
 
+BOOST_AUTO_TEST_CASE(changedUsesAreThoseThatAreNewOrOther)
+{
+    const std::vector<QuotaUse> before{{"a", 1}, {"b", 2}, {"d", 4}};
+    const std::vector<QuotaUse> now{{"a", 1}, {"b", 5}, {"c", 3}, {"d", 4}};
+    const std::vector<QuotaUse> expected{{"b", 5}, {"c", 3}};
+    BOOST_TEST((changedUses(before, now) == expected));
+    BOOST_TEST((changedUses({}, now) == now));
+}
+
 // fleetbench quiet-1: a workspace whose quota was lowered got less than the quota of a window.
 BOOST_AUTO_TEST_CASE(aSteadyOverloadGetsTheQuotaOfEachWindowAndNoMore)
 {
--- a/tools/soak/Disturbances.cpp
+++ b/tools/soak/Disturbances.cpp
@@ -20,18 +20,12 @@
     m_spans.at(handle).to = now;
 }
 
-bool Disturbances::touched(Scope scope, std::size_t index, TimePoint from, TimePoint to,
-                           Duration aftermath) const
-{
-    return std::ranges::any_of(m_spans, [&](const Span &span) {
-        return span.scope == scope && span.index == index && span.overlaps(from, to, aftermath);
-    });
-}
-
-bool Disturbances::anyTouched(Scope scope, TimePoint from, TimePoint to, Duration aftermath) const
+bool Disturbances::touched(Scope scope, std::optional<std::size_t> index, TimePoint from,
+                           TimePoint to, Duration aftermath) const
 {
     return std::ranges::any_of(m_spans, [&](const Span &span) {
-        return span.scope == scope && span.overlaps(from, to, aftermath);
+        return span.scope == scope && (!index || span.index == *index)
+               && span.overlaps(from, to, aftermath);
     });
 }
 
@@ -40,7 +34,7 @@
 {
     return !touched(Scope::Process, entry, from, to, aftermath)
            && !touched(Scope::StoreLink, entry, from, to, aftermath)
-           && !anyTouched(Scope::Store, from, to, aftermath);
+           && !touched(Scope::Store, std::nullopt, from, to, aftermath);
 }
 
 } // namespace tamarack::soak
--- a/tools/soak/Disturbances.h
+++ b/tools/soak/Disturbances.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace tamarack::soak {
@@ -21,12 +22,10 @@
     Handle begin(Scope scope, std::size_t index, TimePoint now);
     void end(Handle handle, TimePoint now);
 
-    /// Whether the part was disturbed at some time from `from` to `to`; a disturbance counts for
-    /// `aftermath` beyond its end.
-    bool touched(Scope scope, std::size_t index, TimePoint from, TimePoint to,
+    /// Whether the part, or any of the scope, was disturbed at some time from `from` to `to`; a
+    /// disturbance counts for `aftermath` beyond its end.
+    bool touched(Scope scope, std::optional<std::size_t> index, TimePoint from, TimePoint to,
                  Duration aftermath = {}) const;
-    /// The same for any part of the scope.
-    bool anyTouched(Scope scope, TimePoint from, TimePoint to, Duration aftermath = {}) const;
     /// Whether an entry ran and had a sound way to the store all the time.
     bool inTouch(std::size_t entry, TimePoint from, TimePoint to, Duration aftermath) const;
 
--- a/tools/soak/FaultPlan.cpp
+++ b/tools/soak/FaultPlan.cpp
@@ -8,17 +8,11 @@
 
 namespace {
 
-constexpr std::array names{
-    std::string_view("entry_killed"),        std::string_view("entry_paused"),
-    std::string_view("entry_stopped"),       std::string_view("entry_reloaded"),
-    std::string_view("store_unavailable"),   std::string_view("store_busy"),
-    std::string_view("store_silent"),        std::string_view("store_forgets"),
-    std::string_view("store_link_refused"),  std::string_view("store_link_silent"),
-    std::string_view("store_link_one_way"),  std::string_view("store_link_slow"),
-    std::string_view("upstream_crashed"),    std::string_view("upstream_silent"),
-    std::string_view("upstream_slow"),       std::string_view("upstream_reset"),
-    std::string_view("upstream_misbehaves"), std::string_view("upstream_leaves"),
-    std::string_view("key_changed")};
+constexpr auto names = std::to_array<std::string_view>(
+    {"entry_killed", "entry_paused", "entry_stopped", "entry_reloaded", "store_unavailable",
+     "store_busy", "store_silent", "store_forgets", "store_link_refused", "store_link_silent",
+     "store_link_one_way", "store_link_slow", "upstream_crashed", "upstream_silent",
+     "upstream_slow", "upstream_reset", "upstream_misbehaves", "upstream_leaves", "key_changed"});
 
 /// A run draws its faults from a few kinds, so that some runs leave the store, or the upstreams,
 /// alone and the checks that need them apply.
--- a/tools/soak/Promises.cpp
+++ b/tools/soak/Promises.cpp
@@ -136,7 +136,8 @@
     if (answer.timedOut)
         return broken(call, "no answer long after its deadline");
     if (answer.status == okStatus) {
-        const bool excused = m_disturbances.anyTouched(Scope::Upstream, call.sentAt, now);
+        const bool excused =
+            m_disturbances.touched(Scope::Upstream, std::nullopt, call.sentAt, now);
         return excused ? void() : broken(call, "its answer was cut");
     }
     const auto stops = m_stopsAt.find(entry);
