--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -178,11 +178,29 @@
         co_return true;
     if (m_assignment)
         releaseUpstream();
+    if (wait->refusal)
+        logRefusal(*wait->refusal);
     const Duration retryAfter = wait->refusal ? wait->refusal->retryAfter : unprovedReturn;
     co_await answerUnserved(proved ? ErrorKind::Overloaded : ErrorKind::ConfigUnproved, retryAfter);
     co_return false;
 }
 
+void RequestFlow::logRefusal(const QueueRefusal &refusal) const
+{
+    const RefusalFacts &facts = refusal.facts;
+    logEvent(LogLevel::Info, "queue_refused",
+             {{"request", m_facts.id},
+              {"service", m_admitted.service},
+              {"tier", static_cast<int>(m_admitted.tier)},
+              {"route_tier", static_cast<int>(m_admitted.route.tier)},
+              {"reason", facts.waitOver ? "wait_over" : "not_reached"},
+              {"free", facts.freePlaces},
+              {"reserve", facts.reserve},
+              {"ahead", facts.ahead},
+              {"starts_per_s", facts.startsPerSecond},
+              {"retry_after_ms", toMs(refusal.retryAfter)}});
+}
+
 void RequestFlow::releaseUpstream()
 {
     UpstreamState &upstream = *m_assignment->upstream;
@@ -363,6 +381,9 @@
     const auto proofAge = m_state.freshness.age(bootNow());
     const std::string tier = fmt::format("tier=\"{}\"", m_admitted.tier);
     m_state.metrics.add("tamarack_requests_total", fmt::format("outcome=\"{}\"", outcome));
+    m_state.metrics.add("tamarack_ranked_requests_total",
+                        fmt::format("service=\"{}\",{},route_tier=\"{}\",outcome=\"{}\"",
+                                    m_admitted.service, tier, m_admitted.route.tier, outcome));
     m_state.metrics.observe("tamarack_request_seconds", tier,
                             std::chrono::duration<double>(now - m_arrivedAt).count());
     if (m_firstToken)
@@ -373,6 +394,7 @@
               {"route", m_admitted.route.name},
               {"workspace", m_admitted.workspace},
               {"tier", static_cast<int>(m_admitted.tier)},
+              {"route_tier", static_cast<int>(m_admitted.route.tier)},
               {"config", m_admitted.configVersion},
               {"proof_age_ms", proofAge ? proofAge->count() : -1},
               {"prompt", m_facts.promptTokens.value_or(0)},
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -39,6 +39,7 @@
     /// False when the request ends without an upstream; it has been answered.
     boost::asio::awaitable<bool> waitForUpstream();
     void releaseUpstream();
+    void logRefusal(const QueueRefusal &refusal) const;
     /// Ends a request whose wait ended without an upstream.
     boost::asio::awaitable<void> answerUnserved(ErrorKind reason, Duration retryAfter);
     QueuedRequest queuedRequest() const;
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -112,8 +112,8 @@
             assign(*request, choice, now, decisions);
             --free;
         } else if (isHopeless(*request, view, now)) {
+            decisions.refusals.push_back(refuse(*request, view, free, now));
             ++view.ahead;
-            decisions.refusals.push_back({request->ticket, retryAfter(*request, now)});
         } else {
             ++view.ahead;
             continue;
@@ -154,6 +154,14 @@
            >= std::max(fewestWaiting, view.startsPerSecond * secondsLeft);
 }
 
+QueueRefusal DispatchQueue::refuse(const QueuedRequest &request, const RankView &view,
+                                   int freePlaces, TimePoint now)
+{
+    const RefusalFacts facts{now >= request.refuseAt, freePlaces, view.reserve, view.ahead,
+                             view.startsPerSecond};
+    return {request.ticket, retryAfter(request, now), facts};
+}
+
 void DispatchQueue::assign(const QueuedRequest &request, const Choice &choice, TimePoint now,
                            QueueDecisions &decisions)
 {
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -62,12 +62,28 @@
     Duration predicted{};
 };
 
+/// What a request is refused on.
+struct RefusalFacts
+{
+    /// Its wait is over; otherwise it would not be reached in time.
+    bool waitOver = false;
+    /// Places left at the upstreams of its service, by the loads as last told.
+    int freePlaces = 0;
+    /// Those that its rank leaves to higher ones.
+    int reserve = 0;
+    /// Requests of its rank that wait before it at this entry.
+    std::size_t ahead = 0;
+    /// Recent starts of its rank at this entry.
+    double startsPerSecond = 0;
+};
+
 /// A request that has waited as long as it may.
 struct QueueRefusal
 {
     Ticket ticket = 0;
     /// When room for it is expected.
     Duration retryAfter{};
+    RefusalFacts facts;
 };
 
 struct QueueDecisions
@@ -168,6 +184,8 @@
     static RankView viewRank(QueueRank rank, const Line &line, TimePoint now);
     /// Whether a request will not be reached in time behind those of its rank.
     static bool isHopeless(const QueuedRequest &request, const RankView &view, TimePoint now);
+    static QueueRefusal refuse(const QueuedRequest &request, const RankView &view, int freePlaces,
+                               TimePoint now);
     /// Places that a request of the rank leaves free: for those that rank above it.
     static int reserve(QueueRank rank, const Line &line);
     Choice choose(const QueuedRequest &request, TimePoint now) const;
--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -504,6 +504,7 @@
     const std::string text =
         exchange(adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     BOOST_TEST(text.find("tamarack_requests_total{outcome=\"served\"} 1") != std::string::npos);
+    BOOST_TEST(text.find("tamarack_ranked_requests_total{service=\"") != std::string::npos);
     BOOST_TEST(text.find("tamarack_request_seconds_bucket") != std::string::npos);
 }
 
--- /dev/null
+++ b/tests/support/QueueLoad.cpp
@@ -0,0 +1,212 @@
+#include "support/QueueLoad.h"
+
+#include <numeric>
+#include <unordered_map>
+
+namespace tamarack::harness {
+
+namespace {
+
+const std::string service = "models";
+/// Times of an engine that runs one request of each slot.
+constexpr double firstTokenMs = 90;
+constexpr double promptTokenMs = 0.012;
+constexpr double eventMs = 20;
+constexpr milliseconds pauseBound{250};
+/// Clients follow a `Retry-After` up to this part of the time that they have left.
+constexpr double followedShare = 1.0 / 3;
+
+Duration fromMs(double ms)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+UpstreamRecord engineRecord(int number, int slots)
+{
+    UpstreamRecord record;
+    record.id = "engine-" + std::to_string(number);
+    record.service = service;
+    record.dataCentre = "dc";
+    record.slots = slots;
+    return record;
+}
+
+} // namespace
+
+QueueLoad::QueueLoad(QueueLoadOptions options, std::vector<LoadKind> kinds)
+    : m_options(options)
+    , m_kinds(std::move(kinds))
+    , m_counts(m_kinds.size())
+    , m_random(options.seed)
+{
+    std::vector<UpstreamRecord> records;
+    for (int i = 0; i < options.upstreams; ++i)
+        records.push_back(engineRecord(i, options.slots));
+    for (const UpstreamRecord &record : records)
+        m_engines[upstreamKey(record)];
+    for (int i = 0; i < options.entries; ++i) {
+        auto entry = std::make_unique<Entry>();
+        entry->upstreams.setEngines({service});
+        entry->upstreams.assign(records);
+        entry->queue = std::make_unique<DispatchQueue>(entry->upstreams, "dc");
+        m_entries.push_back(std::move(entry));
+    }
+}
+
+void QueueLoad::run(Duration length)
+{
+    m_arrivalsEnd = m_now + length;
+    for (std::size_t kind = 0; kind < m_kinds.size(); ++kind)
+        after(Duration::zero(), [this, kind] { arrive(kind); });
+    for (std::size_t i = 0; i < m_entries.size(); ++i)
+        after(m_options.toldEvery * i / m_entries.size(), [this, i] { tell(*m_entries[i]); });
+    while (!m_events.empty()) {
+        auto next = m_events.extract(m_events.begin());
+        m_now = next.key();
+        next.mapped()();
+    }
+}
+
+LoadCount QueueLoad::total() const
+{
+    return std::accumulate(m_counts.begin(), m_counts.end(), LoadCount{},
+                           [](LoadCount sum, const LoadCount &each) {
+                               sum.asked += each.asked;
+                               sum.served += each.served;
+                               sum.onTime += each.onTime;
+                               return sum;
+                           });
+}
+
+void QueueLoad::after(Duration delay, std::function<void()> what)
+{
+    m_events.emplace(m_now + delay, std::move(what));
+}
+
+void QueueLoad::arrive(std::size_t kind)
+{
+    if (m_now >= m_arrivalsEnd)
+        return;
+    const LoadKind &load = m_kinds[kind];
+    std::exponential_distribution<double> pause(load.perSecond / 1000);
+    std::exponential_distribution<double> length(1 / load.events);
+    after(fromMs(pause(m_random)), [this, kind] { arrive(kind); });
+    ++m_counts[kind].asked;
+    const auto events = static_cast<std::uint32_t>(1 + length(m_random));
+    submit({kind, events, m_now, m_now + load.deadline, false});
+}
+
+void QueueLoad::submit(Call call)
+{
+    Entry &entry = *m_entries[m_random() % m_entries.size()];
+    const LoadKind &kind = m_kinds[call.kind];
+    QueuedRequest request;
+    request.ticket = ++m_lastTicket;
+    request.service = service;
+    request.rank = kind.rank;
+    request.promptTokens = kind.promptTokens;
+    request.answerEvents = call.events;
+    request.arrived = call.arrivedAt;
+    request.objectiveAt = call.arrivedAt + kind.objective;
+    request.deadlineAt = call.deadlineAt;
+    request.refuseAt = refusalTime(
+        {m_now, kind.objective, pauseBound, true, call.deadlineAt - m_now, m_now - call.arrivedAt});
+    after(request.refuseAt - m_now, [this, &entry] { pump(entry); });
+    entry.calls.emplace(request.ticket, call);
+    entry.queue->push(std::move(request));
+    pump(entry);
+}
+
+void QueueLoad::pump(Entry &entry)
+{
+    const QueueDecisions decisions = entry.queue->decide(m_now);
+    for (const Assignment &assignment : decisions.assignments)
+        start(entry, assignment);
+    for (const QueueRefusal &refusal : decisions.refusals) {
+        auto refused = entry.calls.extract(refusal.ticket);
+        comeBack(refused.mapped(), refusal.retryAfter);
+    }
+}
+
+void QueueLoad::start(Entry &entry, const Assignment &assignment)
+{
+    const Call call = entry.calls.extract(assignment.ticket).mapped();
+    const UpstreamPtr upstream = assignment.upstream;
+    const std::uint32_t freshTokens = assignment.freshTokens;
+    Engine &engine = m_engines[upstream->key];
+    auto begin = [this, &entry, call, upstream, freshTokens] {
+        execute(entry, call, upstream, freshTokens);
+    };
+    if (engine.running >= m_options.slots)
+        engine.waiting.push_back(std::move(begin));
+    else
+        begin();
+}
+
+void QueueLoad::execute(Entry &entry, const Call &call, const UpstreamPtr &upstream,
+                        std::uint32_t freshTokens)
+{
+    Engine &engine = m_engines[upstream->key];
+    ++engine.running;
+    const LoadKind &kind = m_kinds[call.kind];
+    const Duration first = fromMs(firstTokenMs + promptTokenMs * freshTokens);
+    const TimePoint firstAt = m_now + first;
+    after(first,
+          [&entry, upstream, freshTokens] { entry.upstreams.firstToken(*upstream, freshTokens); });
+    after(first + fromMs(eventMs * call.events), [this, &entry, &engine, &kind, call, upstream,
+                                                  firstAt] {
+        LoadCount &count = m_counts[call.kind];
+        count.served += m_now <= call.deadlineAt;
+        count.onTime += m_now <= call.deadlineAt && firstAt <= call.arrivedAt + kind.objective;
+        entry.upstreams.ended(*upstream);
+        entry.queue->ended(service, kind.rank);
+        --engine.running;
+        if (!engine.waiting.empty()) {
+            const auto next = std::move(engine.waiting.front());
+            engine.waiting.pop_front();
+            next();
+        }
+        pump(entry);
+    });
+}
+
+void QueueLoad::comeBack(Call call, Duration retryAfter)
+{
+    const Duration left = call.deadlineAt - m_now;
+    if (call.returned || retryAfter > left * followedShare)
+        return;
+    call.returned = true;
+    after(retryAfter, [this, call] { submit(call); });
+}
+
+void QueueLoad::tell(Entry &entry)
+{
+    entry.toldLoads = entry.upstreams.ownLoads();
+    entry.toldDemand = entry.queue->demand();
+    for (const auto &other : m_entries)
+        if (other.get() != &entry)
+            hear(*other);
+    const bool idle = m_now >= m_arrivalsEnd && entry.calls.empty() && entry.toldLoads.empty();
+    if (!idle)
+        after(m_options.toldEvery, [this, &entry] { tell(entry); });
+}
+
+void QueueLoad::hear(Entry &entry)
+{
+    std::unordered_map<UpstreamKey, UpstreamLoad> loads;
+    std::vector<QueueDemand> demand;
+    for (const auto &other : m_entries) {
+        if (other.get() == &entry)
+            continue;
+        for (const auto &[key, load] : other->toldLoads) {
+            loads[key].inFlight += load.inFlight;
+            loads[key].prefillTokens += load.prefillTokens;
+        }
+        demand.insert(demand.end(), other->toldDemand.begin(), other->toldDemand.end());
+    }
+    entry.upstreams.setOthers(loads);
+    entry.queue->setPeerDemand(demand);
+    pump(entry);
+}
+
+} // namespace tamarack::harness
--- /dev/null
+++ b/tests/support/QueueLoad.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "base/Time.h"
+#include "serving/DispatchQueue.h"
+#include "serving/UpstreamTable.h"
+#include "serving/WaitPolicy.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tamarack::harness {
+
+/// Requests of one kind, in Poisson arrivals spread over the entries.
+struct LoadKind
+{
+    std::string name;
+    QueueRank rank = 0;
+    double perSecond = 0;
+    std::uint32_t promptTokens = 0;
+    /// Mean number of events; lengths are exponentially distributed.
+    double events = 0;
+    Duration objective{};
+    Duration deadline{};
+};
+
+struct LoadCount
+{
+    int asked = 0;
+    int served = 0;
+    int onTime = 0;
+
+    double servedShare() const { return asked == 0 ? 1 : static_cast<double>(served) / asked; }
+};
+
+struct QueueLoadOptions
+{
+    int entries = 8;
+    int upstreams = 10;
+    int slots = 6;
+    /// Time until the loads and the demand of an entry are known at the others.
+    Duration toldEvery = milliseconds(70);
+    std::uint64_t seed = 1;
+};
+
+/// The queues of several entries before the engines of one service, on a virtual clock. Clients
+/// come back once after a refusal, when they were told to. An engine runs as many requests as it
+/// has slots, the rest wait there in order of arrival.
+class QueueLoad
+{
+public:
+    QueueLoad(QueueLoadOptions options, std::vector<LoadKind> kinds);
+
+    /// Plays the load for `length`, then until everything has ended.
+    void run(Duration length);
+
+    const LoadCount &count(std::size_t kind) const { return m_counts[kind]; }
+    LoadCount total() const;
+
+private:
+    struct Call
+    {
+        std::size_t kind = 0;
+        std::uint32_t events = 0;
+        TimePoint arrivedAt;
+        TimePoint deadlineAt;
+        bool returned = false;
+    };
+    struct Entry
+    {
+        UpstreamTable upstreams;
+        std::unique_ptr<DispatchQueue> queue;
+        std::map<Ticket, Call> calls;
+        std::vector<std::pair<UpstreamKey, UpstreamLoad>> toldLoads;
+        std::vector<QueueDemand> toldDemand;
+    };
+    struct Engine
+    {
+        int running = 0;
+        std::deque<std::function<void()>> waiting;
+    };
+
+    void after(Duration delay, std::function<void()> what);
+    void arrive(std::size_t kind);
+    void submit(Call call);
+    void pump(Entry &entry);
+    void start(Entry &entry, const Assignment &assignment);
+    void execute(Entry &entry, const Call &call, const UpstreamPtr &upstream,
+                 std::uint32_t freshTokens);
+    void comeBack(Call call, Duration retryAfter);
+    void tell(Entry &entry);
+    void hear(Entry &entry);
+
+    QueueLoadOptions m_options;
+    std::vector<LoadKind> m_kinds;
+    std::vector<LoadCount> m_counts;
+    std::vector<std::unique_ptr<Entry>> m_entries;
+    std::map<UpstreamKey, Engine> m_engines;
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    std::mt19937_64 m_random;
+    TimePoint m_now{std::chrono::seconds(1000)};
+    TimePoint m_arrivalsEnd;
+    Ticket m_lastTicket = 0;
+};
+
+} // namespace tamarack::harness
