A raised start is told in the request's line; late-told events do not grow a fading count

Cause, seen on reading the change again: on-call could not tell a request that started by its kind's due share from one that started by its rank, and the places kept in a refusal's line were those of its own rank even when it was raised. An arrival is counted at the time its bytes came, which may lie before the last one: the weight of FadingCount then grew by the difference. Change: Assignment::raised, raised= in event=request; kept= in event=queue_refused is the bound that was used; FadingCount keeps the later of two times.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -196,7 +196,7 @@
               {"route_tier", static_cast<int>(m_admitted.route.tier)},
               {"reason", facts.waitOver ? "wait_over" : "not_reached"},
               {"free", facts.freePlaces},
-              {"reserve", facts.reserve},
+              {"kept", facts.kept},
               {"ahead", facts.ahead},
               {"starts_per_s", facts.startsPerSecond},
               {"retry_after_ms", toMs(refusal.retryAfter)}});
@@ -402,6 +402,7 @@
               {"expected_events", m_expectedEvents},
               {"events", m_relay.events().events()},
               {"upstream", m_assignment ? m_assignment->upstream->record.id : ""},
+              {"raised", m_assignment && m_assignment->raised},
               {"sends", m_sends},
               {"peers_heard", m_state.peers.heard(now)},
               {"quota_left", m_state.quotas.level(m_admitted.workspace)},
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -106,19 +106,21 @@
     std::vector<Ticket> ended;
     std::map<QueueRank, RankView> ranks;
     for (const auto &[request, startRank] : startOrder(service, line, now)) {
+        const bool raised = startRank != request->rank;
         const auto [rank, isNew] = ranks.try_emplace(request->rank);
         RankView &view = rank->second;
         if (isNew)
             view = viewRank(request->rank, line, now);
+        const int kept = raised ? reserve(startRank, line) : view.reserve;
         Choice choice;
-        const bool raised = startRank != request->rank;
-        if (free > (raised ? reserve(startRank, line) : view.reserve))
+        if (free > kept)
             choice = choose(*request, now);
         if (choice.upstream) {
             assign(*request, choice, now, decisions);
+            decisions.assignments.back().raised = raised;
             --free;
         } else if (isHopeless(*request, view, now)) {
-            decisions.refusals.push_back(refuse(*request, view, free, now));
+            decisions.refusals.push_back(refuse(*request, view, free, kept, now));
             ++view.ahead;
         } else {
             ++view.ahead;
@@ -179,9 +181,9 @@
 }
 
 QueueRefusal DispatchQueue::refuse(const QueuedRequest &request, const RankView &view,
-                                   int freePlaces, TimePoint now)
+                                   int freePlaces, int kept, TimePoint now)
 {
-    const RefusalFacts facts{now >= request.refuseAt, freePlaces, view.reserve, view.ahead,
+    const RefusalFacts facts{now >= request.refuseAt, freePlaces, kept, view.ahead,
                              view.startsPerSecond};
     return {request.ticket, retryAfter(request, now), facts};
 }
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -55,6 +55,8 @@
     /// Prompt tokens that the upstream probably has to compute.
     std::uint32_t freshTokens = 0;
     Duration predicted{};
+    /// It went before more urgent kinds, as its own lacked its due share.
+    bool raised = false;
 };
 
 /// What a request is refused on.
@@ -64,8 +66,8 @@
     bool waitOver = false;
     /// Places left at the upstreams of its service, by the loads as last told.
     int freePlaces = 0;
-    /// Those that its rank leaves to higher ones.
-    int reserve = 0;
+    /// Those that it leaves to higher ranks.
+    int kept = 0;
     /// Requests of its rank that wait before it at this entry.
     std::size_t ahead = 0;
     /// Recent starts of its rank at this entry.
@@ -190,7 +192,7 @@
     /// Whether a request will not be reached in time behind those of its rank.
     static bool isHopeless(const QueuedRequest &request, const RankView &view, TimePoint now);
     static QueueRefusal refuse(const QueuedRequest &request, const RankView &view, int freePlaces,
-                               TimePoint now);
+                               int kept, TimePoint now);
     /// Places that a request of the rank leaves free: for those that rank above it.
     static int reserve(QueueRank rank, const Line &line);
     Choice choose(const QueuedRequest &request, TimePoint now) const;
--- a/src/serving/FadingCount.cpp
+++ b/src/serving/FadingCount.cpp
@@ -1,5 +1,6 @@
 #include "serving/FadingCount.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace tamarack {
@@ -7,13 +8,14 @@
 void FadingCount::add(TimePoint now)
 {
     m_weight = value(now) + 1;
-    m_at = now;
+    m_at = std::max(m_at, now);
 }
 
 double FadingCount::value(TimePoint now) const
 {
     using Seconds = std::chrono::duration<double>;
-    return m_weight * std::exp(-(Seconds(now - m_at) / Seconds(m_fadeTime)));
+    const Seconds age = std::max(Seconds::zero(), Seconds(now - m_at));
+    return m_weight * std::exp(-(age / Seconds(m_fadeTime)));
 }
 
 double FadingCount::perSecond(TimePoint now) const
--- a/src/serving/FadingCount.h
+++ b/src/serving/FadingCount.h
@@ -13,6 +13,7 @@
         : m_fadeTime(fadeTime)
     {}
 
+    /// Events may be told a little out of order.
     void add(TimePoint now);
     double value(TimePoint now) const;
     /// Events a second.
