--- a/src/serving/KindShares.cpp
+++ b/src/serving/KindShares.cpp
@@ -8,7 +8,7 @@
 
 /// Part of its service's share of started requests that a kind is due. The platform's contract
 /// calls a kind starved below 0.25 of the share of all requests, those of other services included.
-constexpr double dueShare = 0.4;
+constexpr double dueShare = 1.0 / 3;
 
 } // namespace
 
