The choice of an upstream leaves DispatchQueue

Cause, seen on the read of the change: DispatchQueue decided both which request starts and where it starts; the second half shares nothing with the first but the waiting request. Change: UpstreamChooser (choose, cost, affinity) and QueuedRequest are files of their own, mixBits moves to base/Hash, Candidate::rank is startRank.

--- a/src/base/Hash.cpp
+++ b/src/base/Hash.cpp
@@ -87,6 +87,16 @@
     return value;
 }
 
+std::uint64_t mixBits(std::uint64_t a, std::uint64_t b)
+{
+    std::uint64_t x = a ^ (b * 0x9E3779B97F4A7C15ULL);
+    x ^= x >> 32;
+    x *= 0xD6E8FEB86659FD93ULL;
+    x ^= x >> 32;
+    x *= 0xD6E8FEB86659FD93ULL;
+    return x ^ (x >> 32);
+}
+
 std::uint32_t crc32c(std::uint32_t seed, std::string_view data)
 {
     std::uint32_t value = ~seed;
--- a/src/base/Hash.h
+++ b/src/base/Hash.h
@@ -21,6 +21,9 @@
 /// FNV-1a, for placement and affinity; not for untrusted equality.
 std::uint64_t fnv1a(std::string_view data);
 
+/// One well spread number from two, for placement.
+std::uint64_t mixBits(std::uint64_t a, std::uint64_t b);
+
 /// CRC-32C continued from `seed`; start with 0.
 std::uint32_t crc32c(std::uint32_t seed, std::string_view data);
 
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -3,31 +3,12 @@
 #include "base/Hash.h"
 
 #include <algorithm>
-#include <limits>
-#include <numeric>
 #include <ranges>
 
 namespace tamarack {
 
 namespace {
 
-constexpr std::size_t rememberedPrefixes = 4096;
-/// Share of a prompt that is computed again at the engine that ran it last, and at the engine
-/// where every entry sends it first.
-constexpr double freshShareAtLast = 0.05;
-constexpr double freshShareAtHome = 0.3;
-/// Cost of bytes between data centres, as a time.
-constexpr double otherDataCentreMs = 4;
-/// Cost of sharing an engine: each running request slows the tokens of the others.
-constexpr double fullEngineMs = 25;
-/// An upstream this much faster than the mean is fast: long prompts and answers need it. Its places
-/// cost others more the fewer are left.
-constexpr double fastShare = 0.75;
-constexpr double fastPlaceMs = 170;
-/// Cost of a first token after its objective.
-constexpr double lateFirstTokenMs = 400;
-/// Part of the time to the deadline that an answer may be expected to take.
-constexpr double deadlineUse = 0.8;
 /// Places that a rank leaves free, as a part of those that higher ranks hold.
 constexpr double reservedShare = 0.1;
 /// Requests of a rank that may wait at an entry whatever the rate of starts.
@@ -41,22 +22,11 @@
 constexpr double returnSpreadShare = 0.17;
 constexpr milliseconds shortestReturn{200};
 
-std::uint64_t mix(std::uint64_t a, std::uint64_t b)
-{
-    std::uint64_t x = a ^ (b * 0x9E3779B97F4A7C15ULL);
-    x ^= x >> 32;
-    x *= 0xD6E8FEB86659FD93ULL;
-    x ^= x >> 32;
-    x *= 0xD6E8FEB86659FD93ULL;
-    return x ^ (x >> 32);
-}
-
 } // namespace
 
 DispatchQueue::DispatchQueue(UpstreamTable &upstreams, std::string dataCentre)
     : m_upstreams(upstreams)
-    , m_dataCentre(std::move(dataCentre))
-    , m_affinity(rememberedPrefixes)
+    , m_chooser(upstreams, std::move(dataCentre))
 {}
 
 void DispatchQueue::push(QueuedRequest request)
@@ -112,9 +82,9 @@
         if (isNew)
             view = viewRank(request->rank, line, now);
         const int kept = raised ? reserve(startRank, line) : view.reserve;
-        Choice choice;
+        UpstreamChoice choice;
         if (free > kept)
-            choice = choose(*request, now);
+            choice = m_chooser.choose(*request, now);
         if (choice.upstream) {
             assign(*request, choice, now, decisions);
             decisions.assignments.back().raised = raised;
@@ -148,11 +118,11 @@
     for (const auto &[place, request] : line.waiting)
         order.push_back({&request, request.rank});
     std::ranges::stable_sort(order, {}, [&](const Candidate &each) {
-        return std::pair(each.rank, now + firstToken > each.request->objectiveAt);
+        return std::pair(each.startRank, now + firstToken > each.request->objectiveAt);
     });
     raiseDue(order, line.shares, now);
     std::ranges::stable_sort(order, {}, [](const Candidate &each) {
-        return std::pair(each.rank, each.rank == each.request->rank);
+        return std::pair(each.startRank, each.startRank == each.request->rank);
     });
     return order;
 }
@@ -161,12 +131,12 @@
 {
     std::map<TierRank, double> missing;
     for (Candidate &each : order) {
-        const TierRank kind = routeTierOf(each.rank);
+        const TierRank kind = routeTierOf(each.startRank);
         const auto [row, isNew] = missing.try_emplace(kind);
         if (isNew)
             row->second = shares.missingStarts(kind, now);
         if (row->second > 0)
-            each.rank = queueRank(tierOf(each.rank), shares.donor(kind, now));
+            each.startRank = queueRank(tierOf(each.startRank), shares.donor(kind, now));
         row->second -= 1;
     }
 }
@@ -188,8 +158,8 @@
     return {request.ticket, retryAfter(request, now), facts};
 }
 
-void DispatchQueue::assign(const QueuedRequest &request, const Choice &choice, TimePoint now,
-                           QueueDecisions &decisions)
+void DispatchQueue::assign(const QueuedRequest &request, const UpstreamChoice &choice,
+                           TimePoint now, QueueDecisions &decisions)
 {
     decisions.assignments.push_back({request.ticket, choice.upstream,
                                      choice.upstream->prefillTokens(), choice.freshTokens,
@@ -200,8 +170,7 @@
     line.starts.try_emplace(request.rank, startMemory).first->second.add(now);
     if (request.excluded.empty())
         line.shares.countStart(routeTierOf(request.rank), now);
-    if (request.prefix != 0)
-        m_affinity.record(request.prefix, choice.upstream->record.id);
+    m_chooser.recordStart(request, *choice.upstream);
 }
 
 int DispatchQueue::reserve(QueueRank rank, const Line &line)
@@ -227,101 +196,11 @@
         line->second.running.erase(running);
 }
 
-DispatchQueue::Choice DispatchQueue::choose(const QueuedRequest &request, TimePoint now) const
-{
-    const auto &upstreams = m_upstreams.ofService(request.service);
-    const UpstreamKey home = homeOf(request.prefix, upstreams);
-    const Speeds bySpeed = speeds(upstreams, now);
-    Choice best;
-    best.costMs = std::numeric_limits<double>::max();
-    for (const UpstreamPtr &upstream : upstreams) {
-        const bool full =
-            static_cast<int>(upstream->inFlight()) >= UpstreamTable::limit(*upstream, now);
-        if (full || std::ranges::find(request.excluded, upstream->key) != request.excluded.end())
-            continue;
-        Choice choice = evaluate(request, upstream, home, bySpeed, now);
-        if (choice.costMs < best.costMs)
-            best = std::move(choice);
-    }
-    return best;
-}
-
-DispatchQueue::Speeds DispatchQueue::speeds(const std::vector<UpstreamPtr> &upstreams,
-                                            TimePoint now) const
-{
-    Speeds speeds;
-    if (upstreams.empty())
-        return speeds;
-    const double sum =
-        std::accumulate(upstreams.begin(), upstreams.end(), 0.0,
-                        [](double total, const UpstreamPtr &each) { return total + each->factor; });
-    speeds.fastFactor = fastShare * sum / static_cast<double>(upstreams.size());
-    int places = 0;
-    int taken = 0;
-    for (const UpstreamPtr &upstream : upstreams) {
-        if (upstream->factor > speeds.fastFactor)
-            continue;
-        const int limit = UpstreamTable::limit(*upstream, now);
-        places += limit;
-        taken += std::min(limit, static_cast<int>(upstream->inFlight()));
-    }
-    speeds.fastTaken = places > 0 ? static_cast<double>(taken) / places : 0;
-    return speeds;
-}
-
-double DispatchQueue::lateCost(const QueuedRequest &request, const UpstreamState &upstream,
-                               Duration firstToken, TimePoint now) const
-{
-    const EngineTimeModel &model = m_upstreams.model(request.service);
-    const Duration whole = firstToken + model.predictEvents(upstream.factor, request.answerEvents);
-    double cost = 0;
-    const bool onTimeAtAll = now < request.objectiveAt;
-    if (onTimeAtAll && now + firstToken > request.objectiveAt)
-        cost += lateFirstTokenMs;
-    if (whole * 1.0 > (request.deadlineAt - now) * deadlineUse)
-        cost += toFractionalMs(whole);
-    return cost;
-}
-
-DispatchQueue::Choice DispatchQueue::evaluate(const QueuedRequest &request,
-                                              const UpstreamPtr &upstream, UpstreamKey home,
-                                              const Speeds &speeds, TimePoint now) const
-{
-    double freshShare = 1;
-    if (request.prefix != 0 && m_affinity.matches(request.prefix, upstream->record.id))
-        freshShare = freshShareAtLast;
-    else if (request.prefix != 0 && upstream->key == home)
-        freshShare = freshShareAtHome;
-    Choice choice;
-    choice.upstream = upstream;
-    choice.freshTokens = static_cast<std::uint32_t>(freshShare * request.promptTokens);
-    const EngineTimeModel &model = m_upstreams.model(request.service);
-    choice.predicted =
-        model.predict(upstream->factor, upstream->prefillTokens() + choice.freshTokens);
-    const double filled = static_cast<double>(upstream->inFlight()) / upstream->record.slots;
-    choice.costMs = toFractionalMs(choice.predicted) + filled * upstream->factor * fullEngineMs;
-    choice.costMs += lateCost(request, *upstream, choice.predicted, now);
-    if (upstream->engine && upstream->factor <= speeds.fastFactor)
-        choice.costMs += fastPlaceMs * speeds.fastTaken * speeds.fastTaken;
-    if (upstream->record.dataCentre != m_dataCentre)
-        choice.costMs += otherDataCentreMs;
-    return choice;
-}
-
-UpstreamKey DispatchQueue::homeOf(std::uint64_t prefix, const std::vector<UpstreamPtr> &upstreams)
-{
-    if (prefix == 0 || upstreams.empty())
-        return 0;
-    const auto weight = [prefix](const UpstreamPtr &upstream) {
-        return mix(prefix, upstream->key);
-    };
-    return (*std::ranges::max_element(upstreams, {}, weight))->key;
-}
-
 Duration DispatchQueue::retryAfter(const QueuedRequest &request, TimePoint now)
 {
     constexpr double spreads = 1024;
-    const double place = static_cast<double>(mix(request.ticket, request.prefix) % 1024) / spreads;
+    const double place =
+        static_cast<double>(mixBits(request.ticket, request.prefix) % 1024) / spreads;
     const double share = earliestReturnShare + returnSpreadShare * place;
     const Duration left = std::max(Duration::zero(), request.deadlineAt - now);
     return std::max<Duration>(shortestReturn, std::chrono::duration_cast<Duration>(left * share));
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "base/Time.h"
-#include "sched/AffinityMap.h"
 #include "serving/FadingCount.h"
 #include "serving/KindShares.h"
 #include "serving/QueueRank.h"
+#include "serving/QueuedRequest.h"
+#include "serving/UpstreamChooser.h"
 #include "serving/UpstreamTable.h"
 
 #include <cstdint>
@@ -17,34 +18,6 @@
 
 namespace tamarack {
 
-/// Names one wait of one request in the queue.
-using Ticket = std::uint64_t;
-
-/// What the queue needs to know of a waiting request.
-struct QueuedRequest
-{
-    Ticket ticket = 0;
-    std::string service;
-    QueueRank rank = 0;
-    std::uint32_t promptTokens = 0;
-    /// Expected events of the answer after its first; 0 when it does not stream.
-    std::uint32_t answerEvents = 0;
-    /// Identity of the prompt's last part, for the caches of engines; 0: none.
-    std::uint64_t prefix = 0;
-    /// When the client asked first; earlier attempts count.
-    TimePoint arrived{};
-    /// Until when the first token counts as on time.
-    TimePoint objectiveAt{};
-    /// The whole answer must be there then.
-    TimePoint deadlineAt = TimePoint::max();
-    /// It is refused when it still waits then.
-    TimePoint refuseAt{};
-    /// Upstreams at which it was tried before.
-    std::vector<UpstreamKey> excluded;
-    /// Its client asks for the first time; neither refused nor tried before.
-    bool isFirst = true;
-};
-
 /// A request that starts now.
 struct Assignment
 {
@@ -104,7 +77,8 @@
 /// when an upstream can start it, the most important first.
 ///
 /// Load: bursts of twice the capacity, of tiers unlike in worth and length. Of one rank, those
-/// that can still be on time go first: in arrival order, all of them would be late. A request
+/// that can still be on time go first: in arrival order, all of them would be late. Within a tier,
+/// kinds of requests go by the tier of their routes as long as each has its due share. A request
 /// leaves free as many places as requests of higher ranks wait at other entries, and a part of
 /// those that higher ranks hold: their next burst comes sooner than long requests end. What will
 /// not be reached in time at the present rate of starts is refused at once, so that its client
@@ -155,14 +129,6 @@
         /// At the other entries, by rank.
         std::map<QueueRank, RankDemand> peers;
     };
-    struct Choice
-    {
-        UpstreamPtr upstream;
-        std::uint32_t freshTokens = 0;
-        Duration predicted{};
-        double costMs = 0;
-    };
-
     void decideService(const std::string &service, Line &line, TimePoint now,
                        QueueDecisions &decisions);
     /// A waiting request at its place in the order of starts.
@@ -170,14 +136,14 @@
     {
         const QueuedRequest *request = nullptr;
         /// Its own, or that of the kind which gives way to it, as its own lacks its due share.
-        QueueRank rank = 0;
+        QueueRank startRank = 0;
     };
     /// Waiting requests in the order in which they may start.
     std::vector<Candidate> startOrder(const std::string &service, const Line &line,
                                       TimePoint now) const;
     /// Raises as many requests of each kind as it lacks starts, within their tiers.
     static void raiseDue(std::vector<Candidate> &order, const KindShares &shares, TimePoint now);
-    void assign(const QueuedRequest &request, const Choice &choice, TimePoint now,
+    void assign(const QueuedRequest &request, const UpstreamChoice &choice, TimePoint now,
                 QueueDecisions &decisions);
     /// What holds for all waiting requests of one rank during a decision.
     struct RankView
@@ -195,29 +161,12 @@
                                int kept, TimePoint now);
     /// Places that a request of the rank leaves free: for those that rank above it.
     static int reserve(QueueRank rank, const Line &line);
-    Choice choose(const QueuedRequest &request, TimePoint now) const;
-    /// Upstreams of a service by speed, as far as free places go.
-    struct Speeds
-    {
-        /// Faster than this is fast.
-        double fastFactor = 0;
-        /// Share of the places of fast upstreams that are taken.
-        double fastTaken = 0;
-    };
-    Speeds speeds(const std::vector<UpstreamPtr> &upstreams, TimePoint now) const;
-    Choice evaluate(const QueuedRequest &request, const UpstreamPtr &upstream, UpstreamKey home,
-                    const Speeds &speeds, TimePoint now) const;
-    /// Time that is wasted or late if the request runs there.
-    double lateCost(const QueuedRequest &request, const UpstreamState &upstream,
-                    Duration firstToken, TimePoint now) const;
-    static UpstreamKey homeOf(std::uint64_t prefix, const std::vector<UpstreamPtr> &upstreams);
     static Duration retryAfter(const QueuedRequest &request, TimePoint now);
 
     UpstreamTable &m_upstreams;
-    std::string m_dataCentre;
     std::map<std::string, Line, std::less<>> m_lines;
     std::unordered_map<Ticket, std::pair<std::string, Place>> m_places;
-    AffinityMap m_affinity;
+    UpstreamChooser m_chooser;
 };
 
 } // namespace tamarack
--- /dev/null
+++ b/src/serving/UpstreamChooser.cpp
@@ -0,0 +1,138 @@
+#include "serving/UpstreamChooser.h"
+
+#include "base/Hash.h"
+#include "serving/QueuedRequest.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <ranges>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::size_t rememberedPrefixes = 4096;
+/// Share of a prompt that is computed again at the engine that ran it last, and at the engine
+/// where every entry sends it first.
+constexpr double freshShareAtLast = 0.05;
+constexpr double freshShareAtHome = 0.3;
+/// Cost of bytes between data centres, as a time.
+constexpr double otherDataCentreMs = 4;
+/// Cost of sharing an engine: each running request slows the tokens of the others.
+constexpr double fullEngineMs = 25;
+/// An upstream this much faster than the mean is fast: long prompts and answers need it. Its places
+/// cost others more the fewer are left.
+constexpr double fastShare = 0.75;
+constexpr double fastPlaceMs = 170;
+/// Cost of a first token after its objective.
+constexpr double lateFirstTokenMs = 400;
+/// Part of the time to the deadline that an answer may be expected to take.
+constexpr double deadlineUse = 0.8;
+
+} // namespace
+
+UpstreamChooser::UpstreamChooser(const UpstreamTable &upstreams, std::string dataCentre)
+    : m_upstreams(upstreams)
+    , m_dataCentre(std::move(dataCentre))
+    , m_affinity(rememberedPrefixes)
+{}
+
+void UpstreamChooser::recordStart(const QueuedRequest &request, const UpstreamState &upstream)
+{
+    if (request.prefix != 0)
+        m_affinity.record(request.prefix, upstream.record.id);
+}
+
+UpstreamChoice UpstreamChooser::choose(const QueuedRequest &request, TimePoint now) const
+{
+    const auto &upstreams = m_upstreams.ofService(request.service);
+    const UpstreamKey home = homeOf(request.prefix, upstreams);
+    const Speeds bySpeed = speeds(upstreams, now);
+    UpstreamChoice best;
+    best.costMs = std::numeric_limits<double>::max();
+    for (const UpstreamPtr &upstream : upstreams) {
+        const bool full =
+            static_cast<int>(upstream->inFlight()) >= UpstreamTable::limit(*upstream, now);
+        if (full || std::ranges::find(request.excluded, upstream->key) != request.excluded.end())
+            continue;
+        UpstreamChoice choice = evaluate(request, upstream, home, bySpeed, now);
+        if (choice.costMs < best.costMs)
+            best = std::move(choice);
+    }
+    return best;
+}
+
+UpstreamChooser::Speeds UpstreamChooser::speeds(const std::vector<UpstreamPtr> &upstreams,
+                                                TimePoint now) const
+{
+    Speeds speeds;
+    if (upstreams.empty())
+        return speeds;
+    const double sum =
+        std::accumulate(upstreams.begin(), upstreams.end(), 0.0,
+                        [](double total, const UpstreamPtr &each) { return total + each->factor; });
+    speeds.fastFactor = fastShare * sum / static_cast<double>(upstreams.size());
+    int places = 0;
+    int taken = 0;
+    for (const UpstreamPtr &upstream : upstreams) {
+        if (upstream->factor > speeds.fastFactor)
+            continue;
+        const int limit = UpstreamTable::limit(*upstream, now);
+        places += limit;
+        taken += std::min(limit, static_cast<int>(upstream->inFlight()));
+    }
+    speeds.fastTaken = places > 0 ? static_cast<double>(taken) / places : 0;
+    return speeds;
+}
+
+double UpstreamChooser::lateCost(const QueuedRequest &request, const UpstreamState &upstream,
+                                 Duration firstToken, TimePoint now) const
+{
+    const EngineTimeModel &model = m_upstreams.model(request.service);
+    const Duration whole = firstToken + model.predictEvents(upstream.factor, request.answerEvents);
+    double cost = 0;
+    const bool onTimeAtAll = now < request.objectiveAt;
+    if (onTimeAtAll && now + firstToken > request.objectiveAt)
+        cost += lateFirstTokenMs;
+    if (whole * 1.0 > (request.deadlineAt - now) * deadlineUse)
+        cost += toFractionalMs(whole);
+    return cost;
+}
+
+UpstreamChoice UpstreamChooser::evaluate(const QueuedRequest &request, const UpstreamPtr &upstream,
+                                         UpstreamKey home, const Speeds &speeds,
+                                         TimePoint now) const
+{
+    double freshShare = 1;
+    if (request.prefix != 0 && m_affinity.matches(request.prefix, upstream->record.id))
+        freshShare = freshShareAtLast;
+    else if (request.prefix != 0 && upstream->key == home)
+        freshShare = freshShareAtHome;
+    UpstreamChoice choice;
+    choice.upstream = upstream;
+    choice.freshTokens = static_cast<std::uint32_t>(freshShare * request.promptTokens);
+    const EngineTimeModel &model = m_upstreams.model(request.service);
+    choice.predicted =
+        model.predict(upstream->factor, upstream->prefillTokens() + choice.freshTokens);
+    const double filled = static_cast<double>(upstream->inFlight()) / upstream->record.slots;
+    choice.costMs = toFractionalMs(choice.predicted) + filled * upstream->factor * fullEngineMs;
+    choice.costMs += lateCost(request, *upstream, choice.predicted, now);
+    if (upstream->engine && upstream->factor <= speeds.fastFactor)
+        choice.costMs += fastPlaceMs * speeds.fastTaken * speeds.fastTaken;
+    if (upstream->record.dataCentre != m_dataCentre)
+        choice.costMs += otherDataCentreMs;
+    return choice;
+}
+
+UpstreamKey UpstreamChooser::homeOf(std::uint64_t prefix, const std::vector<UpstreamPtr> &upstreams)
+{
+    if (prefix == 0 || upstreams.empty())
+        return 0;
+    const auto weight = [prefix](const UpstreamPtr &upstream) {
+        return mixBits(prefix, upstream->key);
+    };
+    return (*std::ranges::max_element(upstreams, {}, weight))->key;
+}
+
+} // namespace tamarack
