--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -32,6 +32,9 @@
 constexpr double reservedShare = 0.1;
 /// Requests of a rank that may wait at an entry whatever the rate of starts.
 constexpr double fewestWaiting = 2;
+/// Starts of the last while tell the rate: shorter than a burst, longer than the pause between
+/// starts of one rank at one entry.
+constexpr milliseconds startMemory{700};
 /// A refused request is told to return within these parts of the time that is left to its client,
 /// spread evenly: clients follow up to a third.
 constexpr double earliestReturnShare = 0.15;
@@ -61,6 +64,8 @@
     const Place place{request.rank, request.arrived, request.ticket};
     m_places[request.ticket] = {request.service, place};
     Line &line = m_lines[request.service];
+    if (request.isFirst)
+        line.shares.countArrival(routeTierOf(request.rank), request.arrived);
     line.waiting.emplace(place, std::move(request));
 }
 
@@ -100,13 +105,14 @@
     int free = m_upstreams.freePlaces(service, now);
     std::vector<Ticket> ended;
     std::map<QueueRank, RankView> ranks;
-    for (const QueuedRequest *request : startOrder(service, line, now)) {
+    for (const auto &[request, startRank] : startOrder(service, line, now)) {
         const auto [rank, isNew] = ranks.try_emplace(request->rank);
         RankView &view = rank->second;
         if (isNew)
             view = viewRank(request->rank, line, now);
         Choice choice;
-        if (free > view.reserve)
+        const bool raised = startRank != request->rank;
+        if (free > (raised ? reserve(startRank, line) : view.reserve))
             choice = choose(*request, now);
         if (choice.upstream) {
             assign(*request, choice, now, decisions);
@@ -126,25 +132,43 @@
 
 DispatchQueue::RankView DispatchQueue::viewRank(QueueRank rank, const Line &line, TimePoint now)
 {
-    const auto rate = line.startRates.find(rank);
-    const double perSecond = rate == line.startRates.end() ? 0 : rate->second.perSecond(now);
+    const auto starts = line.starts.find(rank);
+    const double perSecond = starts == line.starts.end() ? 0 : starts->second.perSecond(now);
     return {reserve(rank, line), perSecond, 0};
 }
 
-std::vector<const QueuedRequest *> DispatchQueue::startOrder(const std::string &service,
-                                                             const Line &line, TimePoint now) const
+std::vector<DispatchQueue::Candidate>
+DispatchQueue::startOrder(const std::string &service, const Line &line, TimePoint now) const
 {
     const Duration firstToken = m_upstreams.model(service).nominal(0);
-    std::vector<const QueuedRequest *> order;
+    std::vector<Candidate> order;
     order.reserve(line.waiting.size());
     for (const auto &[place, request] : line.waiting)
-        order.push_back(&request);
-    std::ranges::stable_sort(order, {}, [&](const QueuedRequest *request) {
-        return std::pair(request->rank, now + firstToken > request->objectiveAt);
+        order.push_back({&request, request.rank});
+    std::ranges::stable_sort(order, {}, [&](const Candidate &each) {
+        return std::pair(each.rank, now + firstToken > each.request->objectiveAt);
+    });
+    raiseDue(order, line.shares, now);
+    std::ranges::stable_sort(order, {}, [](const Candidate &each) {
+        return std::pair(each.rank, each.rank == each.request->rank);
     });
     return order;
 }
 
+void DispatchQueue::raiseDue(std::vector<Candidate> &order, const KindShares &shares, TimePoint now)
+{
+    std::map<TierRank, double> missing;
+    for (Candidate &each : order) {
+        const TierRank kind = routeTierOf(each.rank);
+        const auto [row, isNew] = missing.try_emplace(kind);
+        if (isNew)
+            row->second = shares.missingStarts(kind, now);
+        if (row->second > 0)
+            each.rank = queueRank(tierOf(each.rank), shares.donor(kind, now));
+        row->second -= 1;
+    }
+}
+
 bool DispatchQueue::isHopeless(const QueuedRequest &request, const RankView &view, TimePoint now)
 {
     if (now >= request.refuseAt)
@@ -171,7 +195,9 @@
     m_upstreams.started(*choice.upstream, choice.freshTokens);
     Line &line = m_lines[request.service];
     ++line.running[request.rank];
-    line.startRates[request.rank].count(now);
+    line.starts.try_emplace(request.rank, startMemory).first->second.add(now);
+    if (request.excluded.empty())
+        line.shares.countStart(routeTierOf(request.rank), now);
     if (request.prefix != 0)
         m_affinity.record(request.prefix, choice.upstream->record.id);
 }
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "base/Time.h"
-#include "config/FleetConfig.h"
 #include "sched/AffinityMap.h"
-#include "serving/StartRate.h"
+#include "serving/FadingCount.h"
+#include "serving/KindShares.h"
+#include "serving/QueueRank.h"
 #include "serving/UpstreamTable.h"
 
 #include <cstdint>
@@ -19,14 +20,6 @@
 /// Names one wait of one request in the queue.
 using Ticket = std::uint64_t;
 
-/// Who goes first and is shed last: by tier, then by the tier of the route. 0 is the highest.
-using QueueRank = std::uint16_t;
-
-constexpr QueueRank queueRank(TierRank tier, TierRank routeTier)
-{
-    return static_cast<QueueRank>(tier << 8U | routeTier);
-}
-
 /// What the queue needs to know of a waiting request.
 struct QueuedRequest
 {
@@ -48,6 +41,8 @@
     TimePoint refuseAt{};
     /// Upstreams at which it was tried before.
     std::vector<UpstreamKey> excluded;
+    /// Its client asks for the first time; neither refused nor tried before.
+    bool isFirst = true;
 };
 
 /// A request that starts now.
@@ -153,7 +148,8 @@
         std::map<Place, QueuedRequest> waiting;
         /// Requests that were assigned and have not ended, by rank.
         std::map<QueueRank, std::uint32_t> running;
-        std::map<QueueRank, StartRate> startRates;
+        std::map<QueueRank, FadingCount> starts;
+        KindShares shares;
         /// At the other entries, by rank.
         std::map<QueueRank, RankDemand> peers;
     };
@@ -167,9 +163,18 @@
 
     void decideService(const std::string &service, Line &line, TimePoint now,
                        QueueDecisions &decisions);
+    /// A waiting request at its place in the order of starts.
+    struct Candidate
+    {
+        const QueuedRequest *request = nullptr;
+        /// Its own, or that of the kind which gives way to it, as its own lacks its due share.
+        QueueRank rank = 0;
+    };
     /// Waiting requests in the order in which they may start.
-    std::vector<const QueuedRequest *> startOrder(const std::string &service, const Line &line,
-                                                  TimePoint now) const;
+    std::vector<Candidate> startOrder(const std::string &service, const Line &line,
+                                      TimePoint now) const;
+    /// Raises as many requests of each kind as it lacks starts, within their tiers.
+    static void raiseDue(std::vector<Candidate> &order, const KindShares &shares, TimePoint now);
     void assign(const QueuedRequest &request, const Choice &choice, TimePoint now,
                 QueueDecisions &decisions);
     /// What holds for all waiting requests of one rank during a decision.
--- a/tests/DispatchQueueTest.cpp
+++ b/tests/DispatchQueueTest.cpp
@@ -75,6 +75,35 @@
     BOOST_TEST(queue.decide(now).assignments.size() == 1U);
 }
 
+// fleetbench grown Budapest: the last kind of the lower workspace tier was hardly served.
+BOOST_AUTO_TEST_CASE(aKindBelowItsDueShareGoesBeforeTheKindThatHasMore)
+{
+    upstreams.assign({upstream("a", 40)});
+    for (Ticket ticket = 1; ticket <= 20; ++ticket)
+        queue.push(request(ticket, queueRank(1, 1)));
+    BOOST_TEST(queue.decide(now).assignments.size() == 20U);
+    upstreams.assign({upstream("a", 21)});
+    queue.push(request(21, queueRank(1, 1)));
+    queue.push(request(22, queueRank(1, 2)));
+    const auto decisions = queue.decide(now);
+    BOOST_REQUIRE(decisions.assignments.size() == 1U);
+    BOOST_TEST(decisions.assignments[0].ticket == 22U);
+}
+
+BOOST_AUTO_TEST_CASE(aKindBelowItsDueShareDoesNotPassAHigherTier)
+{
+    upstreams.assign({upstream("a", 20)});
+    for (Ticket ticket = 1; ticket <= 20; ++ticket)
+        queue.push(request(ticket, queueRank(1, 1)));
+    queue.decide(now);
+    upstreams.assign({upstream("a", 21)});
+    queue.push(request(21, queueRank(1, 2)));
+    queue.push(request(22, queueRank(0, 3)));
+    const auto decisions = queue.decide(now);
+    BOOST_REQUIRE(decisions.assignments.size() == 1U);
+    BOOST_TEST(decisions.assignments[0].ticket == 22U);
+}
+
 // fleetbench grown scale-1: long requests of the lowest tier held the places when a burst came.
 BOOST_AUTO_TEST_CASE(aLowerRankLeavesPlacesFreeForTheBurstsOfHigherOnes)
 {
--- /dev/null
+++ b/tests/KindSharesTest.cpp
@@ -0,0 +1,83 @@
+#include "serving/KindShares.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr TierRank summary = 0;
+constexpr TierRank question = 1;
+constexpr TierRank guidance = 2;
+
+struct Fixture
+{
+    /// `arrivals` requests of a kind in the last second, the first `starts` of which started.
+    void play(TierRank kind, int arrivals, int starts)
+    {
+        for (int i = 0; i < arrivals; ++i) {
+            const TimePoint at = now - seconds(1) + seconds(1) * i / arrivals;
+            shares.countArrival(kind, at);
+            if (i < starts)
+                shares.countStart(kind, at);
+        }
+    }
+
+    KindShares shares;
+    TimePoint now{seconds(1000)};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(KindSharesSuite, Fixture)
+
+BOOST_AUTO_TEST_CASE(aKindThatStartsAboutAsOftenAsAllLacksNothing)
+{
+    play(summary, 100, 60);
+    play(guidance, 100, 50);
+    BOOST_TEST(shares.missingStarts(summary, now) == 0);
+    BOOST_TEST(shares.missingStarts(guidance, now) == 0);
+    BOOST_TEST(shares.missingStarts(7, now) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(whatAKindLacksComesFromTheLeastUrgentKindThatHasMoreThanItsDue)
+{
+    play(summary, 100, 100);
+    play(question, 100, 40);
+    play(guidance, 100, 0);
+    BOOST_TEST(shares.missingStarts(guidance, now) > 0);
+    BOOST_TEST(shares.donor(guidance, now) == question);
+}
+
+BOOST_AUTO_TEST_CASE(aKindThatHasNoMoreThanItsDueGivesNothing)
+{
+    play(summary, 100, 100);
+    play(question, 100, 1);
+    play(guidance, 100, 0);
+    BOOST_TEST(shares.donor(guidance, now) == summary);
+    BOOST_TEST(shares.donor(question, now) == summary);
+}
+
+BOOST_AUTO_TEST_CASE(nothingIsTakenFromALessUrgentKind)
+{
+    play(summary, 100, 0);
+    play(guidance, 100, 100);
+    BOOST_TEST(shares.missingStarts(summary, now) > 0);
+    BOOST_TEST(shares.donor(summary, now) == summary);
+}
+
+BOOST_AUTO_TEST_CASE(afterASecondWithoutStartsTheOrderStaysStrict)
+{
+    for (int second = 20; second > 0; --second) {
+        now -= seconds(second);
+        play(summary, 10, 10);
+        play(guidance, 10, 10);
+        now += seconds(second);
+    }
+    play(summary, 10, 10);
+    play(guidance, 10, 0);
+    BOOST_TEST(shares.missingStarts(guidance, now) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/QueueLoad.cpp
+++ b/tests/support/QueueLoad.cpp
@@ -57,7 +57,8 @@
 {
     m_arrivalsEnd = m_now + length;
     for (std::size_t kind = 0; kind < m_kinds.size(); ++kind)
-        after(Duration::zero(), [this, kind] { arrive(kind); });
+        if (m_kinds[kind].perSecond > 0)
+            after(Duration::zero(), [this, kind] { arrive(kind); });
     for (std::size_t i = 0; i < m_entries.size(); ++i)
         after(m_options.toldEvery * i / m_entries.size(), [this, i] { tell(*m_entries[i]); });
     while (!m_events.empty()) {
@@ -109,6 +110,7 @@
     request.arrived = call.arrivedAt;
     request.objectiveAt = call.arrivedAt + kind.objective;
     request.deadlineAt = call.deadlineAt;
+    request.isFirst = !call.returned;
     request.refuseAt = refusalTime(
         {m_now, kind.objective, pauseBound, true, call.deadlineAt - m_now, m_now - call.arrivedAt});
     after(request.refuseAt - m_now, [this, &entry] { pump(entry); });
