Quotas: a request counts in the window in which it is sent

Cause: a request was charged in the slice of its admission and refunded in the slice of its refusal. The charge left the window first, so the refund lowered the count of a window in which it had taken nothing; the totals told to the other entries carried the same fault. The same holds for a wait: what is charged in one window and sent in the next counted in the first. Change: a charge is pending until the request is sent, and counts whole while it is; sending books it in the slice of that moment; a refusal ends the pending charge and touches no slice. Entries tell both numbers; what a silent entry had pending ends after 2 s. What has been sent once is not given back: it may have arrived. Charges of clients that leave while they wait, which were kept before, are given back. Unit suites QuotaLedgerSuite and PeerExchangeSuite pass. Same cause elsewhere: RetryBudget books a repeat when it is sent and gives nothing back; the counts of KindShares are of starts; neither has refunds.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -63,6 +64,21 @@
         co_await answerError(denial->kind, denial->retryAfter);
     else
         co_await serve();
+    giveQuotaBack();
+}
+
+void RequestFlow::giveQuotaBack()
+{
+    const double pending = std::exchange(m_admitted.charged, 0);
+    if (pending > 0)
+        m_state.quotas.giveBack(m_admitted.workspace, pending);
+}
+
+void RequestFlow::countQuotaSent()
+{
+    const double pending = std::exchange(m_admitted.charged, 0);
+    if (pending > 0)
+        m_state.quotas.send(m_admitted.workspace, pending, steadyNow());
 }
 
 std::optional<Denial> RequestFlow::admit()
@@ -227,6 +243,7 @@
 
 asio::awaitable<AttemptEnd> RequestFlow::attempt()
 {
+    countQuotaSent();
     m_tried.push_back(m_assignment->upstream->key);
     m_attempt.emplace(m_state, *m_assignment, m_relay,
                       AttemptRequest{m_exchange.request(), m_facts, m_admitted.workspace, m_endAt,
@@ -355,9 +372,7 @@
 asio::awaitable<void> RequestFlow::answerError(ErrorKind kind, Duration retryAfter)
 {
     const ErrorAnswer &answer = errorAnswer(kind);
-    const bool neverSent = answer.outcome == Outcome::NotRun && m_admitted.charged > 0;
-    if (neverSent)
-        m_state.quotas.giveBack(m_admitted.workspace, m_admitted.charged);
+    giveQuotaBack();
     HttpResponse response{answer.httpStatus, platform::encodeOwnAnswer(m_facts), ""};
     response.headers.emplace_back("Content-Type", "application/json");
     response.headers.emplace_back("Tamarack-Outcome", outcomeName(answer.outcome));
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -32,6 +32,10 @@
 
     std::optional<Denial> admit();
     RequestParts parts() const;
+    /// Gives back what is charged for a request that was never sent.
+    void giveQuotaBack();
+    /// The charge counts from now on: what is sent may arrive.
+    void countQuotaSent();
     void startClocks();
     void stop(Stop reason);
 
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -63,7 +63,7 @@
     const TimePoint now = steadyNow();
     if (!peers.learn(load, now))
         return;
-    quotas.learn(load.incarnation, load.quotas);
+    quotas.learn(load.incarnation, load.quotas, now);
     for (const ToldCrash &told : load.crashes)
         crashes.learn(told, now);
     if (std::exchange(m_peersChanged, true))
--- a/src/peer/EntryLoadCodec.cpp
+++ b/src/peer/EntryLoadCodec.cpp
@@ -45,7 +45,8 @@
     auto quotas = to.initQuotas(load.quotas.size());
     for (unsigned i = 0; i < load.quotas.size(); ++i) {
         quotas[i].setWorkspace(textOf(load.quotas[i].workspace));
-        quotas[i].setTotal(load.quotas[i].total);
+        quotas[i].setSent(load.quotas[i].sent);
+        quotas[i].setPending(load.quotas[i].pending);
     }
     auto crashes = to.initCrashes(load.crashes.size());
     for (unsigned i = 0; i < load.crashes.size(); ++i) {
@@ -70,7 +71,7 @@
         load.demand.push_back(
             {stringOf(row.getService()), row.getRank(), row.getWaiting(), row.getRunning()});
     for (const auto row : from.getQuotas())
-        load.quotas.push_back({stringOf(row.getWorkspace()), row.getTotal()});
+        load.quotas.push_back({stringOf(row.getWorkspace()), row.getSent(), row.getPending()});
     for (const auto row : from.getCrashes())
         load.crashes.push_back(
             {{row.getFingerprint(), row.getUpstream()}, milliseconds(row.getAgeMs())});
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -146,7 +146,8 @@
 
 struct QuotaUse {
     workspace @0 :Text;
-    total @1 :Float64;
+    sent @1 :Float64;
+    pending @2 :Float64;
 }
 
 struct CrashRow {
--- a/src/serving/QuotaLedger.cpp
+++ b/src/serving/QuotaLedger.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace tamarack {
 
@@ -11,6 +12,10 @@
 constexpr double usedShare = 0.97;
 /// Parts of a window that are counted together.
 constexpr int slicesPerWindow = 32;
+/// Pending requests of an entry that is silent for this long have ended.
+constexpr std::chrono::seconds pendingMemory{2};
+/// An entry that is silent for this long does not come back under its incarnation.
+constexpr std::chrono::seconds peerMemory{120};
 
 } // namespace
 
@@ -39,6 +44,7 @@
         buckets.emplace(workspace.name, bucket);
     }
     m_buckets = std::move(buckets);
+    countPeersPending();
 }
 
 bool QuotaLedger::tryTake(std::string_view workspace, double cost, TimePoint now)
@@ -51,22 +57,34 @@
     // A request may leave a debt: otherwise small ones would keep large ones out for ever.
     // The oldest slice is counted whole though part of it has left the window.
     constexpr double countedWindow = 1 + 1.0 / slicesPerWindow;
-    const bool empty =
-        bucket.level <= 0 || bucket.usedInWindow >= allowance(bucket) * countedWindow;
+    const double counted = bucket.sentInWindow + bucket.pending + bucket.peersPending;
+    const bool empty = bucket.level <= 0 || counted >= allowance(bucket) * countedWindow;
     if (bucket.rate > 0 && empty)
         return false;
-    bucket.used += cost;
-    spend(bucket, cost);
+    bucket.pending += cost;
+    draw(bucket, cost);
     return true;
 }
 
+void QuotaLedger::send(std::string_view workspace, double cost, TimePoint now)
+{
+    refill(now);
+    const auto found = m_buckets.find(workspace);
+    if (found == m_buckets.end())
+        return;
+    Bucket &bucket = found->second;
+    bucket.pending = std::max(0.0, bucket.pending - cost);
+    bucket.sent += cost;
+    recordSent(bucket, cost);
+}
+
 void QuotaLedger::giveBack(std::string_view workspace, double cost)
 {
     const auto found = m_buckets.find(workspace);
     if (found == m_buckets.end())
         return;
-    found->second.used -= cost;
-    spend(found->second, -cost);
+    found->second.pending = std::max(0.0, found->second.pending - cost);
+    draw(found->second, -cost);
 }
 
 std::int64_t QuotaLedger::level(std::string_view workspace) const
@@ -87,22 +105,64 @@
         std::chrono::duration<double>(missing / refillRate(bucket)));
 }
 
-void QuotaLedger::learn(std::uint64_t entryIncarnation, const std::vector<QuotaUse> &uses)
+void QuotaLedger::learn(std::uint64_t entryIncarnation, const std::vector<QuotaUse> &uses,
+                        TimePoint now)
+{
+    refill(now);
+    Peer &peer = m_peers[entryIncarnation];
+    peer.heardAt = now;
+    for (const QuotaUse &use : uses)
+        learnUse(peer, use);
+}
+
+void QuotaLedger::learnUse(Peer &peer, const QuotaUse &use)
+{
+    const auto [known, isNew] = peer.uses.try_emplace(use.workspace, use);
+    const QuotaUse before = std::exchange(known->second, use);
+    const auto bucket = m_buckets.find(use.workspace);
+    if (bucket == m_buckets.end())
+        return;
+    // What an entry sent before it was heard first is of an unknown time.
+    const double sent = isNew ? 0 : std::max(0.0, use.sent - before.sent);
+    const double pendingBefore = isNew ? 0 : before.pending;
+    recordSent(bucket->second, sent);
+    bucket->second.peersPending += use.pending - pendingBefore;
+    draw(bucket->second, sent + use.pending - pendingBefore);
+}
+
+void QuotaLedger::countPeersPending()
 {
-    for (const QuotaUse &use : uses) {
-        const auto [heard, isNew] =
-            m_heard.try_emplace({entryIncarnation, use.workspace}, use.total);
-        const double fresh = use.total - heard->second;
-        heard->second = use.total;
-        const auto bucket = m_buckets.find(use.workspace);
-        if (!isNew && bucket != m_buckets.end())
-            spend(bucket->second, fresh);
+    for (auto &[name, bucket] : m_buckets)
+        bucket.peersPending = 0;
+    for (const auto &[incarnation, peer] : m_peers) {
+        for (const auto &[name, use] : peer.uses) {
+            const auto bucket = m_buckets.find(name);
+            if (bucket != m_buckets.end())
+                bucket->second.peersPending += use.pending;
+        }
     }
 }
 
+void QuotaLedger::forgetSilent(TimePoint now)
+{
+    for (auto &[incarnation, peer] : m_peers) {
+        if (now - peer.heardAt <= pendingMemory)
+            continue;
+        for (auto &[name, use] : peer.uses) {
+            const double pending = std::exchange(use.pending, 0);
+            const auto bucket = m_buckets.find(name);
+            if (bucket != m_buckets.end())
+                bucket->second.peersPending -= pending;
+        }
+    }
+    std::erase_if(m_peers,
+                  [now](const auto &item) { return now - item.second.heardAt > peerMemory; });
+}
+
 void QuotaLedger::setHeardShare(double share, TimePoint now)
 {
     refill(now);
+    forgetSilent(now);
     m_share = share;
 }
 
@@ -111,7 +171,7 @@
     std::vector<QuotaUse> uses;
     for (const auto &[name, bucket] : m_buckets)
         if (bucket.rate > 0)
-            uses.push_back({name, bucket.used});
+            uses.push_back({name, bucket.sent, bucket.pending});
     return uses;
 }
 
@@ -137,21 +197,25 @@
     return (bucket.rate * seconds + bucket.burst) * m_share * usedShare;
 }
 
-void QuotaLedger::spend(Bucket &bucket, double units) const
+void QuotaLedger::draw(Bucket &bucket, double units)
 {
     bucket.level = std::min(bucket.burst, bucket.level - units);
+}
+
+void QuotaLedger::recordSent(Bucket &bucket, double units) const
+{
     const Duration slice = m_window / slicesPerWindow;
     if (bucket.slices.empty() || m_refilledAt - bucket.slices.back().begin >= slice)
         bucket.slices.push_back({m_refilledAt, 0});
-    bucket.slices.back().used += units;
-    bucket.usedInWindow += units;
+    bucket.slices.back().sent += units;
+    bucket.sentInWindow += units;
 }
 
 void QuotaLedger::dropOld(Bucket &bucket, TimePoint now) const
 {
     const Duration slice = m_window / slicesPerWindow;
     while (!bucket.slices.empty() && now - bucket.slices.front().begin >= m_window + slice) {
-        bucket.usedInWindow -= bucket.slices.front().used;
+        bucket.sentInWindow -= bucket.slices.front().sent;
         bucket.slices.pop_front();
     }
 }
--- a/src/serving/QuotaLedger.h
+++ b/src/serving/QuotaLedger.h
@@ -12,11 +12,14 @@
 
 namespace tamarack {
 
-/// Units that an entry has let through for a workspace since it started.
+/// What an entry has let through for a workspace.
 struct QuotaUse
 {
     std::string workspace;
-    double total = 0;
+    /// Units sent to upstreams since the entry started; never falls.
+    double sent = 0;
+    /// Units of admitted requests that still wait to be sent.
+    double pending = 0;
 
     auto operator<=>(const QuotaUse &) const = default;
 };
@@ -30,12 +33,13 @@
 /// from it what it lets through and what the others say they let through.
 ///
 /// The quota is what a workspace may use in any window: its rate times the window plus its burst.
-/// The bucket holds the burst and spreads the rest evenly; what was used within the window bounds
-/// it besides.
+/// The bucket holds the burst and spreads the rest evenly; what was sent within the window and
+/// what still waits to be sent bound it besides.
 ///
-/// Load: one workspace sends many times its usual through all entries. While some entries are
-/// not heard, the bucket refills by the share of those that are, so that entries cut off from
-/// one another stay within the quota together.
+/// Load: one workspace sends many times its usual through all entries, and much of it is refused
+/// after a wait. A request counts in the window in which it is sent, wherever it was charged.
+/// While some entries are not heard, the bucket refills by the share of those that are, so that
+/// entries cut off from one another stay within the quota together.
 class QuotaLedger
 {
 public:
@@ -47,9 +51,12 @@
     /// Applies the quotas of a configuration. A lower burst holds at once.
     void configure(const ServingConfig &config, TimePoint now);
 
-    /// Takes the cost from the bucket, which may leave a debt; false when it is empty.
+    /// Takes the cost from the bucket, which may leave a debt; false when it is empty. The cost is
+    /// pending until `send` or `giveBack`.
     bool tryTake(std::string_view workspace, double cost, TimePoint now);
-    /// Gives back the cost of a request that did not run.
+    /// A pending request is sent to an upstream; its cost is not given back any more.
+    void send(std::string_view workspace, double cost, TimePoint now);
+    /// Gives back the cost of a pending request that was not sent.
     void giveBack(std::string_view workspace, double cost);
     /// Units in the bucket; 0 for a workspace without a quota.
     std::int64_t level(std::string_view workspace) const;
@@ -57,7 +64,7 @@
     Duration untilRoom(std::string_view workspace) const;
 
     /// Takes what another entry let through since it was heard last.
-    void learn(std::uint64_t entryIncarnation, const std::vector<QuotaUse> &uses);
+    void learn(std::uint64_t entryIncarnation, const std::vector<QuotaUse> &uses, TimePoint now);
     /// Share of the known entries that are heard, this one included.
     void setHeardShare(double share, TimePoint now);
 
@@ -65,33 +72,47 @@
     std::vector<QuotaUse> uses() const;
 
 private:
-    /// What was used in one part of the window.
+    /// What was sent in one part of the window.
     struct Slice
     {
         TimePoint begin{};
-        double used = 0;
+        double sent = 0;
     };
     struct Bucket
     {
         double rate = 0;
         double burst = 0;
         double level = 0;
-        double used = 0;
+        /// By this entry.
+        double sent = 0;
+        double pending = 0;
+        /// At the entries that are heard.
+        double peersPending = 0;
         std::deque<Slice> slices{};
-        double usedInWindow = 0;
+        double sentInWindow = 0;
+    };
+    struct Peer
+    {
+        TimePoint heardAt{};
+        std::map<std::string, QuotaUse, std::less<>> uses;
     };
 
     void refill(TimePoint now);
+    /// Drops what silent entries had pending, and entries that are long gone.
+    void forgetSilent(TimePoint now);
+    void learnUse(Peer &peer, const QuotaUse &use);
+    void countPeersPending();
     /// Units a second at which the bucket refills.
     double refillRate(const Bucket &bucket) const;
     double allowance(const Bucket &bucket) const;
-    void spend(Bucket &bucket, double units) const;
+    static void draw(Bucket &bucket, double units);
+    void recordSent(Bucket &bucket, double units) const;
     void dropOld(Bucket &bucket, TimePoint now) const;
 
     Duration m_window;
 
     std::map<std::string, Bucket, std::less<>> m_buckets;
-    std::map<std::pair<std::uint64_t, std::string>, double> m_heard;
+    std::map<std::uint64_t, Peer> m_peers;
     double m_share = 1;
     TimePoint m_refilledAt{};
 };
--- a/tests/ServingBudgetsTest.cpp
+++ b/tests/ServingBudgetsTest.cpp
@@ -33,6 +33,24 @@
     return config;
 }
 
+/// No window of 8 s holds over 1.1 times what 1,000 a second and a burst of 1,000 allow in it.
+void checkEveryWindow(const std::vector<int> &sentAtMs, double cost)
+{
+    for (auto first = sentAtMs.begin(); first != sentAtMs.end(); ++first) {
+        const auto end = std::upper_bound(first, sentAtMs.end(), *first + 8000);
+        BOOST_TEST(static_cast<double>(end - first) * cost <= (1000 * 8 + 1000) * 1.1);
+    }
+}
+
+/// Charges a request and sends it at once.
+bool takeAndSend(QuotaLedger &ledger, double cost, TimePoint now)
+{
+    const bool taken = ledger.tryTake("w", cost, now);
+    if (taken)
+        ledger.send("w", cost, now);
+    return taken;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(QuotaLedgerSuite)
@@ -55,15 +73,89 @@
                 ledger.giveBack("w", cost);
         if (ms % 10 != 0 || !ledger.tryTake("w", cost, now))
             continue;
-        if (ms < refusedUntilMs)
+        if (ms < refusedUntilMs) {
             givenBackAtMs.push_back(ms + waitMs);
-        else
-            ranAtMs.push_back(ms);
+            continue;
+        }
+        ledger.send("w", cost, now);
+        ranAtMs.push_back(ms);
     }
-    for (auto first = ranAtMs.begin(); first != ranAtMs.end(); ++first) {
-        const auto end = std::upper_bound(first, ranAtMs.end(), *first + 8000);
-        BOOST_TEST(static_cast<double>(end - first) * cost <= (1000 * 8 + 1000) * 1.1);
+    checkEveryWindow(ranAtMs, cost);
+}
+
+// All that comes in 3 s waits for as long as is left of them and is sent together then.
+BOOST_AUTO_TEST_CASE(whatWaitsCountsInTheWindowInWhichItIsSent)
+{
+    constexpr double cost = 100;
+    constexpr int sentTogetherAtMs = 3000;
+    QuotaLedger ledger;
+    ledger.configure(quotaConfig(1000, 1000), start - seconds(20));
+    std::vector<int> sentAtMs;
+    int waiting = 0;
+    for (int ms = 0; ms < 20'000; ++ms) {
+        const TimePoint now = start + milliseconds(ms);
+        for (; ms == sentTogetherAtMs && waiting > 0; --waiting) {
+            ledger.send("w", cost, now);
+            sentAtMs.push_back(ms);
+        }
+        if (ms % 10 != 0 || !ledger.tryTake("w", cost, now))
+            continue;
+        if (ms < sentTogetherAtMs) {
+            ++waiting;
+            continue;
+        }
+        ledger.send("w", cost, now);
+        sentAtMs.push_back(ms);
+    }
+    checkEveryWindow(sentAtMs, cost);
+}
+
+// As the first case, at four entries that hear one another each 100 ms: a refund that comes late
+// raises no window at the others either.
+BOOST_AUTO_TEST_CASE(whatAnotherEntryGivesBackDoesNotRaiseALaterWindow)
+{
+    constexpr double cost = 100;
+    constexpr int waitMs = 500;
+    constexpr int refusedUntilMs = 2000;
+    std::array<QuotaLedger, 4> ledgers;
+    for (QuotaLedger &ledger : ledgers)
+        ledger.configure(quotaConfig(1000, 1000), start - seconds(20));
+    std::vector<int> ranAtMs;
+    std::array<std::vector<int>, 4> givenBackAtMs;
+    for (int ms = 0; ms < 20'000; ++ms) {
+        const TimePoint now = start + milliseconds(ms);
+        for (std::size_t i = 0; i < ledgers.size(); ++i) {
+            for (int back = std::ranges::count(givenBackAtMs[i], ms); back > 0; --back)
+                ledgers[i].giveBack("w", cost);
+            if (ms % 40 == 0 && ledgers[i].tryTake("w", cost, now)) {
+                if (ms < refusedUntilMs) {
+                    givenBackAtMs[i].push_back(ms + waitMs);
+                } else {
+                    ledgers[i].send("w", cost, now);
+                    ranAtMs.push_back(ms);
+                }
+            }
+        }
+        for (std::size_t i = 0; ms % 100 == 0 && i < ledgers.size(); ++i)
+            for (std::size_t j = 0; j < ledgers.size(); ++j)
+                if (i != j)
+                    ledgers[j].learn(i + 1, ledgers[i].uses(), now);
     }
+    checkEveryWindow(ranAtMs, cost);
+}
+
+// What a silent entry had pending ends with it.
+BOOST_AUTO_TEST_CASE(pendingUseOfASilentEntryIsForgotten)
+{
+    QuotaLedger ledger;
+    ledger.configure(quotaConfig(1000, 1000), start);
+    const TimePoint filled = start + seconds(10);
+    ledger.learn(1, {{"w", 0, 0}}, filled);
+    ledger.learn(1, {{"w", 0, 9000}}, filled);
+    BOOST_TEST(!ledger.tryTake("w", 1, filled + seconds(1)));
+    const TimePoint silent = filled + seconds(10);
+    ledger.setHeardShare(1, silent);
+    BOOST_TEST(ledger.tryTake("w", 1, silent));
 }
 
 // Four entries under a workspace that sends many times its quota; every entry hears the others'
@@ -78,11 +170,11 @@
     for (int ms = 0; ms < steps; ++ms) {
         const TimePoint now = start + milliseconds(ms);
         for (QuotaLedger &ledger : ledgers)
-            taken += ledger.tryTake("w", 10, now) ? 10 : 0;
+            taken += takeAndSend(ledger, 10, now) ? 10 : 0;
         for (std::size_t i = 0; ms % 50 == 0 && i < ledgers.size(); ++i)
             for (std::size_t j = 0; j < ledgers.size(); ++j)
                 if (i != j)
-                    ledgers[j].learn(i + 1, ledgers[i].uses());
+                    ledgers[j].learn(i + 1, ledgers[i].uses(), now);
     }
     BOOST_TEST(taken <= (1000 * 8 + 1000) * 1.1);
     BOOST_TEST(taken >= 1000 * 8 * 0.9);
@@ -104,7 +196,7 @@
     ledger.configure(quotaConfig(1000, 4000), start);
     std::vector<double> taken(40, 0);
     for (int ms = 0; ms < 40000; ++ms)
-        if (ledger.tryTake("w", 10, start + milliseconds(ms)))
+        if (takeAndSend(ledger, 10, start + milliseconds(ms)))
             taken[static_cast<std::size_t>(ms / 1000)] += 10;
     for (std::size_t first = 0; first + 8 <= taken.size(); ++first) {
         const auto begin = taken.begin() + static_cast<long>(first);
@@ -123,7 +215,7 @@
         ledger.configure(quotaConfig(1000, 1000), start);
         ledger.setHeardShare(0.25, start);
         for (int ms = 0; ms < 8000; ++ms)
-            taken += ledger.tryTake("w", 10, start + milliseconds(ms)) ? 10 : 0;
+            taken += takeAndSend(ledger, 10, start + milliseconds(ms)) ? 10 : 0;
     }
     BOOST_TEST(taken <= (1000 * 8 + 1000) * 1.1);
 }
@@ -136,8 +228,8 @@
     for (int ms = 0; ms < 10000; ++ms) {
         const TimePoint now = start + milliseconds(ms);
         if (ms % 100 == 0)
-            large += ledger.tryTake("w", 900, now) ? 1 : 0;
-        ledger.tryTake("w", 20, now);
+            large += takeAndSend(ledger, 900, now) ? 1 : 0;
+        takeAndSend(ledger, 20, now);
     }
     BOOST_TEST(large > 0);
 }
