Changes of upstreams are told by the followers, not read again by every entry

Change: a follower keeps the last changes with the store's revisions (UpstreamLog) and answers each ask with those after the asker's revision. An entry looks at the store only when it has been behind what followers tell for 0.7 s, when its position was not renewed for 12 s, or when they prove nothing. Revisions are the store's own, so a delta fits wherever it is applied: at its start or later, never beyond its end. Evidence: the seeded schedules of FleetSuite now change upstreams as well, lose history, and check that the asker knows exactly those of its revision; aLogTellsWhatItHoldsWholeOrNothing.

--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -65,8 +65,9 @@
             asio::post(traffic,
                        [this, records = std::move(records)] { state.applyUpstreams(records); });
         };
-        listener.upstreamsFollowed = [this](std::uint64_t revision) {
-            asio::post(traffic, [this, revision] { state.applyUpstreamsFollowed(revision); });
+        listener.upstreamsFollowed = [this](const UpstreamDelta &delta, UpstreamSource source) {
+            asio::post(traffic,
+                       [this, delta, source] { state.applyUpstreamsFollowed(delta, source); });
         };
         listener.entriesChanged = [this](std::map<std::string, Endpoint> entries) {
             asio::post(traffic, [this, entries = std::move(entries)] { applyEntries(entries); });
@@ -84,6 +85,9 @@
         state.onNewsTold = [this, control](std::uint64_t version, std::uint64_t revision) {
             asio::post(control, [this, version, revision] { follower.notice(version, revision); });
         };
+        state.onUpstreamsRelayed = [this, control](const UpstreamDelta &delta) {
+            asio::post(control, [this, delta] { follower.applyRelayed(delta); });
+        };
         state.onProofRelayed = [this, control](BootTime relayed) {
             asio::post(control, [this, relayed] {
                 follower.learnProof(relayed);
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -29,8 +29,8 @@
 /// Wait of a watch that asks for what has changed already: its answer proves the configuration at
 /// once.
 constexpr milliseconds noWait{1};
-/// While others follow the store, the position among the upstreams' changes is renewed so often:
-/// the store forgets its history after some 20 s.
+/// A position among the upstreams' changes that no follower renews for this long is renewed at the
+/// store, which forgets its history after some 20 s.
 constexpr milliseconds positionRefresh{12'000};
 /// How often an entry that relies on followers looks whether they still answer.
 constexpr milliseconds dutyCheck{500};
@@ -202,7 +202,9 @@
     asio::awaitable<void> upstreamLoop()
     {
         while (true) {
+            callsUpstreams = true;
             const auto listing = co_await store.list(platform::upstreamKind());
+            callsUpstreams = false;
             if (!noteResult(listing, "list_upstreams")) {
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
@@ -213,22 +215,30 @@
                     records.push_back(std::move(*record));
             directory.replace(std::move(records), steadyNow());
             publishUpstreams();
-            listener.upstreamsFollowed(listing->revision);
-            co_await watchUpstreams(listing->revision);
+            setPosition({position, listing->revision, {}}, UpstreamSource::Listing);
+            co_await watchUpstreams();
         }
     }
 
-    asio::awaitable<void> watchUpstreams(platform::Revision revision)
+    void setPosition(const UpstreamDelta &delta, UpstreamSource source)
+    {
+        position = delta.revision;
+        positionAt = steadyNow();
+        listener.upstreamsFollowed(delta, source);
+    }
+
+    asio::awaitable<void> watchUpstreams()
     {
-        platform::Revision lastChange = revision;
         while (true) {
-            const TimePoint refreshAt = steadyNow() + positionRefresh;
-            co_await untilNeeded(upstreamTimer, [this, revision, refreshAt] {
-                return duty.areUpstreamsBehind(revision) || steadyNow() >= refreshAt;
+            co_await untilNeeded(upstreamTimer, [this] {
+                const TimePoint now = steadyNow();
+                return duty.areUpstreamsBehind(position, now) || now > positionAt + positionRefresh;
             });
             const bool watches = duty.watchesStore(bootNow());
-            const auto changes = co_await store.watch(platform::upstreamKind(), revision,
+            callsUpstreams = true;
+            const auto changes = co_await store.watch(platform::upstreamKind(), position,
                                                       watches ? upstreamWait : noWait);
+            callsUpstreams = false;
             if (!noteResult(changes, "watch_upstreams")) {
                 if (changes.error().kind == ErrorKind::HistoryGone)
                     co_return;
@@ -236,13 +246,12 @@
                 continue;
             }
             bool onlyNew = true;
-            for (const auto &event : changes->events)
-                onlyNew = takeUpstream(event) && onlyNew;
-            revision = changes->revision;
-            if (!changes->events.empty())
-                lastChange = revision;
-            if (watches)
-                listener.upstreamsFollowed(lastChange);
+            UpstreamDelta delta{position, changes->revision, {}};
+            for (const auto &event : changes->events) {
+                delta.changes.push_back(decodeChange(event));
+                onlyNew = takeChange(delta.changes.back(), "store") && onlyNew;
+            }
+            setPosition(delta, UpstreamSource::OwnWatch);
             if (changes->events.empty())
                 continue;
             publishUpstreams();
@@ -250,24 +259,48 @@
         }
     }
 
-    /// Whether the event tells of an upstream that was not known.
-    bool takeUpstream(const platform::StoreEvent &event)
+    UpstreamChange decodeChange(const platform::StoreEvent &event)
     {
         auto record = event.deleted ? std::nullopt : decode(event.object);
+        if (record)
+            return {std::move(*record), false};
+        UpstreamChange removal;
+        removal.record.id = event.object.name;
+        removal.removed = true;
+        return removal;
+    }
+
+    /// Whether the change is of an upstream that was not known.
+    bool takeChange(const UpstreamChange &change, std::string_view source)
+    {
+        const UpstreamRecord &record = change.record;
         logEvent(LogLevel::Info, "upstream_changed",
-                 {{"upstream", event.object.name},
-                  {"revision", event.object.revision},
-                  {"listed", record.has_value()},
-                  {"draining", record && record->draining}});
-        if (!record) {
-            directory.remove(event.object.name, steadyNow());
+                 {{"upstream", record.id},
+                  {"source", source},
+                  {"position", position},
+                  {"listed", !change.removed},
+                  {"draining", record.draining}});
+        if (change.removed) {
+            directory.remove(record.id, steadyNow());
             return false;
         }
-        const bool isNew = !record->draining && !directory.knows(record->id);
-        directory.put(std::move(*record));
+        const bool isNew = !record.draining && !directory.knows(record.id);
+        directory.put(record);
         return isNew;
     }
 
+    void applyRelayed(const UpstreamDelta &delta)
+    {
+        // An own call under way would bring changes that the delta has gone beyond.
+        if (callsUpstreams || delta.since > position || delta.revision < position)
+            return;
+        for (const UpstreamChange &change : delta.changes)
+            takeChange(change, "relay");
+        setPosition(delta, UpstreamSource::Relay);
+        if (!delta.changes.empty())
+            publishUpstreams();
+    }
+
     std::optional<UpstreamRecord> decode(const platform::StoredObject &object)
     {
         auto record = platform::decodeUpstream(object.name, object.spec);
@@ -358,6 +391,11 @@
     platform::StoreClient store;
     UpstreamDirectory directory;
     StoreDuty duty;
+    /// The upstreams are known up to this revision of the store, renewed then.
+    platform::Revision position = 0;
+    TimePoint positionAt{};
+    /// A call that reads upstreams is under way.
+    bool callsUpstreams = false;
     /// What was logged last.
     bool watched = true;
     asio::steady_timer expiryTimer;
@@ -408,10 +446,15 @@
 void StoreFollower::notice(std::uint64_t configVersion, std::uint64_t upstreamRevision)
 {
     m_private->duty.noticeConfig(configVersion);
-    m_private->duty.noticeUpstreams(upstreamRevision);
+    m_private->duty.noticeUpstreams(upstreamRevision, m_private->position, steadyNow());
     m_private->wake();
 }
 
+void StoreFollower::applyRelayed(const UpstreamDelta &delta)
+{
+    m_private->applyRelayed(delta);
+}
+
 std::uint64_t StoreFollower::calls() const
 {
     return m_private->store.calls();
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/Settings.h"
+#include "fleet/UpstreamLog.h"
 #include "serving/FreshnessGuard.h"
 #include "serving/ServingConfig.h"
 #include "serving/UpstreamDirectory.h"
@@ -25,8 +26,8 @@
     /// The newest configuration was in force when the store was called at this time.
     std::function<void(BootTime)> configProved;
     std::function<void(std::vector<UpstreamRecord>)> upstreamsChanged;
-    /// A watch of the upstreams has returned; they changed last at this revision.
-    std::function<void(std::uint64_t)> upstreamsFollowed;
+    /// The upstreams are known up to the delta's revision.
+    std::function<void(const UpstreamDelta &, UpstreamSource)> upstreamsFollowed;
     /// Entries by name, this one included.
     std::function<void(std::map<std::string, Endpoint>)> entriesChanged;
 };
@@ -54,6 +55,8 @@
     void learnProof(BootTime provedAt);
     /// What other entries know of; 0: nothing new.
     void notice(std::uint64_t configVersion, std::uint64_t upstreamRevision);
+    /// What a follower says of upstreams.
+    void applyRelayed(const UpstreamDelta &delta);
 
 private:
     struct Private;
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -92,15 +92,27 @@
     const bool newUpstreams = load.upstreamRevision > m_noticedUpstreams;
     m_noticedConfig = std::max(m_noticedConfig, load.configVersion);
     m_noticedUpstreams = std::max(m_noticedUpstreams, load.upstreamRevision);
+    if (newUpstreams)
+        proofs.askNow();
     if ((newConfig || newUpstreams) && onNewsTold)
         onNewsTold(m_noticedConfig, m_noticedUpstreams);
+    if (newUpstreams)
+        askFollower(steadyNow());
 }
 
-void TrafficState::applyUpstreamsFollowed(std::uint64_t revision)
+void TrafficState::applyUpstreamsFollowed(const UpstreamDelta &delta, UpstreamSource source)
 {
-    const bool changed = std::exchange(m_upstreamRevision, revision) != revision;
+    if (source == UpstreamSource::Listing)
+        m_upstreamLog.restart(delta.revision);
+    else
+        m_upstreamLog.append(delta);
+    if (source == UpstreamSource::Relay)
+        return;
     m_upstreamsFollowedAt = steadyNow();
-    if (changed && m_elected && onLoadChanged)
+    if (source != UpstreamSource::Listing && delta.changes.empty())
+        return;
+    m_upstreamRevision = delta.revision;
+    if (m_elected && onLoadChanged)
         onLoadChanged();
 }
 
@@ -119,21 +131,31 @@
     m_followers = std::move(followers);
     if (std::exchange(m_elected, elected) != elected && onElected)
         onElected(elected);
-    if (elected || !onProofAsk)
+    askFollower(now);
+}
+
+void TrafficState::askFollower(TimePoint now)
+{
+    if (m_elected || !onStoreAsk)
         return;
-    if (const auto due = proofs.ask(m_followers, now, bootNow()))
-        onProofAsk(due->first, due->second);
+    const std::uint64_t position = m_upstreamLog.position();
+    if (const auto due = proofs.ask(m_followers, now, bootNow(), position))
+        onStoreAsk(due->first, due->second);
 }
 
-std::optional<ProofAnswer> TrafficState::answerProof(const ProofAsk &ask) const
+std::optional<StoreAnswer> TrafficState::answerProof(const StoreAsk &ask) const
 {
     if (!config || draining || steadyNow() - m_upstreamsFollowedAt > oldestFollowed)
         return std::nullopt;
-    return ProofRelay::answer(ask, config->version, freshness, bootNow());
+    return ProofRelay::answer(ask, config->version, freshness, m_upstreamLog, bootNow());
 }
 
-void TrafficState::learnProof(const ProofAnswer &answer)
+void TrafficState::learnProof(const StoreAnswer &answer)
 {
+    if (!proofs.isAsker(answer))
+        return;
+    if (answer.upstreams && onUpstreamsRelayed)
+        onUpstreamsRelayed(*answer.upstreams);
     const auto provedAt = proofs.learn(answer, config ? config->version : 0);
     metrics.add("tamarack_proofs_relayed_total",
                 provedAt ? "outcome=\"proved\"" : "outcome=\"not_mine\"");
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -4,6 +4,7 @@
 #include "config/Settings.h"
 #include "direct/UpstreamPool.h"
 #include "fleet/ProofRelay.h"
+#include "fleet/UpstreamLog.h"
 #include "serving/Admission.h"
 #include "serving/CrashLedger.h"
 #include "serving/DispatchQueue.h"
@@ -58,8 +59,8 @@
     void applyConfig(ServingConfigPtr config);
     void applyUpstreams(const std::vector<UpstreamRecord> &records);
     void applyPeer(const EntryLoad &load);
-    /// A watch of the upstreams has returned; they changed last at this revision.
-    void applyUpstreamsFollowed(std::uint64_t revision);
+    /// The upstreams are known up to the delta's revision.
+    void applyUpstreamsFollowed(const UpstreamDelta &delta, UpstreamSource source);
     void applyKnownEntries(const std::set<std::string> &names);
 
     /// Queues the request; `wait` is decided now or later.
@@ -84,12 +85,14 @@
     std::pair<std::uint64_t, std::uint64_t> newsRevision() const;
 
     /// The answer to another entry's ask; none when this entry does not follow the store.
-    std::optional<ProofAnswer> answerProof(const ProofAsk &ask) const;
-    void learnProof(const ProofAnswer &answer);
+    std::optional<StoreAnswer> answerProof(const StoreAsk &ask) const;
+    void learnProof(const StoreAnswer &answer);
     /// Called when an ask is due, with the follower's name.
-    std::function<void(const std::string &, const ProofAsk &)> onProofAsk;
+    std::function<void(const std::string &, const StoreAsk &)> onStoreAsk;
     /// Called with the time at which a follower's proof held.
     std::function<void(BootTime)> onProofRelayed;
+    /// Called with what a follower says of upstreams.
+    std::function<void(const UpstreamDelta &)> onUpstreamsRelayed;
     /// Called when this entry begins or ends to follow the store for others.
     std::function<void(bool)> onElected;
     /// Called when another entry knows a newer configuration, or newer changes of upstreams.
@@ -126,6 +129,7 @@
     void armRefusals();
     /// Elects the followers of this data centre and asks one of them for its proof.
     void followStore(TimePoint now);
+    void askFollower(TimePoint now);
     void noticeNews(const EntryLoad &load);
     /// Logs entries that are heard no longer or again.
     void notePeers(TimePoint now);
@@ -141,7 +145,8 @@
     bool m_elected = true;
     std::uint64_t m_noticedConfig = 0;
     std::uint64_t m_noticedUpstreams = 0;
-    /// Of this entry's own watch.
+    UpstreamLog m_upstreamLog;
+    /// The last change that this entry's own watch has brought.
     std::uint64_t m_upstreamRevision = 0;
     TimePoint m_upstreamsFollowedAt{};
     TimePoint m_refusalAt = TimePoint::max();
--- a/src/fleet/EntryMessage.h
+++ b/src/fleet/EntryMessage.h
@@ -8,6 +8,6 @@
 namespace tamarack {
 
 /// What entries send one another, one message a datagram.
-using EntryMessage = std::variant<EntryLoad, ProofAsk, ProofAnswer>;
+using EntryMessage = std::variant<EntryLoad, StoreAsk, StoreAnswer>;
 
 } // namespace tamarack
--- a/src/fleet/ProofRelay.cpp
+++ b/src/fleet/ProofRelay.cpp
@@ -2,30 +2,34 @@
 
 namespace tamarack {
 
-std::optional<std::pair<std::string, ProofAsk>>
-ProofRelay::ask(const std::vector<std::string> &followers, TimePoint now, BootTime bootTime)
+std::optional<std::pair<std::string, StoreAsk>>
+ProofRelay::ask(const std::vector<std::string> &followers, TimePoint now, BootTime bootTime,
+                std::uint64_t upstreamRevision)
 {
     if (followers.empty() || now < m_nextAsk)
         return std::nullopt;
     m_nextAsk = now + askInterval;
-    return std::pair(followers[++m_turn % followers.size()], ProofAsk{m_own, bootTime});
+    return std::pair(followers[++m_turn % followers.size()],
+                     StoreAsk{m_own, bootTime, upstreamRevision});
 }
 
-std::optional<ProofAnswer> ProofRelay::answer(const ProofAsk &ask, std::uint64_t configVersion,
-                                              const FreshnessGuard &freshness, BootTime bootTime)
+std::optional<StoreAnswer> ProofRelay::answer(const StoreAsk &ask, std::uint64_t configVersion,
+                                              const FreshnessGuard &freshness,
+                                              const UpstreamLog &upstreams, BootTime bootTime)
 {
     const auto age = freshness.age(bootTime);
     if (!age || *age > oldestRelayed)
         return std::nullopt;
     // The age is rounded down.
-    return ProofAnswer{ask.asker, ask.askedAt, configVersion, *age + milliseconds(1)};
+    return StoreAnswer{ask.asker, ask.askedAt, configVersion, *age + milliseconds(1),
+                       upstreams.since(ask.upstreamRevision)};
 }
 
-std::optional<BootTime> ProofRelay::learn(const ProofAnswer &answer,
+std::optional<BootTime> ProofRelay::learn(const StoreAnswer &answer,
                                           std::uint64_t configVersion) const
 {
     // An answer to another entry, or to this one before it restarted, was asked on another clock.
-    if (answer.asker != m_own || answer.configVersion != configVersion)
+    if (!isAsker(answer) || answer.configVersion != configVersion)
         return std::nullopt;
     return answer.askedAt - answer.age;
 }
--- a/src/fleet/StoreDuty.cpp
+++ b/src/fleet/StoreDuty.cpp
@@ -9,8 +9,10 @@
     m_configVersion = std::max(m_configVersion, version);
 }
 
-void StoreDuty::noticeUpstreams(std::uint64_t revision)
+void StoreDuty::noticeUpstreams(std::uint64_t revision, std::uint64_t position, TimePoint now)
 {
+    if (position >= m_upstreamRevision)
+        m_behindSince = now;
     m_upstreamRevision = std::max(m_upstreamRevision, revision);
 }
 
@@ -19,6 +21,11 @@
     m_provedAt = std::max(m_provedAt.value_or(provedAt), provedAt);
 }
 
+bool StoreDuty::areUpstreamsBehind(std::uint64_t position, TimePoint now) const
+{
+    return m_upstreamRevision > position && now - m_behindSince > tellBound;
+}
+
 bool StoreDuty::watchesStore(BootTime now) const
 {
     return m_elected || !m_provedAt || now - *m_provedAt > oldestProof;
--- a/src/fleet/StoreDuty.h
+++ b/src/fleet/StoreDuty.h
@@ -21,8 +21,9 @@
     void learnProof(BootTime provedAt);
     /// Another entry knows this version of the configuration.
     void noticeConfig(std::uint64_t version);
-    /// A follower has seen upstreams change up to this revision of the store.
-    void noticeUpstreams(std::uint64_t revision);
+    /// A follower has seen upstreams change up to `revision` of the store; they are known here up
+    /// to `position`.
+    void noticeUpstreams(std::uint64_t revision, std::uint64_t position, TimePoint now);
 
     /// The store was asked and holds this version, whatever others claim.
     void configRead(std::uint64_t version) { m_configVersion = version; }
@@ -30,17 +31,21 @@
     bool isElected() const { return m_elected; }
     bool watchesStore(BootTime now) const;
     bool isConfigBehind(std::uint64_t version) const { return m_configVersion > version; }
-    bool areUpstreamsBehind(std::uint64_t revision) const { return m_upstreamRevision > revision; }
+    /// Whether the followers should have told by now what changed after `position`.
+    bool areUpstreamsBehind(std::uint64_t position, TimePoint now) const;
 
     /// Once the followers' newest proof is older than this, an entry watches the store itself: in
     /// time for a call of its own before its view counts as old.
     static constexpr milliseconds oldestProof{2000};
+    /// Time that followers have to tell a change.
+    static constexpr milliseconds tellBound{700};
 
 private:
     bool m_elected = true;
     std::optional<BootTime> m_provedAt;
     std::uint64_t m_configVersion = 0;
     std::uint64_t m_upstreamRevision = 0;
+    TimePoint m_behindSince{};
 };
 
 } // namespace tamarack
--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view exchangeVersion = "2";
 /// Bytes of the HMAC-SHA256 that a datagram carries.
 constexpr std::size_t tagBytes = 16;
+constexpr std::uint32_t largestSlots = 1 << 20;
 /// Bounds what a datagram can make the reader visit.
 constexpr std::uint64_t traversalWords = 1 << 16;
 constexpr int nestingLimit = 8;
@@ -71,20 +72,75 @@
     writeLists(root, load);
 }
 
-void write(wire::EntryMessage::Builder to, const ProofAsk &ask)
+void write(wire::EntryMessage::Builder to, const StoreAsk &ask)
 {
-    auto root = to.initProofAsk();
+    auto root = to.initStoreAsk();
     root.setAsker(ask.asker);
     root.setAskedAtNs(ask.askedAt.count());
+    root.setUpstreamRevision(ask.upstreamRevision);
 }
 
-void write(wire::EntryMessage::Builder to, const ProofAnswer &answer)
+void write(wire::EntryMessage::Builder to, const StoreAnswer &answer)
 {
-    auto root = to.initProofAnswer();
+    auto root = to.initStoreAnswer();
     root.setAsker(answer.asker);
     root.setAskedAtNs(answer.askedAt.count());
     root.setConfigVersion(answer.configVersion);
     root.setAgeMs(static_cast<std::uint32_t>(answer.age.count()));
+    root.setHasUpstreams(answer.upstreams.has_value());
+    if (!answer.upstreams)
+        return;
+    root.setUpstreamSince(answer.upstreams->since);
+    root.setUpstreamRevision(answer.upstreams->revision);
+    const auto &changes = answer.upstreams->changes;
+    auto rows = root.initUpstreamChanges(changes.size());
+    for (unsigned i = 0; i < changes.size(); ++i) {
+        const UpstreamRecord &record = changes[i].record;
+        rows[i].setId(textOf(record.id));
+        rows[i].setService(textOf(record.service));
+        rows[i].setAddress(textOf(toString(record.endpoint)));
+        rows[i].setDataCentre(textOf(record.dataCentre));
+        rows[i].setSlots(static_cast<std::uint32_t>(record.slots));
+        rows[i].setDraining(record.draining);
+        rows[i].setBorn(record.born);
+        rows[i].setRemoved(changes[i].removed);
+    }
+}
+
+/// None when it names no upstream that could be used.
+std::optional<UpstreamChange> read(wire::UpstreamChange::Reader from)
+{
+    UpstreamChange change;
+    change.removed = from.getRemoved();
+    change.record.id = stringOf(from.getId());
+    const auto endpoint = parseEndpoint(stringOf(from.getAddress()));
+    if (change.removed)
+        return change;
+    if (!endpoint || from.getSlots() > largestSlots)
+        return std::nullopt;
+    change.record.endpoint = *endpoint;
+    change.record.service = stringOf(from.getService());
+    change.record.dataCentre = stringOf(from.getDataCentre());
+    change.record.slots = static_cast<int>(from.getSlots());
+    change.record.draining = from.getDraining();
+    change.record.born = from.getBorn();
+    return change;
+}
+
+Result<EntryMessage> read(wire::StoreAnswer::Reader from)
+{
+    StoreAnswer answer{from.getAsker(), BootTime(from.getAskedAtNs()), from.getConfigVersion(),
+                       milliseconds(from.getAgeMs()), std::nullopt};
+    if (!from.getHasUpstreams())
+        return answer;
+    answer.upstreams = UpstreamDelta{from.getUpstreamSince(), from.getUpstreamRevision(), {}};
+    for (const auto row : from.getUpstreamChanges()) {
+        auto change = read(row);
+        if (!change)
+            return failure(ErrorKind::BadRequest, "malformed change of an upstream");
+        answer.upstreams->changes.push_back(std::move(*change));
+    }
+    return answer;
 }
 
 EntryLoad read(wire::EntryLoad::Reader from)
@@ -116,15 +172,12 @@
     switch (from.which()) {
     case wire::EntryMessage::LOAD:
         return read(from.getLoad());
-    case wire::EntryMessage::PROOF_ASK: {
-        const auto ask = from.getProofAsk();
-        return ProofAsk{ask.getAsker(), BootTime(ask.getAskedAtNs())};
-    }
-    case wire::EntryMessage::PROOF_ANSWER: {
-        const auto answer = from.getProofAnswer();
-        return ProofAnswer{answer.getAsker(), BootTime(answer.getAskedAtNs()),
-                           answer.getConfigVersion(), milliseconds(answer.getAgeMs())};
+    case wire::EntryMessage::STORE_ASK: {
+        const auto ask = from.getStoreAsk();
+        return StoreAsk{ask.getAsker(), BootTime(ask.getAskedAtNs()), ask.getUpstreamRevision()};
     }
+    case wire::EntryMessage::STORE_ANSWER:
+        return read(from.getStoreAnswer());
     }
     return failure(ErrorKind::BadRequest, "unknown kind of message");
 }
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -170,22 +170,38 @@
     upstreamRevision @10 :UInt64;
 }
 
-struct ProofAsk {
+struct UpstreamChange {
+    id @0 :Text;
+    service @1 :Text;
+    address @2 :Text;
+    dataCentre @3 :Text;
+    slots @4 :UInt32;
+    draining @5 :Bool;
+    born @6 :UInt64;
+    removed @7 :Bool;
+}
+
+struct StoreAsk {
     asker @0 :UInt64;
     askedAtNs @1 :Int64;
+    upstreamRevision @2 :UInt64;
 }
 
-struct ProofAnswer {
+struct StoreAnswer {
     asker @0 :UInt64;
     askedAtNs @1 :Int64;
     configVersion @2 :UInt64;
     ageMs @3 :UInt32;
+    hasUpstreams @4 :Bool;
+    upstreamRevision @5 :UInt64;
+    upstreamChanges @6 :List(UpstreamChange);
+    upstreamSince @7 :UInt64;
 }
 
 struct EntryMessage {
     union {
         load @0 :EntryLoad;
-        proofAsk @1 :ProofAsk;
-        proofAnswer @2 :ProofAnswer;
+        storeAsk @1 :StoreAsk;
+        storeAnswer @2 :StoreAnswer;
     }
 }
--- a/tests/EntryMessageCodecTest.cpp
+++ b/tests/EntryMessageCodecTest.cpp
@@ -38,10 +38,17 @@
 
 BOOST_AUTO_TEST_CASE(proofsRoundTrip)
 {
-    const ProofAsk ask{7, BootTime(8'000'000'001)};
-    const ProofAnswer answer{7, BootTime(8'000'000'001), 9, milliseconds(1300)};
-    BOOST_TEST((std::get<ProofAsk>(*openMessage(sealMessage(ask, key), key)) == ask));
-    BOOST_TEST((std::get<ProofAnswer>(*openMessage(sealMessage(answer, key), key)) == answer));
+    const StoreAsk ask{7, BootTime(8'000'000'001), 40};
+    StoreAnswer answer{7, BootTime(8'000'000'001), 9, milliseconds(1300), std::nullopt};
+    BOOST_TEST((std::get<StoreAnswer>(*openMessage(sealMessage(answer, key), key)) == answer));
+    UpstreamChange change;
+    change.record = {"id", "models", {"10.0.0.9", 80}, "north", 6, true, 5};
+    UpstreamChange removal;
+    removal.record.id = "gone";
+    removal.removed = true;
+    answer.upstreams = UpstreamDelta{40, 44, {change, removal}};
+    BOOST_TEST((std::get<StoreAsk>(*openMessage(sealMessage(ask, key), key)) == ask));
+    BOOST_TEST((std::get<StoreAnswer>(*openMessage(sealMessage(answer, key), key)) == answer));
 }
 
 BOOST_AUTO_TEST_CASE(strangersAndDamageAreRejected)
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -1,8 +1,10 @@
 #include "fleet/FollowerElection.h"
 #include "fleet/ProofRelay.h"
 #include "fleet/StoreDuty.h"
+#include "fleet/UpstreamLog.h"
 
 #include <algorithm>
+#include <map>
 #include <random>
 #include <set>
 #include <variant>
@@ -33,13 +35,15 @@
     {}
 
     /// Plays some 30 s. False once the asker counted a version as proved at a time at which a
-    /// newer one was in force.
+    /// newer one was in force, or knows other upstreams than there were at its revision.
     bool holds()
     {
         for (m_now = milliseconds(1); m_now < seconds(30); m_now += milliseconds(draw(1, 120))) {
             step();
             if (m_proved && versionsAt(*m_proved) > m_askerVersion)
                 return false;
+            if (m_askerUpstreams.names != m_upstreamsAt[m_askerUpstreams.revision])
+                return false;
         }
         return true;
     }
@@ -48,9 +52,53 @@
     struct Datagram
     {
         BootTime at{};
-        std::variant<ProofAsk, ProofAnswer> content;
+        std::variant<StoreAsk, StoreAnswer> content;
     };
 
+    /// A change of one of three upstreams, each of which is there or not.
+    void changeUpstream()
+    {
+        const auto which = static_cast<std::size_t>(draw(0, 2));
+        UpstreamChange change;
+        change.record.id = std::to_string(which);
+        change.removed = draw(0, 1) == 0;
+        ++m_revision;
+        m_changes.push_back({m_revision - 1, m_revision, {change}});
+        m_upstreamsAt[m_revision] = apply(m_upstreamsAt[m_revision - 1], change);
+    }
+
+    static std::set<std::string> apply(std::set<std::string> upstreams,
+                                       const UpstreamChange &change)
+    {
+        upstreams.erase(change.record.id);
+        if (!change.removed)
+            upstreams.insert(change.record.id);
+        return upstreams;
+    }
+
+    /// A watch returns what happened since its position, or the history is gone and all is read.
+    void followUpstreams()
+    {
+        if (draw(0, 30) == 0) {
+            m_log.restart(m_revision);
+            return;
+        }
+        UpstreamDelta delta{m_log.position(), m_revision, {}};
+        for (const UpstreamDelta &each : m_changes)
+            if (each.revision > m_log.position())
+                delta.changes.push_back(each.changes.front());
+        m_log.append(delta);
+    }
+
+    void learnUpstreams(const UpstreamDelta &delta)
+    {
+        if (delta.since > m_askerUpstreams.revision || delta.revision < m_askerUpstreams.revision)
+            return;
+        for (const UpstreamChange &change : delta.changes)
+            m_askerUpstreams.names = apply(m_askerUpstreams.names, change);
+        m_askerUpstreams.revision = delta.revision;
+    }
+
     std::size_t versionsAt(BootTime time) const
     {
         return static_cast<std::size_t>(
@@ -63,7 +111,7 @@
     }
 
     /// A lost datagram, one, or two of it, each after a delay of its own.
-    void send(std::vector<Datagram> &link, const std::variant<ProofAsk, ProofAnswer> &content)
+    void send(std::vector<Datagram> &link, const std::variant<StoreAsk, StoreAnswer> &content)
     {
         for (std::int64_t copies = draw(0, 2); copies > 0; --copies) {
             const std::int64_t delay = draw(0, 9) == 0 ? draw(500, 6000) : draw(1, 40);
@@ -86,6 +134,8 @@
     {
         if (draw(0, 40) == 0)
             m_versionAt.insert(m_now);
+        if (draw(0, 4) == 0)
+            changeUpstream();
         if (draw(0, 60) == 0)
             m_followerSuspendedTo = m_now + milliseconds(draw(100, 5000));
         if (draw(0, 60) == 0)
@@ -106,9 +156,11 @@
         } else if (!m_callStart) {
             m_callStart = m_now;
         }
+        if (draw(0, 2) == 0)
+            followUpstreams();
         deliver(m_toFollower, [this](const auto &content) {
-            const auto answer = ProofRelay::answer(std::get<ProofAsk>(content), m_followerVersion,
-                                                   m_freshness, m_now + followerClock);
+            const auto answer = ProofRelay::answer(std::get<StoreAsk>(content), m_followerVersion,
+                                                   m_freshness, m_log, m_now + followerClock);
             if (answer)
                 send(m_toAsker, *answer);
         });
@@ -116,10 +168,13 @@
 
     void stepAsker()
     {
-        if (const auto ask = m_relay.ask({"follower"}, TimePoint{m_now}, m_now + askerClock))
+        if (const auto ask = m_relay.ask({"follower"}, TimePoint{m_now}, m_now + askerClock,
+                                         m_askerUpstreams.revision))
             send(m_toFollower, ask->second);
         deliver(m_toAsker, [this](const auto &content) {
-            const auto &answer = std::get<ProofAnswer>(content);
+            const auto &answer = std::get<StoreAnswer>(content);
+            if (m_relay.isAsker(answer) && answer.upstreams)
+                learnUpstreams(*answer.upstreams);
             // Reads the newer configuration by itself.
             m_askerVersion = std::max<std::size_t>(m_askerVersion, answer.configVersion);
             if (const auto provedAt = m_relay.learn(answer, m_askerVersion))
@@ -143,6 +198,16 @@
     FreshnessGuard m_freshness{seconds(5), milliseconds(1250)};
     ProofRelay m_relay{7};
     std::size_t m_askerVersion = 0;
+    struct Known
+    {
+        std::uint64_t revision = 0;
+        std::set<std::string> names;
+    };
+    Known m_askerUpstreams;
+    std::uint64_t m_revision = 0;
+    std::vector<UpstreamDelta> m_changes;
+    std::map<std::uint64_t, std::set<std::string>> m_upstreamsAt;
+    UpstreamLog m_log;
     std::optional<BootTime> m_proved;
 };
 
@@ -198,11 +263,15 @@
 {
     StoreDuty duty;
     duty.noticeConfig(7);
-    duty.noticeUpstreams(40);
+    const TimePoint start{seconds(100)};
+    duty.noticeUpstreams(40, 39, start);
+    duty.noticeUpstreams(41, 39, start + StoreDuty::tellBound);
+    const TimePoint late = start + StoreDuty::tellBound + milliseconds(1);
     BOOST_TEST(duty.isConfigBehind(6));
     BOOST_TEST(!duty.isConfigBehind(7));
-    BOOST_TEST(duty.areUpstreamsBehind(39));
-    BOOST_TEST(!duty.areUpstreamsBehind(40));
+    BOOST_TEST(!duty.areUpstreamsBehind(39, start + StoreDuty::tellBound));
+    BOOST_TEST(duty.areUpstreamsBehind(39, late));
+    BOOST_TEST(!duty.areUpstreamsBehind(41, late));
     // The store is right, whatever an entry claimed.
     duty.configRead(6);
     BOOST_TEST(!duty.isConfigBehind(6));
@@ -211,23 +280,46 @@
 BOOST_AUTO_TEST_CASE(anOldProofIsNotPassedOn)
 {
     FreshnessGuard freshness(seconds(5), milliseconds(1250));
-    const ProofAsk ask{7, seconds(3)};
-    BOOST_TEST(!ProofRelay::answer(ask, 1, freshness, seconds(100)));
+    const StoreAsk ask{7, seconds(3)};
+    BOOST_TEST(!ProofRelay::answer(ask, 1, freshness, UpstreamLog(), seconds(100)));
     freshness.prove(seconds(100));
-    BOOST_TEST(ProofRelay::answer(ask, 1, freshness, seconds(101)).has_value());
-    BOOST_TEST(!ProofRelay::answer(ask, 1, freshness, seconds(103)));
+    BOOST_TEST(ProofRelay::answer(ask, 1, freshness, UpstreamLog(), seconds(101)).has_value());
+    BOOST_TEST(!ProofRelay::answer(ask, 1, freshness, UpstreamLog(), seconds(103)));
 }
 
 BOOST_AUTO_TEST_CASE(anAnswerProvesTheOwnVersionOnlyAndOnlyToItsAsker)
 {
     const ProofRelay relay(7);
-    const ProofAnswer answer{7, seconds(50), 3, milliseconds(1200)};
+    const StoreAnswer answer{7, seconds(50), 3, milliseconds(1200), {}};
     BOOST_TEST((relay.learn(answer, 3) == seconds(50) - milliseconds(1200)));
     BOOST_TEST(!relay.learn(answer, 2));
     BOOST_TEST(!relay.learn(answer, 4));
     BOOST_TEST(!ProofRelay(8).learn(answer, 3));
 }
 
+BOOST_AUTO_TEST_CASE(aLogTellsWhatItHoldsWholeOrNothing)
+{
+    UpstreamLog log;
+    log.restart(10);
+    BOOST_TEST(!log.since(9));
+    BOOST_TEST((log.since(10) == UpstreamDelta{10, 10, {}}));
+    UpstreamChange change;
+    change.record.id = "a";
+    log.append({10, 12, {change}});
+    change.removed = true;
+    log.append({12, 13, {change}});
+    log.append({13, 20, {}});
+    BOOST_TEST(log.since(10)->changes.size() == 2U);
+    BOOST_TEST(log.since(11)->changes.size() == 2U);
+    BOOST_TEST((log.since(12) == UpstreamDelta{12, 20, {change}}));
+    BOOST_TEST(log.since(25)->changes.empty());
+    for (std::uint64_t revision = 21; revision <= 20 + UpstreamLog::mostKept; ++revision)
+        log.append({revision - 1, revision, {change}});
+    BOOST_TEST(!log.since(11));
+    BOOST_TEST(!log.since(20));
+    BOOST_TEST(log.since(20 + UpstreamLog::mostKept - UpstreamLog::mostTold).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(noScheduleProvesAVersionThatIsNotInForce)
 {
     constexpr std::uint64_t schedules = 20'000;
