An event of a stream that does not end is given up at 256 KB

An upstream that sends one event without end kept its request to the deadline (1.9 s in the test, 15 s of the platform's streams), while all its bytes were kept and searched from their start with each piece. Cause: EventScanner had no bound; heads (16 KB), held answers (16 MB) and skipped ones (1 MB) had. Change: past 256 KB of one event the attempt counts as spoiled, the connection is closed, the client is told 502 or served elsewhere. Evidence: bytesWithoutEndAreBounded (garbage, head, body, event without end, over real sockets; at most 24 MB taken, an answer before the deadline, the connection closed): the event's case failed before (504 at the deadline), the others passed; anEventWithoutEndIsTooLongAtItsBound.

--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -163,6 +163,8 @@
         if (piece->empty())
             break;
         const std::string_view events = m_relay.takeEvents(*piece);
+        if (m_relay.events().isOverlong())
+            co_return AttemptEnd::Spoiled;
         if (events.empty())
             continue;
         noteFirstToken();
--- a/src/serving/EventScanner.h
+++ b/src/serving/EventScanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -23,8 +24,12 @@
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
     /// Bytes of an event that has not ended.
     bool hasPartial() const { return !m_partial.empty(); }
+    /// The event that has not ended is longer than any event may be.
+    bool isOverlong() const { return m_partial.size() > largestEvent; }
     std::uint64_t events() const { return m_events; }
 
+    static constexpr std::size_t largestEvent = 256 << 10;
+
 private:
     void takeEvent(std::string_view event);
 
--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -1,6 +1,7 @@
 #include "direct/DirectProcess.h"
 
 #include "base/Log.h"
+#include "model/EndlessServer.h"
 #include "model/LoopbackListener.h"
 #include "model/StoreServer.h"
 #include "model/UpstreamServer.h"
@@ -482,6 +483,35 @@
     BOOST_TEST(upstreamB.seen().size() == beforeB);
 }
 
+// Bytes that are no answer may come without end, in a head or a body. What is taken of them fits a
+// host of 88 MB beside its other requests, the connection is closed, and the client is told.
+BOOST_AUTO_TEST_CASE(bytesWithoutEndAreBounded)
+{
+    constexpr std::size_t mostTaken = 24 << 20;
+    const unsigned short port = freePort();
+    EndlessServer endless(serverContext, port);
+    store.with([&](PlatformStore &model) {
+        model.remove("servers", "a");
+        model.remove("servers", "b");
+        model.create("servers", "endless", upstreamEntry(port));
+    });
+    std::this_thread::sleep_for(milliseconds(900));
+    for (const EndlessPart part :
+         {EndlessPart::Garbage, EndlessPart::Head, EndlessPart::Body, EndlessPart::Event}) {
+        endless.part = part;
+        const auto begin = std::chrono::steady_clock::now();
+        const ClientAnswer answer = call(part == EndlessPart::Event ? "/stream/x" : "/book/x");
+        const auto took = std::chrono::steady_clock::now() - begin;
+        const int number = static_cast<int>(part);
+        BOOST_TEST(answer.status == 502, "part " << number << ": " << answer.status);
+        BOOST_TEST((took < milliseconds(1900)), "part " << number << " lasted to the deadline");
+        BOOST_TEST(eventually([&] { return endless.closed.load(); }), "part " << number);
+        BOOST_TEST(endless.taken <= mostTaken, "part " << number << ": " << endless.taken);
+        // The failures count against the upstream: it is paused.
+        std::this_thread::sleep_for(milliseconds(1300));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aPlannedStopCutsNothing)
 {
     upstreamA.eventPauseMs = 250;
--- a/tests/EventScannerTest.cpp
+++ b/tests/EventScannerTest.cpp
@@ -45,4 +45,16 @@
     BOOST_TEST(scanner.take("id: 4\ndata: a\n\nid: 5\ndata: b\n\n") == "id: 5\ndata: b\n\n");
 }
 
+BOOST_AUTO_TEST_CASE(anEventWithoutEndIsTooLongAtItsBound)
+{
+    EventScanner scanner;
+    scanner.take("id: 1\ndata: ");
+    scanner.take(std::string(EventScanner::largestEvent - 20, 'x'));
+    BOOST_TEST(!scanner.isOverlong());
+    scanner.take(std::string(20, 'x'));
+    BOOST_TEST(scanner.isOverlong());
+    BOOST_TEST(!scanner.take("\n\n").empty());
+    BOOST_TEST(!scanner.isOverlong());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
