--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -6,6 +6,7 @@
 #include "model/StoreServer.h"
 #include "model/UpstreamServer.h"
 #include "process/Contexts.h"
+#include "support/Eventually.h"
 
 #include <array>
 #include <future>
@@ -18,6 +19,7 @@
 
 using namespace tamarack;
 using namespace tamarack::standin;
+using tamarack::harness::eventually;
 namespace asio = boost::asio;
 namespace json = boost::json;
 using tcp = asio::ip::tcp;
@@ -136,18 +138,6 @@
         return settings;
     }
 
-    template <typename Condition>
-    static bool eventually(Condition condition, milliseconds bound = milliseconds(5000))
-    {
-        const auto end = std::chrono::steady_clock::now() + bound;
-        while (std::chrono::steady_clock::now() < end) {
-            if (condition())
-                return true;
-            std::this_thread::sleep_for(milliseconds(10));
-        }
-        return false;
-    }
-
     static std::string exchange(unsigned short port, const std::string &request)
     {
         asio::io_context context;
--- a/tests/StoreFollowingTest.cpp
+++ b/tests/StoreFollowingTest.cpp
@@ -5,6 +5,7 @@
 #include "model/LoopbackListener.h"
 #include "model/StoreServer.h"
 #include "process/Contexts.h"
+#include "support/Eventually.h"
 
 #include <array>
 #include <memory>
@@ -16,6 +17,7 @@
 
 using namespace tamarack;
 using namespace tamarack::standin;
+using tamarack::harness::eventually;
 namespace asio = boost::asio;
 namespace json = boost::json;
 using std::chrono::seconds;
@@ -150,18 +152,6 @@
         });
     }
 
-    template <typename Condition>
-    static bool eventually(Condition condition, milliseconds bound = milliseconds(5000))
-    {
-        const auto end = std::chrono::steady_clock::now() + bound;
-        while (std::chrono::steady_clock::now() < end) {
-            if (condition())
-                return true;
-            std::this_thread::sleep_for(milliseconds(10));
-        }
-        return false;
-    }
-
     static bool isFollower(std::size_t number)
     {
         std::vector<FleetMember> members;
