--- a/tools/model/StoreServer.cpp
+++ b/tools/model/StoreServer.cpp
@@ -79,8 +79,13 @@
         if (!answer)
             co_await pause(watchPoll);
     }
-    if (!answer)
-        with([&](auto &store) { answer = store.noChanges(); });
+    // What changes between the last look and this answer would be lost to the watcher.
+    with([&](auto &store) {
+        if (!answer && mood == StoreMood::Well)
+            answer = store.changes(kind, revision);
+        if (!answer)
+            answer = store.noChanges();
+    });
     HttpResponse response{answer->status, {}, json::serialize(answer->body)};
     co_await exchange.respond(std::move(response));
 }
