--- a/tools/model/EndlessServer.cpp
+++ b/tools/model/EndlessServer.cpp
@@ -24,7 +24,7 @@
 /// What comes before the part that does not end.
 std::string beginning(EndlessPart part, const std::string &requestId)
 {
-    const std::string head =
+    std::string head =
         "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nServer-Signature: s\r\n";
     switch (part) {
     case EndlessPart::Garbage:
