--- a/fuzz/PlatformFuzz.cpp
+++ b/fuzz/PlatformFuzz.cpp
@@ -1,6 +1,6 @@
 #include "FuzzTarget.h"
 
-#include "peer/EntryLoadCodec.h"
+#include "peer/EntryMessageCodec.h"
 #include "platform/ConfigDecoder.h"
 #include "platform/HeaderCodec.h"
 #include "platform/StoreClient.h"
@@ -85,7 +85,7 @@
     tryStore(text);
     tryHeaders(text);
     tryEvents(text);
-    openEntryLoad(text, peerKey);
+    openMessage(text, peerKey);
     return 0;
 }
 
@@ -97,7 +97,7 @@
     load.demand = {{"models", 1, 7, 3}};
     load.quotas = {{"w", 12345.5}};
     return {
-        sealEntryLoad(load, peerKey),
+        sealMessage(load, peerKey),
         R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/a/","kind":"streaming",)"
         R"("timeoutMs":3000,"targetLatencyMs":800,"priority":1,"service":"s","maxAttempts":2,)"
         R"("weightedClusters":[{"service":"s","weight":90}]}],"services":[{"name":"s",)"
--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -12,7 +12,10 @@
 #include "process/Supervisor.h"
 #include "process/Timers.h"
 
+#include <algorithm>
 #include <atomic>
+#include <iterator>
+#include <ranges>
 
 namespace tamarack {
 
@@ -62,12 +65,33 @@
             asio::post(traffic,
                        [this, records = std::move(records)] { state.applyUpstreams(records); });
         };
+        listener.upstreamsFollowed = [this](std::uint64_t revision) {
+            asio::post(traffic, [this, revision] { state.applyUpstreamsFollowed(revision); });
+        };
         listener.entriesChanged = [this](std::map<std::string, Endpoint> entries) {
             asio::post(traffic, [this, entries = std::move(entries)] { applyEntries(entries); });
         };
         return listener;
     }
 
+    /// Hands what the other entries tell of the store to the control thread.
+    void connectFollower()
+    {
+        const auto control = contexts.control().get_executor();
+        state.onElected = [this, control](bool elected) {
+            asio::post(control, [this, elected] { follower.setElected(elected); });
+        };
+        state.onNewsTold = [this, control](std::uint64_t version, std::uint64_t revision) {
+            asio::post(control, [this, version, revision] { follower.notice(version, revision); });
+        };
+        state.onProofRelayed = [this, control](BootTime relayed) {
+            asio::post(control, [this, relayed] {
+                follower.learnProof(relayed);
+                proof.prove(relayed);
+            });
+        };
+    }
+
     void applyConfig(const ServingConfigPtr &config)
     {
         HttpLimits limits;
@@ -83,14 +107,11 @@
     void applyEntries(const std::map<std::string, Endpoint> &entries)
     {
         std::set<std::string> names;
-        std::vector<Endpoint> peers;
-        for (const auto &[name, endpoint] : entries) {
-            names.insert(name);
-            if (name != settings.name)
-                peers.push_back(endpoint);
-        }
+        std::map<std::string, Endpoint> peers = entries;
+        peers.erase(settings.name);
+        std::ranges::copy(entries | std::views::keys, std::inserter(names, names.end()));
         state.applyKnownEntries(names);
-        exchange->setPeers(std::move(peers));
+        exchange->setPeers(peers);
     }
 
     Result<void> open()
@@ -100,6 +121,7 @@
             return tl::unexpected(peers.error());
         exchange = std::move(*peers);
         state.onLoadChanged = [this] { exchange->loadChanged(); };
+        connectFollower();
         const HttpLimits limits;
         asio::io_context *trafficContext = &traffic;
         asio::io_context *control = &contexts.control();
--- a/src/direct/PeerExchange.cpp
+++ b/src/direct/PeerExchange.cpp
@@ -2,7 +2,7 @@
 
 #include "base/AsioPch.h"
 #include "base/Log.h"
-#include "peer/EntryLoadCodec.h"
+#include "peer/EntryMessageCodec.h"
 #include "process/Timers.h"
 
 #include <algorithm>
@@ -64,14 +64,30 @@
 
     void take(std::string_view bytes)
     {
-        const auto load = openEntryLoad(bytes, state.settings.peerKey);
-        if (load) {
-            state.applyPeer(*load);
+        const auto message = openMessage(bytes, state.settings.peerKey);
+        if (message) {
+            std::visit([this](const auto &content) { apply(content); }, *message);
             return;
         }
         state.metrics.add("tamarack_peer_rejected_total", "");
         logEvent(LogLevel::Warning, "peer_rejected",
-                 {{"peer", sender.address().to_string()}, {"reason", load.error().message}});
+                 {{"peer", sender.address().to_string()}, {"reason", message.error().message}});
+    }
+
+    void apply(const EntryLoad &load) { state.applyPeer(load); }
+    void apply(const ProofAnswer &answer) { state.learnProof(answer); }
+
+    void apply(const ProofAsk &ask)
+    {
+        if (const auto answer = state.answerProof(ask))
+            sendTo(sender, sealMessage(*answer, state.settings.peerKey));
+    }
+
+    void ask(const std::string &follower, const ProofAsk &ask)
+    {
+        const auto peer = peers.find(follower);
+        if (peer != peers.end())
+            sendTo(peer->second, sealMessage(ask, state.settings.peerKey));
     }
 
     Duration interval() const { return shortestInterval * (1 + peers.size() / peersPerInterval); }
@@ -96,8 +112,9 @@
         load.sequence = ++sequence;
         sentLoads = load.loads;
         sentDemand = load.demand;
+        sentNews = state.newsRevision();
         keepChangedQuotas(load);
-        const std::string bytes = sealEntryLoad(load, state.settings.peerKey);
+        const std::string bytes = sealMessage(load, state.settings.peerKey);
         if (bytes.size() > largestDatagram)
             logEvent(LogLevel::Error, "peer_message_too_large", {{"bytes", bytes.size()}});
         else
@@ -120,14 +137,18 @@
     }
 
     /// A full socket loses the message; the next one replaces it.
+    void sendTo(const udp::endpoint &peer, std::string_view bytes)
+    {
+        boost::system::error_code error;
+        socket.send_to(asio::buffer(bytes.data(), bytes.size()), peer, 0, error);
+        if (error)
+            state.metrics.add("tamarack_peer_send_failures_total", "");
+    }
+
     void sendToAll(std::string_view bytes)
     {
-        for (const udp::endpoint &peer : peers) {
-            boost::system::error_code error;
-            socket.send_to(asio::buffer(bytes.data(), bytes.size()), peer, 0, error);
-            if (error)
-                state.metrics.add("tamarack_peer_send_failures_total", "");
-        }
+        for (const auto &[name, peer] : peers)
+            sendTo(peer, bytes);
         state.metrics.add("tamarack_peer_bytes_sent_total", "", bytes.size() * peers.size());
     }
 
@@ -136,8 +157,9 @@
         const TimePoint next = std::max(sentAt + interval(), steadyNow());
         if (peers.empty() || armedAt <= next)
             return;
-        const bool changed =
-            state.upstreams.ownLoads() != sentLoads || state.queue.demand() != sentDemand;
+        const bool changed = state.upstreams.ownLoads() != sentLoads
+                             || state.queue.demand() != sentDemand
+                             || state.newsRevision() != sentNews;
         if (changed)
             arm(next);
     }
@@ -147,10 +169,11 @@
     asio::steady_timer timer;
     std::array<char, largestDatagram> datagram{};
     udp::endpoint sender;
-    std::vector<udp::endpoint> peers;
+    std::map<std::string, udp::endpoint> peers;
     std::uint64_t sequence = 0;
     std::vector<std::pair<UpstreamKey, UpstreamLoad>> sentLoads;
     std::vector<QueueDemand> sentDemand;
+    std::pair<std::uint64_t, std::uint64_t> sentNews;
     std::vector<QuotaUse> sentQuotas;
     TimePoint allQuotasAt{};
     TimePoint sentAt{};
@@ -170,17 +193,21 @@
         return tl::unexpected(opened.error());
     p->receive();
     p->arm(steadyNow() + beat);
+    state.onProofAsk = [weak = std::weak_ptr(p)](const std::string &follower, const ProofAsk &ask) {
+        if (const auto self = weak.lock())
+            self->ask(follower, ask);
+    };
     return std::unique_ptr<PeerExchange>(new PeerExchange(std::move(p)));
 }
 
-void PeerExchange::setPeers(std::vector<Endpoint> peers)
+void PeerExchange::setPeers(const std::map<std::string, Endpoint> &peers)
 {
     m_private->peers.clear();
-    for (const Endpoint &peer : peers) {
+    for (const auto &[name, peer] : peers) {
         boost::system::error_code error;
         const auto address = asio::ip::make_address(peer.address, error);
         if (!error)
-            m_private->peers.emplace_back(address, peer.port);
+            m_private->peers.emplace(name, udp::endpoint(address, peer.port));
     }
 }
 
--- a/src/direct/PeerExchange.h
+++ b/src/direct/PeerExchange.h
@@ -2,14 +2,15 @@
 
 #include "direct/TrafficState.h"
 
+#include <map>
 #include <memory>
-#include <vector>
+#include <string>
 
 namespace tamarack {
 
 /// Tells the other entries this entry's load by datagrams, and takes theirs. Sends when the load
-/// has changed, not more often than its interval, and at a slow beat besides. Lives on the
-/// traffic thread.
+/// has changed, not more often than its interval, and at a slow beat besides. Carries asks and
+/// answers of proofs, too. Lives on the traffic thread.
 class PeerExchange
 {
 public:
@@ -20,7 +21,8 @@
     PeerExchange(const PeerExchange &) = delete;
     PeerExchange &operator=(const PeerExchange &) = delete;
 
-    void setPeers(std::vector<Endpoint> peers);
+    /// The other entries by name.
+    void setPeers(const std::map<std::string, Endpoint> &peers);
     void loadChanged();
 
 private:
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -420,6 +420,7 @@
               {"raised", m_assignment && m_assignment->raised},
               {"sends", m_sends},
               {"peers_heard", m_state.peers.heard(now)},
+              {"cost", m_admitted.cost},
               {"quota_left", m_state.quotas.level(m_admitted.workspace)},
               {"returned_ms", toMs(m_elapsed)},
               {"unread_ms", toMs(m_readAt - m_arrivedAt)},
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -3,6 +3,7 @@
 #include "base/AsioPch.h"
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "fleet/StoreDuty.h"
 #include "platform/ConfigDecoder.h"
 #include "platform/StoreClient.h"
 #include "platform/UpstreamDecoder.h"
@@ -10,6 +11,8 @@
 #include "process/Timers.h"
 
 #include <algorithm>
+#include <concepts>
+#include <utility>
 
 namespace tamarack {
 
@@ -23,6 +26,14 @@
 constexpr milliseconds configWait{1300};
 constexpr milliseconds upstreamWait{4000};
 constexpr milliseconds entryWait{8000};
+/// Wait of a watch that asks for what has changed already: its answer proves the configuration at
+/// once.
+constexpr milliseconds noWait{1};
+/// While others follow the store, the position among the upstreams' changes is renewed so often:
+/// the store forgets its history after some 20 s.
+constexpr milliseconds positionRefresh{12'000};
+/// How often an entry that relies on followers looks whether they still answer.
+constexpr milliseconds dutyCheck{500};
 /// Pause before the next watch once changes have come: more of them come in one answer. New
 /// upstreams come in numbers and can wait; what leaves cannot.
 constexpr milliseconds upstreamPause{150};
@@ -48,8 +59,36 @@
         , listener(std::move(storeListener))
         , store(executor, settings.direct.store)
         , expiryTimer(executor)
+        , configTimer(executor)
+        , upstreamTimer(executor)
     {}
 
+    /// Returns once this entry watches the store itself, or `needed` holds.
+    template <std::predicate Needed>
+    asio::awaitable<void> untilNeeded(asio::steady_timer &timer, Needed needed)
+    {
+        noteDuty();
+        while (!duty.watchesStore(bootNow()) && !needed()) {
+            timer.expires_after(dutyCheck);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        noteDuty();
+    }
+
+    void noteDuty()
+    {
+        const bool watches = duty.watchesStore(bootNow());
+        if (std::exchange(watched, watches) != watches)
+            logEvent(LogLevel::Info, "store_duty",
+                     {{"watches", watches}, {"elected", duty.isElected()}});
+    }
+
+    void wake()
+    {
+        configTimer.cancel();
+        upstreamTimer.cancel();
+    }
+
     /// Notes the outcome of a call; logs when the store is lost or regained.
     void noteCall(bool succeeded, std::string_view what, std::string_view reason)
     {
@@ -93,17 +132,24 @@
             }
             for (const auto &object : listing->objects)
                 takeConfig(object);
+            duty.configRead(version.value_or(0));
             proveConfig(callStart);
             co_await watchConfig(listing->revision);
         }
     }
 
-    /// Returns when the watch cannot go on.
+    /// Returns when a listing is needed: the watch cannot go on, or others know a newer version.
     asio::awaitable<void> watchConfig(platform::Revision revision)
     {
         while (true) {
+            co_await untilNeeded(configTimer,
+                                 [this] { return duty.isConfigBehind(version.value_or(0)); });
+            if (!duty.watchesStore(bootNow()))
+                co_return;
             const BootTime callStart = bootNow();
-            const auto changes = co_await store.watch(platform::configKind(), revision, configWait);
+            const bool provedLately = provedAt && callStart - *provedAt < configWait;
+            const auto changes = co_await store.watch(platform::configKind(), revision,
+                                                      provedLately ? configWait : noWait);
             if (!noteResult(changes, "watch_config")) {
                 if (changes.error().kind != ErrorKind::HistoryGone)
                     co_await pauseAfterFailure(configRetry);
@@ -147,8 +193,10 @@
 
     void proveConfig(BootTime callStart)
     {
-        if (version)
-            listener.configProved(callStart);
+        if (!version)
+            return;
+        provedAt = callStart;
+        listener.configProved(callStart);
     }
 
     asio::awaitable<void> upstreamLoop()
@@ -165,15 +213,22 @@
                     records.push_back(std::move(*record));
             directory.replace(std::move(records), steadyNow());
             publishUpstreams();
+            listener.upstreamsFollowed(listing->revision);
             co_await watchUpstreams(listing->revision);
         }
     }
 
     asio::awaitable<void> watchUpstreams(platform::Revision revision)
     {
+        platform::Revision lastChange = revision;
         while (true) {
-            const auto changes =
-                co_await store.watch(platform::upstreamKind(), revision, upstreamWait);
+            const TimePoint refreshAt = steadyNow() + positionRefresh;
+            co_await untilNeeded(upstreamTimer, [this, revision, refreshAt] {
+                return duty.areUpstreamsBehind(revision) || steadyNow() >= refreshAt;
+            });
+            const bool watches = duty.watchesStore(bootNow());
+            const auto changes = co_await store.watch(platform::upstreamKind(), revision,
+                                                      watches ? upstreamWait : noWait);
             if (!noteResult(changes, "watch_upstreams")) {
                 if (changes.error().kind == ErrorKind::HistoryGone)
                     co_return;
@@ -184,6 +239,10 @@
             for (const auto &event : changes->events)
                 onlyNew = takeUpstream(event) && onlyNew;
             revision = changes->revision;
+            if (!changes->events.empty())
+                lastChange = revision;
+            if (watches)
+                listener.upstreamsFollowed(lastChange);
             if (changes->events.empty())
                 continue;
             publishUpstreams();
@@ -298,9 +357,17 @@
     StoreListener listener;
     platform::StoreClient store;
     UpstreamDirectory directory;
+    StoreDuty duty;
+    /// What was logged last.
+    bool watched = true;
     asio::steady_timer expiryTimer;
+    /// Waits of the configuration's and the upstreams' watch for something to do.
+    asio::steady_timer configTimer;
+    asio::steady_timer upstreamTimer;
     std::map<std::string, Endpoint> entries;
     std::optional<std::uint64_t> version;
+    /// Start of the last own call that proved the configuration.
+    std::optional<BootTime> provedAt;
     bool reachable = true;
 };
 
@@ -327,6 +394,24 @@
         logEvent(LogLevel::Warning, "unregister_failed", {{"reason", removed.error().message}});
 }
 
+void StoreFollower::setElected(bool elected)
+{
+    m_private->duty.setElected(elected);
+    m_private->wake();
+}
+
+void StoreFollower::learnProof(BootTime provedAt)
+{
+    m_private->duty.learnProof(provedAt);
+}
+
+void StoreFollower::notice(std::uint64_t configVersion, std::uint64_t upstreamRevision)
+{
+    m_private->duty.noticeConfig(configVersion);
+    m_private->duty.noticeUpstreams(upstreamRevision);
+    m_private->wake();
+}
+
 std::uint64_t StoreFollower::calls() const
 {
     return m_private->store.calls();
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -25,12 +25,15 @@
     /// The newest configuration was in force when the store was called at this time.
     std::function<void(BootTime)> configProved;
     std::function<void(std::vector<UpstreamRecord>)> upstreamsChanged;
+    /// A watch of the upstreams has returned; they changed last at this revision.
+    std::function<void(std::uint64_t)> upstreamsFollowed;
     /// Entries by name, this one included.
     std::function<void(std::map<std::string, Endpoint>)> entriesChanged;
 };
 
 /// Follows configuration, upstreams and entries in the platform's store, and registers this
-/// entry there. Runs on the control thread.
+/// entry there. While other entries follow configuration and upstreams for it (`StoreDuty`), it
+/// calls the store only for changes that they tell of. Runs on the control thread.
 class StoreFollower
 {
 public:
@@ -45,6 +48,13 @@
     boost::asio::awaitable<void> leave();
     std::uint64_t calls() const;
 
+    /// Whether this entry follows the store for others.
+    void setElected(bool elected);
+    /// A follower's proof says that the own configuration was the newest at this time.
+    void learnProof(BootTime provedAt);
+    /// What other entries know of; 0: nothing new.
+    void notice(std::uint64_t configVersion, std::uint64_t upstreamRevision);
+
 private:
     struct Private;
     std::shared_ptr<Private> m_private;
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -2,9 +2,15 @@
 
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "fleet/FollowerElection.h"
 #include "process/Timers.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <spdlog/fmt/fmt.h>
+#include <spdlog/fmt/ranges.h>
 
 namespace tamarack {
 
@@ -16,6 +22,8 @@
 constexpr milliseconds peerRefresh{5};
 /// A tick that comes later than this shows that the process is behind its work.
 constexpr milliseconds lateTick{200};
+/// A watch of the upstreams returns within 4 s; a follower whose watch does not has lost the store.
+constexpr milliseconds oldestFollowed{6000};
 /// Crash rows in one message to the other entries.
 constexpr std::size_t toldCrashes = 32;
 
@@ -34,6 +42,7 @@
     , retries(settings.direct.retries)
     , admission(freshness, crashes, quotas)
     , peers(settings.name)
+    , proofs(incarnation)
     , m_refusalTimer(executor)
     , m_peerTimer(executor)
 {}
@@ -63,6 +72,7 @@
     const TimePoint now = steadyNow();
     if (!peers.learn(load, now))
         return;
+    noticeNews(load);
     quotas.learn(load.incarnation, load.quotas, now);
     for (const ToldCrash &told : load.crashes)
         crashes.learn(told, now);
@@ -75,6 +85,65 @@
     });
 }
 
+void TrafficState::noticeNews(const EntryLoad &load)
+{
+    const std::uint64_t version = config ? config->version : 0;
+    const bool newConfig = load.configVersion > std::max(version, m_noticedConfig);
+    const bool newUpstreams = load.upstreamRevision > m_noticedUpstreams;
+    m_noticedConfig = std::max(m_noticedConfig, load.configVersion);
+    m_noticedUpstreams = std::max(m_noticedUpstreams, load.upstreamRevision);
+    if ((newConfig || newUpstreams) && onNewsTold)
+        onNewsTold(m_noticedConfig, m_noticedUpstreams);
+}
+
+void TrafficState::applyUpstreamsFollowed(std::uint64_t revision)
+{
+    const bool changed = std::exchange(m_upstreamRevision, revision) != revision;
+    m_upstreamsFollowedAt = steadyNow();
+    if (changed && m_elected && onLoadChanged)
+        onLoadChanged();
+}
+
+void TrafficState::followStore(TimePoint now)
+{
+    std::vector<FleetMember> members = peers.heardMembers(now);
+    members.push_back({settings.name, settings.dataCentre, draining});
+    std::vector<std::string> followers = electFollowers(members, settings.dataCentre);
+    const bool elected = std::ranges::find(followers, settings.name) != followers.end();
+    if (followers != m_followers)
+        logEvent(LogLevel::Info, "followers_elected",
+                 {{"data_centre", settings.dataCentre},
+                  {"followers", fmt::format("{}", fmt::join(followers, ","))},
+                  {"own", elected},
+                  {"heard", members.size()}});
+    m_followers = std::move(followers);
+    if (std::exchange(m_elected, elected) != elected && onElected)
+        onElected(elected);
+    if (elected || !onProofAsk)
+        return;
+    if (const auto due = proofs.ask(m_followers, now, bootNow()))
+        onProofAsk(due->first, due->second);
+}
+
+std::optional<ProofAnswer> TrafficState::answerProof(const ProofAsk &ask) const
+{
+    if (!config || draining || steadyNow() - m_upstreamsFollowedAt > oldestFollowed)
+        return std::nullopt;
+    return ProofRelay::answer(ask, config->version, freshness, bootNow());
+}
+
+void TrafficState::learnProof(const ProofAnswer &answer)
+{
+    const auto provedAt = proofs.learn(answer, config ? config->version : 0);
+    metrics.add("tamarack_proofs_relayed_total",
+                provedAt ? "outcome=\"proved\"" : "outcome=\"not_mine\"");
+    if (!provedAt)
+        return;
+    freshness.prove(*provedAt);
+    if (onProofRelayed)
+        onProofRelayed(*provedAt);
+}
+
 void TrafficState::usePeers(TimePoint now)
 {
     m_peersChanged = false;
@@ -180,12 +249,18 @@
     m_broken.erase(broken);
 }
 
+std::pair<std::uint64_t, std::uint64_t> TrafficState::newsRevision() const
+{
+    return {config ? config->version : 0, m_elected ? m_upstreamRevision : 0};
+}
+
 EntryLoad TrafficState::ownLoad() const
 {
     EntryLoad load;
     load.name = settings.name;
+    load.dataCentre = settings.dataCentre;
+    std::tie(load.configVersion, load.upstreamRevision) = newsRevision();
     load.incarnation = incarnation;
-    load.configVersion = config ? config->version : 0;
     load.loads = upstreams.ownLoads();
     load.demand = queue.demand();
     load.quotas = quotas.uses();
@@ -205,6 +280,7 @@
     quotas.setHeardShare(peers.heardShare(now), now);
     retries.setEntries(peers.heard(now));
     crashes.forgetOld(now);
+    followStore(now);
     pool.dropExpired(now);
     std::erase_if(m_broken,
                   [now](const auto &item) { return now - item.second.first > breakWindow; });
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -3,6 +3,7 @@
 #include "base/Metrics.h"
 #include "config/Settings.h"
 #include "direct/UpstreamPool.h"
+#include "fleet/ProofRelay.h"
 #include "serving/Admission.h"
 #include "serving/CrashLedger.h"
 #include "serving/DispatchQueue.h"
@@ -57,6 +58,8 @@
     void applyConfig(ServingConfigPtr config);
     void applyUpstreams(const std::vector<UpstreamRecord> &records);
     void applyPeer(const EntryLoad &load);
+    /// A watch of the upstreams has returned; they changed last at this revision.
+    void applyUpstreamsFollowed(std::uint64_t revision);
     void applyKnownEntries(const std::set<std::string> &names);
 
     /// Queues the request; `wait` is decided now or later.
@@ -77,6 +80,21 @@
     /// Called when `ownLoad` has changed in a way that others wait for.
     std::function<void()> onLoadChanged;
 
+    /// Configuration and revision of the upstreams that this entry tells; others act on them.
+    std::pair<std::uint64_t, std::uint64_t> newsRevision() const;
+
+    /// The answer to another entry's ask; none when this entry does not follow the store.
+    std::optional<ProofAnswer> answerProof(const ProofAsk &ask) const;
+    void learnProof(const ProofAnswer &answer);
+    /// Called when an ask is due, with the follower's name.
+    std::function<void(const std::string &, const ProofAsk &)> onProofAsk;
+    /// Called with the time at which a follower's proof held.
+    std::function<void(BootTime)> onProofRelayed;
+    /// Called when this entry begins or ends to follow the store for others.
+    std::function<void(bool)> onElected;
+    /// Called when another entry knows a newer configuration, or newer changes of upstreams.
+    std::function<void(std::uint64_t configVersion, std::uint64_t upstreamRevision)> onNewsTold;
+
     /// Regular work: forgets what is old. `lateness`: of this call against its time.
     void tick(TimePoint now, Duration lateness);
     /// How long requests that are read now have probably lain unread. A process that is behind
@@ -96,6 +114,7 @@
     CrashLedger crashes;
     Admission admission;
     PeerBook peers;
+    ProofRelay proofs;
     AttemptAge attemptAge;
     UpstreamPool pool;
     bool draining = false;
@@ -105,6 +124,9 @@
     void usePeers(TimePoint now);
     void settle(const QueueDecisions &decisions);
     void armRefusals();
+    /// Elects the followers of this data centre and asks one of them for its proof.
+    void followStore(TimePoint now);
+    void noticeNews(const EntryLoad &load);
     /// Logs entries that are heard no longer or again.
     void notePeers(TimePoint now);
 
@@ -115,6 +137,13 @@
     bool m_peersChanged = false;
     Duration m_lateness{};
     std::set<std::string> m_heard;
+    std::vector<std::string> m_followers;
+    bool m_elected = true;
+    std::uint64_t m_noticedConfig = 0;
+    std::uint64_t m_noticedUpstreams = 0;
+    /// Of this entry's own watch.
+    std::uint64_t m_upstreamRevision = 0;
+    TimePoint m_upstreamsFollowedAt{};
     TimePoint m_refusalAt = TimePoint::max();
     Ticket m_lastTicket = 0;
 };
--- /dev/null
+++ b/src/fleet/StoreDuty.cpp
@@ -0,0 +1,27 @@
+#include "fleet/StoreDuty.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+void StoreDuty::noticeConfig(std::uint64_t version)
+{
+    m_configVersion = std::max(m_configVersion, version);
+}
+
+void StoreDuty::noticeUpstreams(std::uint64_t revision)
+{
+    m_upstreamRevision = std::max(m_upstreamRevision, revision);
+}
+
+void StoreDuty::learnProof(BootTime provedAt)
+{
+    m_provedAt = std::max(m_provedAt.value_or(provedAt), provedAt);
+}
+
+bool StoreDuty::watchesStore(BootTime now) const
+{
+    return m_elected || !m_provedAt || now - *m_provedAt > oldestProof;
+}
+
+} // namespace tamarack
--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -1,4 +1,4 @@
-#include "peer/EntryLoadCodec.h"
+#include "peer/EntryMessageCodec.h"
 
 #include "base/Hash.h"
 #include "peer/generated/peer.capnp.h"
@@ -11,6 +11,8 @@
 
 namespace {
 
+/// Changes with the meaning of the messages.
+constexpr std::string_view exchangeVersion = "2";
 /// Bytes of the HMAC-SHA256 that a datagram carries.
 constexpr std::size_t tagBytes = 16;
 /// Bounds what a datagram can make the reader visit.
@@ -56,10 +58,41 @@
     }
 }
 
+void write(wire::EntryMessage::Builder to, const EntryLoad &load)
+{
+    auto root = to.initLoad();
+    root.setName(textOf(load.name));
+    root.setDataCentre(textOf(load.dataCentre));
+    root.setIncarnation(load.incarnation);
+    root.setSequence(load.sequence);
+    root.setConfigVersion(load.configVersion);
+    root.setUpstreamRevision(load.upstreamRevision);
+    root.setLeaving(load.leaving);
+    writeLists(root, load);
+}
+
+void write(wire::EntryMessage::Builder to, const ProofAsk &ask)
+{
+    auto root = to.initProofAsk();
+    root.setAsker(ask.asker);
+    root.setAskedAtNs(ask.askedAt.count());
+}
+
+void write(wire::EntryMessage::Builder to, const ProofAnswer &answer)
+{
+    auto root = to.initProofAnswer();
+    root.setAsker(answer.asker);
+    root.setAskedAtNs(answer.askedAt.count());
+    root.setConfigVersion(answer.configVersion);
+    root.setAgeMs(static_cast<std::uint32_t>(answer.age.count()));
+}
+
 EntryLoad read(wire::EntryLoad::Reader from)
 {
     EntryLoad load;
     load.name = stringOf(from.getName());
+    load.dataCentre = stringOf(from.getDataCentre());
+    load.upstreamRevision = from.getUpstreamRevision();
     load.incarnation = from.getIncarnation();
     load.sequence = from.getSequence();
     load.configVersion = from.getConfigVersion();
@@ -78,31 +111,46 @@
     return load;
 }
 
+Result<EntryMessage> read(wire::EntryMessage::Reader from)
+{
+    switch (from.which()) {
+    case wire::EntryMessage::LOAD:
+        return read(from.getLoad());
+    case wire::EntryMessage::PROOF_ASK: {
+        const auto ask = from.getProofAsk();
+        return ProofAsk{ask.getAsker(), BootTime(ask.getAskedAtNs())};
+    }
+    case wire::EntryMessage::PROOF_ANSWER: {
+        const auto answer = from.getProofAnswer();
+        return ProofAnswer{answer.getAsker(), BootTime(answer.getAskedAtNs()),
+                           answer.getConfigVersion(), milliseconds(answer.getAgeMs())};
+    }
+    }
+    return failure(ErrorKind::BadRequest, "unknown kind of message");
+}
+
 std::string tagOf(std::string_view bytes, std::string_view key)
 {
-    return hmacSha256(key, bytes).substr(0, tagBytes);
+    std::string versionedKey(key);
+    versionedKey.append(exchangeVersion);
+    return hmacSha256(versionedKey, bytes).substr(0, tagBytes);
 }
 
 } // namespace
 
-std::string sealEntryLoad(const EntryLoad &load, std::string_view key)
+std::string sealMessage(const EntryMessage &message, std::string_view key)
 {
-    capnp::MallocMessageBuilder message;
-    auto root = message.initRoot<wire::EntryLoad>();
-    root.setName(textOf(load.name));
-    root.setIncarnation(load.incarnation);
-    root.setSequence(load.sequence);
-    root.setConfigVersion(load.configVersion);
-    root.setLeaving(load.leaving);
-    writeLists(root, load);
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<wire::EntryMessage>();
+    std::visit([&root](const auto &content) { write(root, content); }, message);
     kj::VectorOutputStream output;
-    capnp::writePackedMessage(output, message);
+    capnp::writePackedMessage(output, builder);
     const auto bytes = output.getArray();
     const std::string_view text(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
     return tagOf(text, key).append(text);
 }
 
-Result<EntryLoad> openEntryLoad(std::string_view bytes, std::string_view key)
+Result<EntryMessage> openMessage(std::string_view bytes, std::string_view key)
 {
     if (bytes.size() <= tagBytes)
         return failure(ErrorKind::BadRequest, "datagram is too short");
@@ -113,7 +161,7 @@
         kj::ArrayInputStream input(
             {reinterpret_cast<const kj::byte *>(content.data()), content.size()});
         capnp::PackedMessageReader reader(input, {traversalWords, nestingLimit});
-        return read(reader.getRoot<wire::EntryLoad>());
+        return read(reader.getRoot<wire::EntryMessage>());
     } catch (const kj::Exception &exception) {
         return failure(ErrorKind::BadRequest, exception.getDescription().cStr());
     }
--- a/src/peer/EntryMessageCodec.h
+++ b/src/peer/EntryMessageCodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/EntryLoad.h"
+#include "fleet/EntryMessage.h"
 #include "tamarackseam/Error.h"
 
 #include <string>
@@ -8,11 +8,12 @@
 
 namespace tamarack {
 
-/// Encodes the message in Cap'n Proto's packed form with a tag over it that proves `key`.
-std::string sealEntryLoad(const EntryLoad &load, std::string_view key);
+/// Encodes the message in Cap'n Proto's packed form with a tag over it that proves `key` and the
+/// version of the exchange: entries of unlike versions refuse one another's messages.
+std::string sealMessage(const EntryMessage &message, std::string_view key);
 
 /// Checks the tag and decodes untrusted bytes. `PeerRejected`: the tag is wrong; `BadRequest`:
 /// the bytes are malformed.
-Result<EntryLoad> openEntryLoad(std::string_view bytes, std::string_view key);
+Result<EntryMessage> openMessage(std::string_view bytes, std::string_view key);
 
 } // namespace tamarack
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -166,4 +166,26 @@
     quotas @6 :List(QuotaUse);
     crashes @7 :List(CrashRow);
     leaving @8 :Bool;
+    dataCentre @9 :Text;
+    upstreamRevision @10 :UInt64;
+}
+
+struct ProofAsk {
+    asker @0 :UInt64;
+    askedAtNs @1 :Int64;
+}
+
+struct ProofAnswer {
+    asker @0 :UInt64;
+    askedAtNs @1 :Int64;
+    configVersion @2 :UInt64;
+    ageMs @3 :UInt32;
+}
+
+struct EntryMessage {
+    union {
+        load @0 :EntryLoad;
+        proofAsk @1 :ProofAsk;
+        proofAnswer @2 :ProofAnswer;
+    }
 }
--- a/src/serving/EntryLoad.h
+++ b/src/serving/EntryLoad.h
@@ -16,10 +16,13 @@
 struct EntryLoad
 {
     std::string name;
+    std::string dataCentre;
     Incarnation incarnation = 0;
     /// Increases with each message of an incarnation.
     std::uint64_t sequence = 0;
     std::uint64_t configVersion = 0;
+    /// Revision of the store up to which a follower has seen upstreams change; 0: no follower.
+    std::uint64_t upstreamRevision = 0;
     std::vector<std::pair<UpstreamKey, UpstreamLoad>> loads;
     std::vector<QueueDemand> demand;
     std::vector<QuotaUse> quotas;
--- a/src/serving/PeerBook.cpp
+++ b/src/serving/PeerBook.cpp
@@ -55,6 +55,14 @@
     return rows;
 }
 
+std::vector<FleetMember> PeerBook::heardMembers(TimePoint now) const
+{
+    std::vector<FleetMember> members;
+    for (const EntryLoad *load : heardLoads(now))
+        members.push_back({load->name, load->dataCentre, load->leaving});
+    return members;
+}
+
 std::set<std::string> PeerBook::heardNames(TimePoint now) const
 {
     std::set<std::string> names;
--- a/src/serving/PeerBook.h
+++ b/src/serving/PeerBook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "fleet/FleetMember.h"
 #include "serving/EntryLoad.h"
 
 #include <map>
@@ -31,6 +32,8 @@
     /// Load of the heard entries, summed by upstream.
     std::unordered_map<UpstreamKey, UpstreamLoad> loads(TimePoint now) const;
     std::vector<QueueDemand> demand(TimePoint now) const;
+    /// Heard entries, without this one.
+    std::vector<FleetMember> heardMembers(TimePoint now) const;
     std::set<std::string> heardNames(TimePoint now) const;
     /// Heard entries, this one included.
     std::size_t heard(TimePoint now) const;
--- /dev/null
+++ b/tests/FleetTest.cpp
@@ -0,0 +1,238 @@
+#include "fleet/FollowerElection.h"
+#include "fleet/ProofRelay.h"
+#include "fleet/StoreDuty.h"
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <variant>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using std::chrono::seconds;
+
+namespace {
+
+std::vector<FleetMember> members(int perDataCentre)
+{
+    std::vector<FleetMember> all;
+    for (const char *dataCentre : {"north", "south"})
+        for (int i = 0; i < perDataCentre; ++i)
+            all.push_back({std::string(dataCentre) + '-' + std::to_string(i), dataCentre});
+    return all;
+}
+
+/// A follower and an entry that relies on it, with clocks of unlike origin, on a lossy link that
+/// delays, repeats and reorders; either may be suspended. Time is that of an observer.
+class ProofSchedule
+{
+public:
+    explicit ProofSchedule(std::uint64_t seed)
+        : m_random(seed)
+    {}
+
+    /// Plays some 30 s. False once the asker counted a version as proved at a time at which a
+    /// newer one was in force.
+    bool holds()
+    {
+        for (m_now = milliseconds(1); m_now < seconds(30); m_now += milliseconds(draw(1, 120))) {
+            step();
+            if (m_proved && versionsAt(*m_proved) > m_askerVersion)
+                return false;
+        }
+        return true;
+    }
+
+private:
+    struct Datagram
+    {
+        BootTime at{};
+        std::variant<ProofAsk, ProofAnswer> content;
+    };
+
+    std::size_t versionsAt(BootTime time) const
+    {
+        return static_cast<std::size_t>(
+            std::distance(m_versionAt.begin(), m_versionAt.upper_bound(time)));
+    }
+
+    std::int64_t draw(std::int64_t low, std::int64_t high)
+    {
+        return std::uniform_int_distribution<std::int64_t>(low, high)(m_random);
+    }
+
+    /// A lost datagram, one, or two of it, each after a delay of its own.
+    void send(std::vector<Datagram> &link, const std::variant<ProofAsk, ProofAnswer> &content)
+    {
+        for (std::int64_t copies = draw(0, 2); copies > 0; --copies) {
+            const std::int64_t delay = draw(0, 9) == 0 ? draw(500, 6000) : draw(1, 40);
+            link.push_back({m_now + milliseconds(delay), content});
+        }
+    }
+
+    template <typename Receive>
+    void deliver(std::vector<Datagram> &link, Receive receive)
+    {
+        const auto due =
+            std::ranges::partition(link, [this](const Datagram &each) { return each.at > m_now; });
+        const std::vector<Datagram> arrived(due.begin(), due.end());
+        link.erase(due.begin(), due.end());
+        for (const Datagram &each : arrived)
+            receive(each.content);
+    }
+
+    void step()
+    {
+        if (draw(0, 40) == 0)
+            m_versionAt.insert(m_now);
+        if (draw(0, 60) == 0)
+            m_followerSuspendedTo = m_now + milliseconds(draw(100, 5000));
+        if (draw(0, 60) == 0)
+            m_askerSuspendedTo = m_now + milliseconds(draw(100, 5000));
+        if (m_now >= m_followerSuspendedTo)
+            stepFollower();
+        if (m_now >= m_askerSuspendedTo)
+            stepAsker();
+    }
+
+    void stepFollower()
+    {
+        // A call of the store: what it shows is of some time after its start.
+        if (m_callStart && draw(0, 2) == 0) {
+            m_followerVersion = m_versionAt.size();
+            m_freshness.prove(*m_callStart + followerClock);
+            m_callStart.reset();
+        } else if (!m_callStart) {
+            m_callStart = m_now;
+        }
+        deliver(m_toFollower, [this](const auto &content) {
+            const auto answer = ProofRelay::answer(std::get<ProofAsk>(content), m_followerVersion,
+                                                   m_freshness, m_now + followerClock);
+            if (answer)
+                send(m_toAsker, *answer);
+        });
+    }
+
+    void stepAsker()
+    {
+        if (const auto ask = m_relay.ask({"follower"}, TimePoint{m_now}, m_now + askerClock))
+            send(m_toFollower, ask->second);
+        deliver(m_toAsker, [this](const auto &content) {
+            const auto &answer = std::get<ProofAnswer>(content);
+            // Reads the newer configuration by itself.
+            m_askerVersion = std::max<std::size_t>(m_askerVersion, answer.configVersion);
+            if (const auto provedAt = m_relay.learn(answer, m_askerVersion))
+                m_proved = std::max(m_proved.value_or(BootTime{}), *provedAt - askerClock);
+        });
+    }
+
+    static constexpr BootTime followerClock = seconds(5000);
+    static constexpr BootTime askerClock = seconds(70);
+
+    std::mt19937_64 m_random;
+    BootTime m_now{};
+    /// When each version came into force.
+    std::set<BootTime> m_versionAt{BootTime{}};
+    std::vector<Datagram> m_toFollower;
+    std::vector<Datagram> m_toAsker;
+    BootTime m_followerSuspendedTo{};
+    BootTime m_askerSuspendedTo{};
+    std::optional<BootTime> m_callStart;
+    std::size_t m_followerVersion = 0;
+    FreshnessGuard m_freshness{seconds(5), milliseconds(1250)};
+    ProofRelay m_relay{7};
+    std::size_t m_askerVersion = 0;
+    std::optional<BootTime> m_proved;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetSuite)
+
+BOOST_AUTO_TEST_CASE(eachDataCentreElectsItsOwnFollowers)
+{
+    const auto all = members(20);
+    const auto north = electFollowers(all, "north");
+    BOOST_TEST(north.size() == followersPerDataCentre);
+    BOOST_TEST(std::ranges::all_of(
+        north, [](const std::string &name) { return name.starts_with("north"); }));
+    auto shuffled = all;
+    std::ranges::reverse(shuffled);
+    BOOST_TEST(electFollowers(shuffled, "north") == north);
+    BOOST_TEST(electFollowers(std::span(all).first(1), "north").size() == 1U);
+    BOOST_TEST(electFollowers({}, "north").empty());
+}
+
+BOOST_AUTO_TEST_CASE(aFollowerThatLeavesOrIsSilentIsReplacedAndTheOtherStays)
+{
+    auto all = members(20);
+    const auto before = electFollowers(all, "south");
+    for (FleetMember &member : all)
+        member.leaving = member.name == before[0];
+    const auto after = electFollowers(all, "south");
+    BOOST_TEST(after[0] == before[1]);
+    BOOST_TEST(after.size() == followersPerDataCentre);
+    std::erase_if(all, [&](const FleetMember &member) { return member.name == before[0]; });
+    BOOST_TEST(electFollowers(all, "south") == after);
+}
+
+BOOST_AUTO_TEST_CASE(anEntryGoesToTheStoreOnceItsFollowersProveNothing)
+{
+    const BootTime start = seconds(100);
+    StoreDuty duty;
+    BOOST_TEST(duty.watchesStore(start));
+    duty.setElected(false);
+    BOOST_TEST(duty.watchesStore(start));
+    duty.learnProof(start);
+    duty.learnProof(start - seconds(1));
+    BOOST_TEST(!duty.watchesStore(start + StoreDuty::oldestProof));
+    BOOST_TEST(duty.watchesStore(start + StoreDuty::oldestProof + milliseconds(1)));
+    duty.learnProof(start + seconds(9));
+    BOOST_TEST(!duty.watchesStore(start + seconds(10)));
+    duty.setElected(true);
+    BOOST_TEST(duty.watchesStore(start + seconds(10)));
+}
+
+BOOST_AUTO_TEST_CASE(newsCallForOneLookAtTheStore)
+{
+    StoreDuty duty;
+    duty.noticeConfig(7);
+    duty.noticeUpstreams(40);
+    BOOST_TEST(duty.isConfigBehind(6));
+    BOOST_TEST(!duty.isConfigBehind(7));
+    BOOST_TEST(duty.areUpstreamsBehind(39));
+    BOOST_TEST(!duty.areUpstreamsBehind(40));
+    // The store is right, whatever an entry claimed.
+    duty.configRead(6);
+    BOOST_TEST(!duty.isConfigBehind(6));
+}
+
+BOOST_AUTO_TEST_CASE(anOldProofIsNotPassedOn)
+{
+    FreshnessGuard freshness(seconds(5), milliseconds(1250));
+    const ProofAsk ask{7, seconds(3)};
+    BOOST_TEST(!ProofRelay::answer(ask, 1, freshness, seconds(100)));
+    freshness.prove(seconds(100));
+    BOOST_TEST(ProofRelay::answer(ask, 1, freshness, seconds(101)).has_value());
+    BOOST_TEST(!ProofRelay::answer(ask, 1, freshness, seconds(103)));
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerProvesTheOwnVersionOnlyAndOnlyToItsAsker)
+{
+    const ProofRelay relay(7);
+    const ProofAnswer answer{7, seconds(50), 3, milliseconds(1200)};
+    BOOST_TEST((relay.learn(answer, 3) == seconds(50) - milliseconds(1200)));
+    BOOST_TEST(!relay.learn(answer, 2));
+    BOOST_TEST(!relay.learn(answer, 4));
+    BOOST_TEST(!ProofRelay(8).learn(answer, 3));
+}
+
+BOOST_AUTO_TEST_CASE(noScheduleProvesAVersionThatIsNotInForce)
+{
+    constexpr std::uint64_t schedules = 20'000;
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed)
+        BOOST_REQUIRE_MESSAGE(ProofSchedule(seed).holds(), "seed " << seed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/StoreFollowingTest.cpp
@@ -0,0 +1,230 @@
+#include "base/Log.h"
+#include "direct/DirectProcess.h"
+#include "fleet/FollowerElection.h"
+#include "model/LinkRelay.h"
+#include "model/LoopbackListener.h"
+#include "model/StoreServer.h"
+#include "process/Contexts.h"
+
+#include <array>
+#include <memory>
+#include <thread>
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using namespace tamarack::standin;
+namespace asio = boost::asio;
+namespace json = boost::json;
+using std::chrono::seconds;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t entryCount = 6;
+
+/// A configuration with one open route, `/v<version>/`.
+json::object configuration(int version)
+{
+    const std::string name = "v" + std::to_string(version);
+    const json::object route{
+        {"name", name},         {"host", "h.example"}, {"pathPrefix", "/" + name + "/"},
+        {"kind", "idempotent"}, {"timeoutMs", 200},    {"targetLatencyMs", 100},
+        {"priority", 0},        {"service", "models"}, {"maxAttempts", 1}};
+    return {{"version", version},
+            {"routes", json::array{route}},
+            {"services", json::array{json::object{{"name", "models"}}}}};
+}
+
+std::string entryName(std::size_t number)
+{
+    return "entry-" + std::to_string(number);
+}
+
+/// Entries of one data centre, each with a link of its own to one store, all on loopback.
+struct Fleet
+{
+    struct Entry
+    {
+        unsigned short callerPort = freePort();
+        unsigned short readinessPort = freePort();
+        std::unique_ptr<LinkRelay> link;
+        // Both stay until the tests end: the contexts own coroutines that refer to the process.
+        Contexts *contexts = nullptr;
+        DirectProcess *process = nullptr;
+        std::jthread thread;
+    };
+
+    Fleet()
+    {
+        setLogLevel("off");
+        store.with([](PlatformStore &model) { model.create("config", "main", configuration(1)); });
+        for (std::size_t i = 0; i < entryCount; ++i)
+            start(entries[i], entryName(i));
+        serverThread = std::jthread([this] { serverContext.run(); });
+        BOOST_REQUIRE(eventually([this] { return allServe(1); }));
+        std::this_thread::sleep_for(seconds(3));
+    }
+
+    ~Fleet()
+    {
+        for (Entry &entry : entries) {
+            entry.contexts->stop();
+            entry.thread.join();
+        }
+        serverContext.stop();
+        serverThread.join();
+    }
+
+    void start(Entry &entry, const std::string &name)
+    {
+        entry.link = std::make_unique<LinkRelay>(
+            serverContext, tcp::endpoint(asio::ip::make_address("127.0.0.1"), freePort()),
+            tcp::endpoint(asio::ip::make_address("127.0.0.1"), store.port()));
+        Settings settings;
+        settings.role = Role::Direct;
+        settings.name = name;
+        settings.dataCentre = "dc";
+        settings.caller.endpoint = {"127.0.0.1", entry.callerPort};
+        settings.admin.endpoint = {"127.0.0.1", freePort()};
+        settings.peer = {"127.0.0.1", freePort()};
+        settings.peerKey = "0123456789abcdef";
+        settings.limits.connections = 100;
+        settings.direct.readiness.endpoint = {"127.0.0.1", entry.readinessPort};
+        settings.direct.store = {"127.0.0.1", entry.link->port()};
+        settings.direct.revokeBound = milliseconds(5000);
+        settings.direct.stopGrace = milliseconds(5000);
+        settings.direct.quotaWindow = milliseconds(8000);
+        settings.direct.retries = {0.2, seconds(10), 100};
+        entry.contexts = new Contexts(1);
+        auto made = DirectProcess::makeProcess(settings, *entry.contexts);
+        BOOST_REQUIRE(made.has_value());
+        entry.process = made->release();
+        entry.thread = std::jthread([contexts = entry.contexts] { contexts->run(); });
+    }
+
+    static int statusOf(unsigned short port, const std::string &path)
+    {
+        asio::io_context context;
+        tcp::socket socket(context);
+        boost::system::error_code error;
+        socket.connect({asio::ip::make_address("127.0.0.1"), port}, error);
+        asio::write(socket,
+                    asio::buffer("GET " + path
+                                 + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\n"
+                                   "Deadline-Ms: 100\r\nConnection: close\r\n\r\n"),
+                    error);
+        std::string text;
+        std::array<char, 4096> piece{};
+        while (!error) {
+            const std::size_t size = socket.read_some(asio::buffer(piece), error);
+            text.append(piece.data(), size);
+        }
+        return text.size() > 12 ? std::stoi(text.substr(9, 3)) : 0;
+    }
+
+    /// Whether the entry has the route of this version and says that it is ready. There are no
+    /// upstreams: a route that exists is answered "not run".
+    static bool serves(const Entry &entry, int version)
+    {
+        const int status = statusOf(entry.callerPort, "/v" + std::to_string(version) + "/x");
+        return (status == 429 || status == 503) && statusOf(entry.readinessPort, "/readyz") == 200;
+    }
+
+    bool allServe(int version) const
+    {
+        return std::ranges::all_of(
+            entries, [version](const Entry &entry) { return serves(entry, version); });
+    }
+
+    void put(int version)
+    {
+        store.with([version](PlatformStore &model) {
+            model.replace("config", "main", configuration(version), 0);
+        });
+    }
+
+    template <typename Condition>
+    static bool eventually(Condition condition, milliseconds bound = milliseconds(5000))
+    {
+        const auto end = std::chrono::steady_clock::now() + bound;
+        while (std::chrono::steady_clock::now() < end) {
+            if (condition())
+                return true;
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        return false;
+    }
+
+    static bool isFollower(std::size_t number)
+    {
+        std::vector<FleetMember> members;
+        for (std::size_t i = 0; i < entryCount; ++i)
+            members.push_back({entryName(i), "dc"});
+        const auto elected = electFollowers(members, "dc");
+        return std::ranges::find(elected, entryName(number)) != elected.end();
+    }
+
+    asio::io_context serverContext;
+    StoreServer store{serverContext, freePort()};
+    std::array<Entry, entryCount> entries;
+    std::jthread serverThread;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StoreFollowingSuite, Fleet)
+
+// fleetbench large: 103 entries made 114 calls a second on a calm day, each following by itself.
+BOOST_AUTO_TEST_CASE(callsDoNotGrowWithTheEntries)
+{
+    constexpr double playSeconds = 4;
+    const int before = store.calls - store.staleCalls;
+    std::this_thread::sleep_for(std::chrono::duration<double>(playSeconds));
+    const int calls = store.calls - store.staleCalls - before;
+    // A follower renews the configuration each 1.3 s and the upstreams each 4 s; one call of
+    // either may fall on each edge. An entry that relies on it renews its position each 12 s.
+    const double byFollowers = followersPerDataCentre * (playSeconds / 1.3 + playSeconds / 4 + 2);
+    const double byOthers = (entryCount - followersPerDataCentre) * playSeconds / 12 + 2;
+    BOOST_TEST(calls <= byFollowers + byOthers);
+    BOOST_TEST(allServe(1));
+}
+
+BOOST_AUTO_TEST_CASE(aChangeIsInForceEverywhereWithinTheBound)
+{
+    for (int version = 2; version < 6; ++version) {
+        put(version);
+        BOOST_TEST(eventually([&] { return allServe(version); }, milliseconds(2000)));
+        BOOST_TEST(statusOf(entries[0].callerPort, "/v1/x") == 404);
+    }
+}
+
+// The followers lose the store and say so by silence: the others go to it themselves.
+BOOST_AUTO_TEST_CASE(entriesServeOnWhileTheirFollowersAreCutOff)
+{
+    asio::post(serverContext, [this] {
+        for (std::size_t i = 0; i < entryCount; ++i)
+            if (isFollower(i))
+                entries[i].link->setFault(LinkFault::Silent);
+    });
+    const auto othersServe = [this](int version) {
+        for (std::size_t i = 0; i < entryCount; ++i)
+            if (!isFollower(i) && !serves(entries[i], version))
+                return false;
+        return true;
+    };
+    for (int tenths = 0; tenths < 60; ++tenths) {
+        BOOST_TEST(othersServe(1));
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    put(2);
+    BOOST_TEST(eventually([&] { return othersServe(2); }, milliseconds(2000)));
+    // A view that nothing proves is not used beyond its time.
+    for (std::size_t i = 0; i < entryCount; ++i)
+        if (isFollower(i))
+            BOOST_TEST(statusOf(entries[i].readinessPort, "/readyz") == 503);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -15,7 +15,7 @@
     -DCMAKE_CXX_COMPILER_LAUNCHER= >/dev/null
 mapfile -t linted < <(git ls-files 'src/base/*.cpp' 'src/config/*.cpp' 'src/sched/*.cpp' \
     'src/claims/*.cpp' 'src/gate/*.cpp' 'src/orders/*.cpp' 'tools/model/*.cpp' \
-    'src/serving/*.cpp' 'src/direct/*.cpp' 'src/http/*.cpp' 'platform/*.cpp' 'tools/soak/*.cpp')
+    'src/serving/*.cpp' 'src/fleet/*.cpp' 'src/direct/*.cpp' 'src/http/*.cpp' 'platform/*.cpp' 'tools/soak/*.cpp')
 printf '%s\n' "${linted[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy-16 --quiet -p build-lint 2>&1 \
     | { grep -vE '^[0-9]+ warnings? (generated|treated)|^Suppressed|^Use -' || true; }
 ctest --test-dir build --output-on-failure
