--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -193,10 +193,9 @@
 
     void proveConfig(BootTime callStart)
     {
-        if (!version)
-            return;
         provedAt = callStart;
-        listener.configProved(callStart);
+        if (version)
+            listener.configProved(callStart);
     }
 
     asio::awaitable<void> upstreamLoop()
@@ -404,7 +403,7 @@
     asio::steady_timer upstreamTimer;
     std::map<std::string, Endpoint> entries;
     std::optional<std::uint64_t> version;
-    /// Start of the last own call that proved the configuration.
+    /// Start of the last own call that proved the configuration, or that there is none.
     std::optional<BootTime> provedAt;
     bool reachable = true;
 };
