--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -210,8 +210,6 @@
     settings.direct.retries = readRetryBounds(bounds);
     const double quotaWindow = bounds.number("quotaWindowSeconds", defaultQuotaSeconds, 1, 3600);
     settings.direct.quotaWindow = milliseconds(static_cast<std::int64_t>(quotaWindow * 1000));
-    constexpr double largestSlack = 1e12;
-    settings.direct.quotaSlack = bounds.number("quotaSlack", 0, 0, largestSlack);
     bounds.finish();
 }
 
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -103,8 +103,6 @@
     RetryBounds retries;
     /// Over which the quotas of workspaces are judged.
     milliseconds quotaWindow{0};
-    /// What the platform tolerates beyond a quota in a window, in the quota's unit.
-    double quotaSlack = 0;
 };
 
 /// Settings of one process, read from one JSON document and fixed until it restarts,
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -38,7 +38,7 @@
     , incarnation(randomBits64())
     , freshness(settings.direct.revokeBound, proofMargin)
     , queue(upstreams, settings.dataCentre)
-    , quotas(settings.direct.quotaWindow, settings.direct.quotaSlack)
+    , quotas(settings.direct.quotaWindow)
     , retries(settings.direct.retries)
     , admission(freshness, crashes, quotas)
     , peers(settings.name)
@@ -202,7 +202,6 @@
 void TrafficState::pump()
 {
     settle(queue.decide(steadyNow()));
-    quotas.setPlacesFree(queue.size() == 0);
     armRefusals();
     if (onLoadChanged)
         onLoadChanged();
--- a/src/serving/QuotaLedger.cpp
+++ b/src/serving/QuotaLedger.cpp
@@ -10,8 +10,6 @@
 
 /// Part of a quota that is used; the rest covers what other entries have let through unheard.
 constexpr double usedShare = 0.97;
-/// Part of the platform's slack that is given away while places are free.
-constexpr double givenSlackShare = 0.5;
 /// Parts of a window that are counted together.
 constexpr int slicesPerWindow = 32;
 /// Pending requests of an entry that is silent for this long have ended.
@@ -56,29 +54,16 @@
     if (found == m_buckets.end())
         return true;
     Bucket &bucket = found->second;
-    const bool within = bucket.rate <= 0 || isWithinQuota(bucket);
-    if (!within && !fitsSlack(bucket, cost))
-        return false;
-    bucket.pending += cost;
-    if (within)
-        draw(bucket, cost);
-    return true;
-}
-
-bool QuotaLedger::isWithinQuota(const Bucket &bucket) const
-{
     // A request may leave a debt: otherwise small ones would keep large ones out for ever.
     // The oldest slice is counted whole though part of it has left the window.
     constexpr double countedWindow = 1 + 1.0 / slicesPerWindow;
     const double counted = bucket.sentInWindow + bucket.pending + bucket.peersPending;
-    return bucket.level > 0 && counted < allowance(bucket) * countedWindow;
-}
-
-bool QuotaLedger::fitsSlack(const Bucket &bucket, double cost) const
-{
-    const double counted = bucket.sentInWindow + bucket.pending + bucket.peersPending;
-    const double given = givenSlackShare * m_slack * m_share;
-    return m_placesFree && counted + cost <= allowance(bucket) + given;
+    const bool empty = bucket.level <= 0 || counted >= allowance(bucket) * countedWindow;
+    if (bucket.rate > 0 && empty)
+        return false;
+    bucket.pending += cost;
+    draw(bucket, cost);
+    return true;
 }
 
 void QuotaLedger::send(std::string_view workspace, double cost, TimePoint now)
--- a/src/serving/QuotaLedger.h
+++ b/src/serving/QuotaLedger.h
@@ -36,10 +36,6 @@
 /// The bucket holds the burst and spreads the rest evenly; what was sent within the window and
 /// what still waits to be sent bound it besides.
 ///
-/// The platform tolerates a slack beyond that. Part of it is given to requests that fit in whole
-/// while nothing waits for an upstream: places that nobody else wants are not withheld. The rest
-/// covers what the other entries have let through unheard.
-///
 /// Load: one workspace sends many times its usual through all entries, and much of it is refused
 /// after a wait. A request counts in the window in which it is sent, wherever it was charged.
 /// While some entries are not heard, the bucket refills by the share of those that are, so that
@@ -47,11 +43,9 @@
 class QuotaLedger
 {
 public:
-    /// `window`: over which the platform judges quotas. `slack`: what it tolerates beyond a quota
-    /// in a window, in the quota's unit.
-    explicit QuotaLedger(Duration window = std::chrono::seconds(8), double slack = 0)
+    /// `window`: over which the platform judges quotas.
+    explicit QuotaLedger(Duration window = std::chrono::seconds(8))
         : m_window(window)
-        , m_slack(slack)
     {}
 
     /// Applies the quotas of a configuration. A lower burst holds at once.
@@ -71,8 +65,6 @@
 
     /// Takes what another entry let through since it was heard last.
     void learn(std::uint64_t entryIncarnation, const std::vector<QuotaUse> &uses, TimePoint now);
-    /// Whether no request waits for an upstream at this entry.
-    void setPlacesFree(bool free) { m_placesFree = free; }
     /// Share of the known entries that are heard, this one included.
     void setHeardShare(double share, TimePoint now);
 
@@ -113,17 +105,11 @@
     /// Units a second at which the bucket refills.
     double refillRate(const Bucket &bucket) const;
     double allowance(const Bucket &bucket) const;
-    /// Whether the cost is within the quota; a request may leave a debt.
-    bool isWithinQuota(const Bucket &bucket) const;
-    /// Whether the whole cost fits into the part of the slack that is given away.
-    bool fitsSlack(const Bucket &bucket, double cost) const;
     static void draw(Bucket &bucket, double units);
     void recordSent(Bucket &bucket, double units) const;
     void dropOld(Bucket &bucket, TimePoint now) const;
 
     Duration m_window;
-    double m_slack;
-    bool m_placesFree = false;
 
     std::map<std::string, Bucket, std::less<>> m_buckets;
     std::map<std::uint64_t, Peer> m_peers;
