--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds lateTick{200};
 /// A watch of the upstreams returns within 4 s; a follower whose watch does not has lost the store.
 constexpr milliseconds oldestFollowed{6000};
+/// A follower's own proof is never as old while it reaches the store.
+constexpr milliseconds lostProof{1700};
 /// Crash rows in one message to the other entries.
 constexpr std::size_t toldCrashes = 32;
 
@@ -131,15 +133,21 @@
     m_followers = std::move(followers);
     if (std::exchange(m_elected, elected) != elected && onElected)
         onElected(elected);
+    // Whoever has lost the store, or its followers, asks those of all data centres.
+    const auto age = freshness.age(bootNow());
+    m_asked = age && *age < lostProof ? m_followers : electAllFollowers(members);
+    std::erase(m_asked, settings.name);
     askFollower(now);
 }
 
 void TrafficState::askFollower(TimePoint now)
 {
-    if (m_elected || !onStoreAsk)
+    const auto age = freshness.age(bootNow());
+    const bool provesItself = m_elected && age && *age < lostProof;
+    if (provesItself || !onStoreAsk)
         return;
     const std::uint64_t position = m_upstreamLog.position();
-    if (const auto due = proofs.ask(m_followers, now, bootNow(), position))
+    if (const auto due = proofs.ask(m_asked, now, bootNow(), position))
         onStoreAsk(due->first, due->second);
 }
 
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -141,7 +141,10 @@
     bool m_peersChanged = false;
     Duration m_lateness{};
     std::set<std::string> m_heard;
+    /// Of this data centre.
     std::vector<std::string> m_followers;
+    /// Entries that are asked in turn.
+    std::vector<std::string> m_asked;
     bool m_elected = true;
     std::uint64_t m_noticedConfig = 0;
     std::uint64_t m_noticedUpstreams = 0;
--- a/src/fleet/FollowerElection.cpp
+++ b/src/fleet/FollowerElection.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace tamarack {
@@ -23,4 +25,15 @@
     return elected;
 }
 
+std::vector<std::string> electAllFollowers(std::span<const FleetMember> members)
+{
+    std::set<std::string_view> dataCentres;
+    for (const FleetMember &member : members)
+        dataCentres.insert(member.dataCentre);
+    std::vector<std::string> all;
+    for (const std::string_view dataCentre : dataCentres)
+        std::ranges::move(electFollowers(members, dataCentre), std::back_inserter(all));
+    return all;
+}
+
 } // namespace tamarack
--- a/src/fleet/FollowerElection.h
+++ b/src/fleet/FollowerElection.h
@@ -22,4 +22,7 @@
 std::vector<std::string> electFollowers(std::span<const FleetMember> members,
                                         std::string_view dataCentre);
 
+/// The followers of all data centres.
+std::vector<std::string> electAllFollowers(std::span<const FleetMember> members);
+
 } // namespace tamarack
