The limit that an upstream names is decoded, logged and counted

`event=upstream_limit` says upstream, value and source when an answer changes it; a value that cannot be read is ignored and said to be. Nothing acts on it yet.

--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -254,6 +254,23 @@
     });
 }
 
+void TrafficState::hearStatement(UpstreamState &upstream, const UpstreamStatement &statement)
+{
+    if (statement.malformed)
+        logEvent(LogLevel::Warning, "upstream_statement_ignored",
+                 {{"upstream", upstream.record.id}});
+    if (!upstream.terms.hear(statement))
+        return;
+    const auto limit = upstream.terms.limitPerSecond();
+    metrics.add("tamarack_upstream_statements_total", "about=\"limit\"");
+    logEvent(LogLevel::Info, "upstream_limit",
+             {{"upstream", upstream.record.id},
+              {"limited", limit.has_value()},
+              {"per_s", limit.value_or(0)},
+              {"source", "answer"},
+              {"in_flight", upstream.inFlight()}});
+}
+
 void TrafficState::attemptBroke(const UpstreamState &upstream, RequestFingerprint fingerprint,
                                 TimePoint now)
 {
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -71,6 +71,8 @@
     void pump();
     Ticket nextTicket() { return ++m_lastTicket; }
 
+    /// Takes what an answer of the upstream says of it.
+    void hearStatement(UpstreamState &upstream, const UpstreamStatement &statement);
     /// An attempt at the upstream broke off before its answer was whole.
     void attemptBroke(const UpstreamState &upstream, RequestFingerprint fingerprint, TimePoint now);
     /// No connection could be made: attempts that broke off just before met a crash.
--- a/src/serving/RequestFacts.h
+++ b/src/serving/RequestFacts.h
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 #include "http/HttpMessage.h"
+#include "serving/UpstreamStatement.h"
 
 #include <cstdint>
 #include <optional>
@@ -57,6 +58,7 @@
     /// Requests running and waiting at the upstream, where told.
     std::optional<int> running;
     std::optional<int> waiting;
+    UpstreamStatement statement;
     /// Headers for the client, without those of one connection.
     HttpHeaders forwarded;
 };
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 #include "serving/EngineTimeModel.h"
 #include "serving/UpstreamRecord.h"
+#include "serving/UpstreamTerms.h"
 
 #include <cstdint>
 #include <functional>
@@ -60,6 +61,7 @@
     TimePoint blockedUntil{};
     /// It has left or drains; requests in flight go on.
     bool gone = false;
+    UpstreamTerms terms;
     /// A model engine, which slows down with every request, rather than a plain service.
     bool engine = false;
 
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -129,6 +129,22 @@
     BOOST_TEST(platform::decodeAnswer(200, {{"content-encoding", "gzip"}}).encoded);
 }
 
+BOOST_AUTO_TEST_CASE(decodesTheLimitThatAnUpstreamNames)
+{
+    const auto statement = [](const std::string &limit) {
+        return platform::decodeAnswer(200, {{"Server-Limit", limit}}).statement;
+    };
+    BOOST_TEST(!platform::decodeAnswer(200, {}).statement.limitPerSecond);
+    BOOST_TEST(*statement("3.9").limitPerSecond == 3.9);
+    BOOST_TEST(*statement(" 0 ").limitPerSecond == 0);
+    for (const char *bad : {"", "-1", "nan", "inf", "1e999", "3 a second", "0x3"}) {
+        BOOST_TEST(!statement(bad).limitPerSecond, bad);
+        BOOST_TEST(statement(bad).malformed, bad);
+    }
+    // It is the client's too.
+    BOOST_TEST(has(platform::decodeAnswer(200, {{"Server-Limit", "2"}}).forwarded, "Server-Limit"));
+}
+
 BOOST_AUTO_TEST_CASE(decodesUpstreamsAndIgnoresOtherWriters)
 {
     const auto entry = json::parse(
