Incident LIMIT: the failing test

Four entries on real sockets before two upstreams; one names 2 requests a second. The bounds are the platform's. It also asks that what the limit leaves is used (half of it at least) and that 9 in 10 requests are served by the other upstream.

--- /dev/null
+++ b/tests/UpstreamStatementsTest.cpp
@@ -0,0 +1,48 @@
+#include "process/Timers.h"
+#include "support/StatingFleet.h"
+
+#include <algorithm>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using std::chrono::seconds;
+using tamarack::harness::mostWithin;
+using tamarack::harness::StatingFleet;
+
+namespace {
+
+/// The platform's bounds: a limit holds from `stableBound` after it was first named, over any
+/// `limitWindow`, with half as much again and a slack.
+constexpr seconds stableBound{3};
+constexpr seconds limitWindow{4};
+constexpr double limitRatio = 1.5;
+constexpr double limitSlack = 5;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamStatementsSuite, StatingFleet)
+
+// Incident LIMIT: upstreams that had named a limit were sent as much as before.
+BOOST_AUTO_TEST_CASE(anUpstreamGetsNoMoreThanTheLimitThatItNames)
+{
+    constexpr double limit = 2;
+    std::this_thread::sleep_for(seconds(2));
+    const TimePoint namedAt = steadyNow();
+    upstream(0).limitPerSecond = limit;
+    const int askedBefore = asked();
+    const int servedBefore = served();
+    std::this_thread::sleep_for(seconds(12));
+
+    const double allowed = limitRatio * limit * limitWindow.count() + limitSlack;
+    const std::vector<TimePoint> times = arrivals(0);
+    BOOST_TEST(mostWithin(times, limitWindow, namedAt + stableBound) <= allowed);
+    // What the upstream still takes is used, and the other one serves the rest.
+    const auto late = std::ranges::lower_bound(times, namedAt + seconds(8));
+    const auto lateCount = std::distance(late, times.end());
+    BOOST_TEST(lateCount >= limit * limitWindow.count() / 2);
+    BOOST_TEST(served() - servedBefore >= 0.9 * (asked() - askedBefore));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/StatingFleet.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "base/Time.h"
+#include "model/StoreServer.h"
+#include "model/UpstreamServer.h"
+#include "support/DirectEntry.h"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace tamarack::harness {
+
+/// Four direct entries before two upstreams of one service, which say things of themselves, under
+/// steady load at every entry.
+class StatingFleet
+{
+public:
+    StatingFleet();
+    ~StatingFleet();
+    StatingFleet(const StatingFleet &) = delete;
+    StatingFleet &operator=(const StatingFleet &) = delete;
+
+    standin::UpstreamServer &upstream(std::size_t number) { return *m_upstreams.at(number).server; }
+    /// When the upstream got requests that it ran, in order.
+    std::vector<TimePoint> arrivals(std::size_t upstream) const;
+    int asked() const { return m_asked; }
+    /// Of those asked, answered with success.
+    int served() const { return m_served; }
+
+    static constexpr std::size_t entryCount = 4;
+    static constexpr std::size_t upstreamCount = 2;
+
+private:
+    struct Upstream
+    {
+        std::unique_ptr<standin::UpstreamServer> server;
+        std::vector<TimePoint> arrivals;
+    };
+
+    void ask(const DirectEntry &entry);
+
+    boost::asio::io_context m_serverContext;
+    standin::StoreServer m_store;
+    std::array<Upstream, upstreamCount> m_upstreams;
+    std::array<DirectEntry, entryCount> m_entries;
+    mutable std::mutex m_mutex;
+    std::atomic<bool> m_over{false};
+    std::atomic<int> m_asked{0};
+    std::atomic<int> m_served{0};
+    std::jthread m_serverThread;
+    std::vector<std::jthread> m_clients;
+};
+
+/// The most of the sorted times that lie within `length` up to one of them that is not before
+/// `from`.
+std::size_t mostWithin(const std::vector<TimePoint> &times, Duration length, TimePoint from);
+
+} // namespace tamarack::harness
--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -48,6 +48,8 @@
     const UpstreamMood now = mood;
     const std::string requestId(findHeader(request.headers, "Request-Id").value_or(""));
     HttpResponse response{200, {{"Request-Id", requestId}}, "from " + m_id + " " + request.body};
+    if (limitPerSecond >= 0)
+        response.headers.emplace_back("Server-Limit", std::to_string(limitPerSecond));
     const bool expected = findHeader(request.headers, "Expect-Replica") == m_id;
     if (!expected || now == UpstreamMood::NotExecuted) {
         response.status = expected ? 503 : 421;
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -39,6 +39,8 @@
     std::vector<HttpRequest> seen() const;
 
     std::atomic<UpstreamMood> mood{UpstreamMood::Well};
+    /// Requests a second that its answers name as its limit; negative: they name none.
+    std::atomic<double> limitPerSecond{-1};
     std::atomic<bool> clientGone{false};
     std::atomic<int> eventPauseMs{0};
     /// Before an answer that does not stream.
