LIMIT: a limit that an upstream names is kept by the entries together

What callers saw: upstreams in need went on getting their usual requests after they had asked for fewer (1.3 and 3.9 a second, sent 6 and 9), so that they stayed slow. Cause: no entry read what an upstream says of its limit; there was no place that answers whether an upstream may get a request now. Why this works: UpstreamTerms keeps, for each upstream, the newest word on its limit, heard here or told by another entry with its age, and every entry's sends of the last 4.5 s. What was sent before the limit was heard of counts. A limit is shared by a few entries (LimitShare: as many as can each send 2 a second, by a hash), each of which paces itself and looks at the sum of all; the others send nothing. Equal parts for all entries would be less than a request each at 103 entries. An answer without the header ends a limit only if its request was sent after the limit was heard. The one place that is asked is UpstreamTable::limit: first sends, retries and resumed streams pass it.

--- a/src/direct/PeerExchange.cpp
+++ b/src/direct/PeerExchange.cpp
@@ -112,7 +112,7 @@
         load.sequence = ++sequence;
         sentLoads = load.loads;
         sentDemand = load.demand;
-        sentNews = state.newsRevision();
+        sentNews = state.news();
         keepChangedQuotas(load);
         const std::string bytes = sealMessage(load, state.settings.peerKey);
         if (bytes.size() > largestDatagram)
@@ -158,8 +158,7 @@
         if (peers.empty() || armedAt <= next)
             return;
         const bool changed = state.upstreams.ownLoads() != sentLoads
-                             || state.queue.demand() != sentDemand
-                             || state.newsRevision() != sentNews;
+                             || state.queue.demand() != sentDemand || state.news() != sentNews;
         if (changed)
             arm(next);
     }
@@ -173,7 +172,7 @@
     std::uint64_t sequence = 0;
     std::vector<std::pair<UpstreamKey, UpstreamLoad>> sentLoads;
     std::vector<QueueDemand> sentDemand;
-    std::pair<std::uint64_t, std::uint64_t> sentNews;
+    TrafficState::News sentNews;
     std::vector<QuotaUse> sentQuotas;
     TimePoint allQuotasAt{};
     TimePoint sentAt{};
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -6,7 +6,6 @@
 #include "process/Timers.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include <spdlog/fmt/fmt.h>
@@ -26,6 +25,8 @@
 constexpr milliseconds oldestFollowed{6000};
 /// A follower's own proof is never as old while it reaches the store.
 constexpr milliseconds lostProof{1700};
+/// An entry that has just started does not hear all others yet.
+constexpr std::chrono::seconds settling{2};
 /// Crash rows in one message to the other entries.
 constexpr std::size_t toldCrashes = 32;
 
@@ -47,6 +48,7 @@
     , proofs(incarnation)
     , m_refusalTimer(executor)
     , m_peerTimer(executor)
+    , m_startedAt(steadyNow())
 {}
 
 void TrafficState::applyConfig(ServingConfigPtr newConfig)
@@ -178,6 +180,11 @@
 {
     m_peersChanged = false;
     upstreams.setOthers(peers.loads(now));
+    const auto limitChanged = upstreams.setTold(peers.terms(now));
+    if (!limitChanged.empty())
+        shareLimits(now);
+    for (const UpstreamPtr &upstream : limitChanged)
+        logLimit(*upstream, "entries");
     queue.setPeerDemand(peers.demand(now));
     pump();
 }
@@ -254,23 +261,46 @@
     });
 }
 
-void TrafficState::hearStatement(UpstreamState &upstream, const UpstreamStatement &statement)
+void TrafficState::hearStatement(UpstreamState &upstream, const UpstreamStatement &statement,
+                                 TimePoint sentAt)
 {
     if (statement.malformed)
         logEvent(LogLevel::Warning, "upstream_statement_ignored",
                  {{"upstream", upstream.record.id}});
-    if (!upstream.terms.hear(statement))
+    const TimePoint now = steadyNow();
+    if (!upstream.terms.hear(statement, sentAt, now))
         return;
-    const auto limit = upstream.terms.limitPerSecond();
+    ++m_statements;
     metrics.add("tamarack_upstream_statements_total", "about=\"limit\"");
+    shareLimits(now);
+    logLimit(upstream, "answer");
+    pump();
+}
+
+void TrafficState::logLimit(const UpstreamState &upstream, std::string_view source)
+{
+    const UpstreamTerms &terms = upstream.terms;
     logEvent(LogLevel::Info, "upstream_limit",
              {{"upstream", upstream.record.id},
-              {"limited", limit.has_value()},
-              {"per_s", limit.value_or(0)},
-              {"source", "answer"},
+              {"limited", terms.isLimited()},
+              {"per_s", terms.limitPerSecond().value_or(0)},
+              {"own_share_per_s", terms.isLimited() ? terms.share() : 0.0},
+              {"source", source},
+              {"recent_sends", terms.recentSends(steadyNow())},
               {"in_flight", upstream.inFlight()}});
 }
 
+void TrafficState::shareLimits(TimePoint now)
+{
+    std::vector<std::string> serving;
+    if (!draining && now - m_startedAt > settling)
+        serving.push_back(settings.name);
+    for (FleetMember &member : peers.heardMembers(now))
+        if (!member.leaving)
+            serving.push_back(std::move(member.name));
+    upstreams.shareLimits({settings.name, serving, peers.heardShare(now)});
+}
+
 void TrafficState::attemptBroke(const UpstreamState &upstream, RequestFingerprint fingerprint,
                                 TimePoint now)
 {
@@ -296,9 +326,9 @@
     m_broken.erase(broken);
 }
 
-std::pair<std::uint64_t, std::uint64_t> TrafficState::newsRevision() const
+TrafficState::News TrafficState::news() const
 {
-    return {config ? config->version : 0, m_elected ? m_upstreamRevision : 0};
+    return {config ? config->version : 0, m_elected ? m_upstreamRevision : 0, m_statements};
 }
 
 EntryLoad TrafficState::ownLoad() const
@@ -306,12 +336,14 @@
     EntryLoad load;
     load.name = settings.name;
     load.dataCentre = settings.dataCentre;
-    std::tie(load.configVersion, load.upstreamRevision) = newsRevision();
+    load.configVersion = news().configVersion;
+    load.upstreamRevision = news().upstreamRevision;
     load.incarnation = incarnation;
     load.loads = upstreams.ownLoads();
     load.demand = queue.demand();
     load.quotas = quotas.uses();
     load.crashes = crashes.rows(toldCrashes, steadyNow());
+    load.terms = upstreams.told(steadyNow());
     load.leaving = draining;
     return load;
 }
@@ -326,6 +358,8 @@
                  {{"late_ms", toMs(m_lateness)}, {"waiting", queue.size()}});
     quotas.setHeardShare(peers.heardShare(now), now);
     retries.setEntries(peers.heard(now));
+    shareLimits(now);
+    metrics.set("tamarack_upstreams_limited", "", upstreams.limited());
     crashes.forgetOld(now);
     followStore(now);
     pool.dropExpired(now);
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -72,7 +73,8 @@
     Ticket nextTicket() { return ++m_lastTicket; }
 
     /// Takes what an answer of the upstream says of it.
-    void hearStatement(UpstreamState &upstream, const UpstreamStatement &statement);
+    void hearStatement(UpstreamState &upstream, const UpstreamStatement &statement,
+                       TimePoint sentAt);
     /// An attempt at the upstream broke off before its answer was whole.
     void attemptBroke(const UpstreamState &upstream, RequestFingerprint fingerprint, TimePoint now);
     /// No connection could be made: attempts that broke off just before met a crash.
@@ -83,8 +85,18 @@
     /// Called when `ownLoad` has changed in a way that others wait for.
     std::function<void()> onLoadChanged;
 
-    /// Configuration and revision of the upstreams that this entry tells; others act on them.
-    std::pair<std::uint64_t, std::uint64_t> newsRevision() const;
+    /// What this entry tells and others act on at once.
+    struct News
+    {
+        std::uint64_t configVersion = 0;
+        /// Revision of the upstreams as of the store; 0: no follower.
+        std::uint64_t upstreamRevision = 0;
+        /// Grows with each statement of an upstream that is news.
+        std::uint64_t statements = 0;
+
+        bool operator==(const News &) const = default;
+    };
+    News news() const;
 
     /// The answer to another entry's ask; none when this entry does not follow the store.
     std::optional<StoreAnswer> answerProof(const StoreAsk &ask) const;
@@ -133,13 +145,15 @@
     void followStore(TimePoint now);
     void askFollower(TimePoint now);
     void noticeNews(const EntryLoad &load);
-    /// Logs entries that are heard no longer or again.
-    void notePeers(TimePoint now);
+    /// Shares the limits that upstreams name among the entries that are heard.
+    void shareLimits(TimePoint now);
+    static void logLimit(const UpstreamState &upstream, std::string_view source);
 
     std::unordered_map<Ticket, std::shared_ptr<QueueWait>> m_waits;
     std::unordered_map<UpstreamKey, std::pair<TimePoint, std::vector<RequestFingerprint>>> m_broken;
     boost::asio::steady_timer m_refusalTimer;
     boost::asio::steady_timer m_peerTimer;
+    TimePoint m_startedAt;
     bool m_peersChanged = false;
     Duration m_lateness{};
     std::set<std::string> m_heard;
@@ -154,6 +168,7 @@
     /// The last change that this entry's own watch has brought.
     std::uint64_t m_upstreamRevision = 0;
     TimePoint m_upstreamsFollowedAt{};
+    std::uint64_t m_statements = 0;
     TimePoint m_refusalAt = TimePoint::max();
     Ticket m_lastTicket = 0;
 };
--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -3,6 +3,8 @@
 #include "base/Hash.h"
 #include "peer/generated/peer.capnp.h"
 
+#include <cmath>
+
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/io.h>
@@ -57,6 +59,18 @@
         crashes[i].setUpstream(load.crashes[i].row.upstream);
         crashes[i].setAgeMs(static_cast<std::uint32_t>(load.crashes[i].age.count()));
     }
+    auto terms = to.initTerms(load.terms.size());
+    for (unsigned i = 0; i < load.terms.size(); ++i) {
+        const ToldTerms &told = load.terms[i];
+        terms[i].setUpstream(told.upstream);
+        terms[i].setRecentSends(told.recentSends);
+        terms[i].setHasLimit(told.limit.has_value());
+        if (!told.limit)
+            continue;
+        terms[i].setLimited(told.limit->perSecond.has_value());
+        terms[i].setLimitPerSecond(told.limit->perSecond.value_or(0));
+        terms[i].setLimitAgeMs(static_cast<std::uint32_t>(told.limit->age.count()));
+    }
 }
 
 void write(wire::EntryMessage::Builder to, const EntryLoad &load)
@@ -143,6 +157,21 @@
     return answer;
 }
 
+/// None when its limit is no number that an upstream can name.
+std::optional<ToldTerms> read(wire::UpstreamTerms::Reader from)
+{
+    ToldTerms told{from.getUpstream(), std::nullopt, from.getRecentSends()};
+    if (!from.getHasLimit())
+        return told;
+    const double limit = from.getLimitPerSecond();
+    if (!std::isfinite(limit) || limit < 0)
+        return std::nullopt;
+    told.limit = ToldLimit{std::nullopt, milliseconds(from.getLimitAgeMs())};
+    if (from.getLimited())
+        told.limit->perSecond = limit;
+    return told;
+}
+
 EntryLoad read(wire::EntryLoad::Reader from)
 {
     EntryLoad load;
@@ -164,6 +193,9 @@
     for (const auto row : from.getCrashes())
         load.crashes.push_back(
             {{row.getFingerprint(), row.getUpstream()}, milliseconds(row.getAgeMs())});
+    for (const auto row : from.getTerms())
+        if (const auto told = read(row))
+            load.terms.push_back(*told);
     return load;
 }
 
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -156,6 +156,15 @@
     ageMs @2 :UInt32;
 }
 
+struct UpstreamTerms {
+    upstream @0 :UInt64;
+    hasLimit @1 :Bool;
+    limited @2 :Bool;
+    limitPerSecond @3 :Float64;
+    limitAgeMs @4 :UInt32;
+    recentSends @5 :UInt32;
+}
+
 struct EntryLoad {
     name @0 :Text;
     incarnation @1 :UInt64;
@@ -168,6 +177,7 @@
     leaving @8 :Bool;
     dataCentre @9 :Text;
     upstreamRevision @10 :UInt64;
+    terms @11 :List(UpstreamTerms);
 }
 
 struct UpstreamChange {
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -174,7 +174,7 @@
     decisions.assignments.push_back({request.ticket, choice.upstream,
                                      choice.upstream->prefillTokens(), choice.freshTokens,
                                      choice.predicted});
-    m_upstreams.started(*choice.upstream, choice.freshTokens);
+    m_upstreams.started(*choice.upstream, choice.freshTokens, now);
     Line &line = m_lines[request.service];
     ++line.running[request.rank];
     line.starts.try_emplace(request.rank, startMemory).first->second.add(now);
--- a/src/serving/EntryLoad.h
+++ b/src/serving/EntryLoad.h
@@ -4,6 +4,7 @@
 #include "serving/CrashLedger.h"
 #include "serving/DispatchQueue.h"
 #include "serving/QuotaLedger.h"
+#include "serving/ToldTerms.h"
 
 #include <cstdint>
 #include <string>
@@ -27,6 +28,7 @@
     std::vector<QueueDemand> demand;
     std::vector<QuotaUse> quotas;
     std::vector<ToldCrash> crashes;
+    std::vector<ToldTerms> terms;
     /// Stops as planned; takes no new requests.
     bool leaving = false;
 
--- a/src/serving/PeerBook.cpp
+++ b/src/serving/PeerBook.cpp
@@ -55,6 +55,16 @@
     return rows;
 }
 
+std::unordered_map<UpstreamKey, std::vector<HeardTerms>> PeerBook::terms(TimePoint now) const
+{
+    std::unordered_map<UpstreamKey, std::vector<HeardTerms>> rows;
+    for (const auto &[name, peer] : m_peers)
+        if (now - peer.heardAt < UpstreamTerms::window)
+            for (const ToldTerms &told : peer.load.terms)
+                rows[told.upstream].push_back({told, peer.load.incarnation, peer.heardAt});
+    return rows;
+}
+
 std::vector<FleetMember> PeerBook::heardMembers(TimePoint now) const
 {
     std::vector<FleetMember> members;
--- a/src/serving/PeerBook.h
+++ b/src/serving/PeerBook.h
@@ -32,6 +32,9 @@
     /// Load of the heard entries, summed by upstream.
     std::unordered_map<UpstreamKey, UpstreamLoad> loads(TimePoint now) const;
     std::vector<QueueDemand> demand(TimePoint now) const;
+    /// What the others tell of upstreams, by upstream. Those that have fallen silent count on for
+    /// the window of limits: what they sent may still arrive.
+    std::unordered_map<UpstreamKey, std::vector<HeardTerms>> terms(TimePoint now) const;
     /// Heard entries, without this one.
     std::vector<FleetMember> heardMembers(TimePoint now) const;
     std::set<std::string> heardNames(TimePoint now) const;
--- a/src/serving/UpstreamChooser.cpp
+++ b/src/serving/UpstreamChooser.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <numeric>
 #include <ranges>
+#include <utility>
 
 namespace tamarack {
 
@@ -147,8 +148,9 @@
 {
     if (prefix == 0 || upstreams.empty())
         return 0;
+    // An upstream that limits itself is no place for prompts that come again.
     const auto weight = [prefix](const UpstreamPtr &upstream) {
-        return mixBits(prefix, upstream->key);
+        return std::pair(!upstream->terms.isLimited(), mixBits(prefix, upstream->key));
     };
     return (*std::ranges::max_element(upstreams, {}, weight))->key;
 }
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -23,6 +23,9 @@
 /// Pause of an upstream that says it is full.
 constexpr milliseconds fullBlock{30};
 constexpr int mostDoublings = 4;
+/// Requests a second at an upstream that takes fewer: without an answer now and then nobody learns
+/// that its limit has ended.
+constexpr double leastLimit = 0.2;
 
 /// Subtracts without passing zero.
 void lower(std::uint32_t &value, std::uint32_t by)
@@ -85,8 +88,46 @@
     return found == m_services.end() ? none : found->second.upstreams;
 }
 
-void UpstreamTable::started(UpstreamState &upstream, std::uint32_t promptTokens)
+std::vector<UpstreamPtr>
+UpstreamTable::setTold(std::unordered_map<UpstreamKey, std::vector<HeardTerms>> told)
 {
+    std::vector<UpstreamPtr> changed;
+    for (const auto &[key, upstream] : m_byKey) {
+        const auto found = told.find(key);
+        if (found == told.end() && !upstream->terms.hasTold())
+            continue;
+        if (upstream->terms.setTold(found == told.end() ? std::vector<HeardTerms>()
+                                                        : std::move(found->second)))
+            changed.push_back(upstream);
+    }
+    return changed;
+}
+
+void UpstreamTable::shareLimits(const LimitMembers &members)
+{
+    for (const auto &[key, upstream] : m_byKey)
+        if (const auto limit = upstream->terms.limitPerSecond())
+            upstream->terms.setShare(limitShare(key, std::max(*limit, leastLimit), members));
+}
+
+std::vector<ToldTerms> UpstreamTable::told(TimePoint now) const
+{
+    std::vector<ToldTerms> rows;
+    for (const auto &[key, upstream] : m_byKey)
+        if (const auto terms = upstream->terms.told(key, now))
+            rows.push_back(*terms);
+    return rows;
+}
+
+std::size_t UpstreamTable::limited() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_byKey, [](const auto &item) { return item.second->terms.isLimited(); }));
+}
+
+void UpstreamTable::started(UpstreamState &upstream, std::uint32_t promptTokens, TimePoint now)
+{
+    upstream.terms.countSend(now);
     ++upstream.own.inFlight;
     upstream.own.prefillTokens += promptTokens;
 }
@@ -144,10 +185,16 @@
 {
     if (upstream.gone || now < upstream.blockedUntil)
         return 0;
+    if (!upstream.terms.admits(now))
+        return 0;
     const bool probing = upstream.failuresInRow > 0 && upstream.failureShare > troubledShare;
     if (probing)
         return 1;
-    return upstream.engine ? upstream.record.slots : upstream.record.slots * plainQueueing;
+    const int places =
+        upstream.engine ? upstream.record.slots : upstream.record.slots * plainQueueing;
+    // Its share admits one request at a time.
+    return upstream.terms.isLimited() ? std::min(places, static_cast<int>(upstream.inFlight()) + 1)
+                                      : places;
 }
 
 int UpstreamTable::freePlaces(std::string_view service, TimePoint now) const
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -2,6 +2,8 @@
 
 #include "base/Time.h"
 #include "serving/EngineTimeModel.h"
+#include "serving/LimitShare.h"
+#include "serving/UpstreamKey.h"
 #include "serving/UpstreamRecord.h"
 #include "serving/UpstreamTerms.h"
 
@@ -17,9 +19,6 @@
 
 namespace tamarack {
 
-/// Identity of an upstream in messages between entries: a hash of its id and start.
-using UpstreamKey = std::uint64_t;
-
 UpstreamKey upstreamKey(const UpstreamRecord &record);
 
 /// Requests of one sender at one upstream.
@@ -88,9 +87,18 @@
     /// Replaces the load of the other entries: key to load.
     void setOthers(const std::unordered_map<UpstreamKey, UpstreamLoad> &loads);
 
+    /// Replaces what the other entries tell of upstreams; returns those whose limit changes by it.
+    std::vector<UpstreamPtr> setTold(std::unordered_map<UpstreamKey, std::vector<HeardTerms>> told);
+    /// Shares the limits among the entries.
+    void shareLimits(const LimitMembers &members);
+    /// What this entry tells the others of upstreams.
+    std::vector<ToldTerms> told(TimePoint now) const;
+    /// Upstreams that limit themselves.
+    std::size_t limited() const;
+
     const std::vector<UpstreamPtr> &ofService(std::string_view service) const;
 
-    void started(UpstreamState &upstream, std::uint32_t promptTokens);
+    void started(UpstreamState &upstream, std::uint32_t promptTokens, TimePoint now);
     void firstToken(UpstreamState &upstream, std::uint32_t promptTokens);
     void ended(UpstreamState &upstream);
     void learnFirstToken(UpstreamState &upstream, std::uint32_t tokens, Duration took);
