--- /dev/null
+++ b/tests/UpstreamTermsTest.cpp
@@ -0,0 +1,348 @@
+#include "serving/UpstreamTerms.h"
+#include "serving/LimitShare.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr UpstreamKey upstreamUnderTest = 77;
+
+std::vector<std::string> entryNames(std::size_t count)
+{
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < count; ++i)
+        names.push_back("entry-" + std::to_string(i));
+    return names;
+}
+
+/// Several entries before one upstream that names a limit, lets it fall, rise and end. Entries
+/// have more requests than the upstream takes; their messages are late, lost, repeated and
+/// reordered; they are paused, restarted, and cut off one way. Checks the platform's rule from what
+/// the upstream sees.
+class LimitSchedule
+{
+public:
+    explicit LimitSchedule(std::uint64_t seed)
+        : m_random(seed)
+        , m_entries(static_cast<std::size_t>(draw(2, 6)))
+        , m_names(entryNames(m_entries.size()))
+    {
+        for (std::size_t i = 0; i < m_entries.size(); ++i)
+            m_entries[i].incarnation = i + 1;
+    }
+
+    /// False once the upstream got more than it allows.
+    bool holds()
+    {
+        const seconds length(16);
+        for (m_now = TimePoint(seconds(100)); m_now < TimePoint(seconds(100)) + length;
+             m_now += milliseconds(draw(20, 80))) {
+            changeLimit();
+            for (Entry &entry : m_entries)
+                step(entry);
+            if (m_broken)
+                return false;
+        }
+        return true;
+    }
+
+private:
+    struct Message
+    {
+        TimePoint at{};
+        std::size_t from = 0;
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        std::optional<ToldTerms> terms;
+    };
+    struct Answer
+    {
+        TimePoint at{};
+        TimePoint sentAt{};
+        UpstreamStatement statement;
+    };
+    struct Peer
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        TimePoint heardAt{};
+        std::optional<ToldTerms> terms;
+    };
+    struct Entry
+    {
+        UpstreamTerms terms;
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        std::map<std::size_t, Peer> peers;
+        std::vector<Message> inbox;
+        std::vector<Answer> answers;
+        TimePoint startedAt{};
+        TimePoint nextMessage{};
+        TimePoint pausedTo{};
+        TimePoint mutedTo{};
+        /// Restarted, paused or cut: its sends of then on do not count for a while.
+        TimePoint excusedTo{};
+        /// It has passed on an answer that names the limit.
+        std::optional<TimePoint> toldAt;
+    };
+    struct Arrival
+    {
+        TimePoint at{};
+        std::size_t entry = 0;
+    };
+
+    std::int64_t draw(std::int64_t low, std::int64_t high)
+    {
+        return std::uniform_int_distribution<std::int64_t>(low, high)(m_random);
+    }
+
+    void changeLimit()
+    {
+        if (draw(0, 80) != 0)
+            return;
+        const bool ends = m_limit && draw(0, 2) == 0;
+        const auto before = m_limit;
+        m_limit = ends ? std::nullopt : std::optional(0.1 * static_cast<double>(draw(0, 60)));
+        const bool rises = before && m_limit && *m_limit >= *before;
+        if (rises)
+            return;
+        // A lower limit binds those that have been told it.
+        m_loweredAt = m_now;
+        for (Entry &entry : m_entries)
+            entry.toldAt.reset();
+    }
+
+    void step(Entry &entry)
+    {
+        const auto number = static_cast<std::size_t>(&entry - m_entries.data());
+        disturb(entry);
+        if (m_now < entry.pausedTo)
+            return;
+        receive(entry);
+        share(entry, number);
+        for (int i = 0; i < 2 && entry.terms.admits(m_now); ++i)
+            send(entry, number);
+        if (m_now >= entry.nextMessage)
+            tell(entry, number);
+    }
+
+    void disturb(Entry &entry)
+    {
+        constexpr seconds excused{5};
+        const std::int64_t kind = draw(0, 1500);
+        if (kind > 2)
+            return;
+        const Duration length = milliseconds(draw(200, 4000));
+        if (kind == 0)
+            entry.pausedTo = m_now + length;
+        if (kind == 1)
+            entry.mutedTo = m_now + length;
+        if (kind == 2) {
+            const std::uint64_t incarnation = entry.incarnation + 100;
+            entry = Entry{};
+            entry.incarnation = incarnation;
+            entry.startedAt = m_now;
+        }
+        entry.excusedTo = m_now + length + excused;
+    }
+
+    void receive(Entry &entry)
+    {
+        std::ranges::stable_sort(entry.answers, {}, &Answer::at);
+        while (!entry.answers.empty() && entry.answers.front().at <= m_now) {
+            const Answer answer = entry.answers.front();
+            entry.answers.erase(entry.answers.begin());
+            entry.terms.hear(answer.statement, answer.sentAt, m_now);
+            const auto &named = answer.statement.limitPerSecond;
+            if (named && m_limit && *named <= *m_limit && !entry.toldAt)
+                entry.toldAt = m_now;
+        }
+        const auto due = std::ranges::partition(
+            entry.inbox, [this](const Message &each) { return each.at > m_now; });
+        for (const Message &message : due)
+            learn(entry.peers[message.from], message);
+        entry.inbox.erase(due.begin(), due.end());
+        std::vector<HeardTerms> told;
+        for (const auto &[from, peer] : entry.peers)
+            if (peer.terms && m_now - peer.heardAt < UpstreamTerms::window)
+                told.push_back({*peer.terms, peer.incarnation, peer.heardAt});
+        entry.terms.setTold(std::move(told));
+    }
+
+    void learn(Peer &peer, const Message &message) const
+    {
+        if (peer.incarnation == message.incarnation && message.sequence <= peer.sequence)
+            return;
+        if (message.incarnation < peer.incarnation)
+            return;
+        peer = {message.incarnation, message.sequence, m_now, message.terms};
+    }
+
+    void share(Entry &entry, std::size_t number) const
+    {
+        constexpr seconds silence{1};
+        constexpr seconds settling{2};
+        const auto limit = entry.terms.limitPerSecond();
+        if (!limit)
+            return;
+        std::vector<std::string> serving;
+        if (m_now - entry.startedAt > settling)
+            serving.push_back(m_names[number]);
+        std::size_t heard = 1;
+        for (const auto &[from, peer] : entry.peers) {
+            if (m_now - peer.heardAt >= silence)
+                continue;
+            serving.push_back(m_names[from]);
+            ++heard;
+        }
+        const double part = static_cast<double>(heard) / static_cast<double>(m_entries.size());
+        entry.terms.setShare(
+            limitShare(upstreamUnderTest, std::max(*limit, 0.2), {m_names[number], serving, part}));
+    }
+
+    void send(Entry &entry, std::size_t number)
+    {
+        entry.terms.countSend(m_now);
+        const TimePoint at = m_now + milliseconds(draw(0, 9) == 0 ? draw(0, 300) : 5);
+        m_arrivals.push_back({at, number});
+        const TimePoint answered = at + milliseconds(draw(30, 600));
+        entry.answers.push_back({answered, m_now, {m_limit}});
+        check(at, entry);
+    }
+
+    /// The rule, for a request that arrives now.
+    void check(TimePoint at, const Entry &from)
+    {
+        constexpr seconds stableBound{3};
+        constexpr seconds limitWindow{4};
+        const auto isBound = [at](const Entry &entry) {
+            return entry.toldAt && *entry.toldAt + milliseconds(500) <= at && at >= entry.excusedTo;
+        };
+        if (!m_limit || at < m_loweredAt + stableBound || !isBound(from))
+            return;
+        const auto counts = [&](const Arrival &each) {
+            return isBound(m_entries[each.entry]) && each.at <= at && at - each.at < limitWindow;
+        };
+        const auto got = static_cast<double>(std::ranges::count_if(m_arrivals, counts));
+        const double allowed = 1.5 * *m_limit * static_cast<double>(limitWindow.count()) + 5;
+        m_broken = m_broken || got > allowed;
+        while (!m_arrivals.empty() && at - m_arrivals.front().at > seconds(30))
+            m_arrivals.pop_front();
+    }
+
+    void tell(Entry &entry, std::size_t number)
+    {
+        entry.nextMessage = m_now + milliseconds(draw(20, 250));
+        const Message message{m_now, number, entry.incarnation, ++entry.sequence,
+                              entry.terms.told(upstreamUnderTest, m_now)};
+        if (m_now < entry.mutedTo)
+            return;
+        for (Entry &other : m_entries) {
+            if (&other == &entry)
+                continue;
+            for (std::int64_t copies = draw(0, 9) == 0 ? draw(0, 2) : 1; copies > 0; --copies) {
+                Message copy = message;
+                copy.at += milliseconds(draw(0, 19) == 0 ? draw(50, 900) : draw(1, 10));
+                other.inbox.push_back(copy);
+            }
+        }
+    }
+
+    std::mt19937_64 m_random;
+    std::vector<Entry> m_entries;
+    std::vector<std::string> m_names;
+    TimePoint m_now{};
+    std::optional<double> m_limit;
+    TimePoint m_loweredAt{};
+    std::deque<Arrival> m_arrivals;
+    bool m_broken = false;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(UpstreamTermsSuite)
+
+BOOST_AUTO_TEST_CASE(noScheduleSendsMoreThanTheLimit)
+{
+    constexpr std::uint64_t schedules = 10'000;
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed)
+        BOOST_REQUIRE_MESSAGE(LimitSchedule(seed).holds(), "seed " << seed);
+}
+
+// An upstream of 1.4 a second before 4 and before 103 entries: equal parts would be 0.35 and 0.014.
+BOOST_AUTO_TEST_CASE(aLimitIsSharedByAsManyEntriesAsCanUseIt)
+{
+    for (const std::size_t count : {1U, 4U, 27U, 103U}) {
+        const auto names = entryNames(count);
+        for (const double limit : {0.2, 1.4, 3.9, 40.0}) {
+            double sum = 0;
+            std::size_t holders = 0;
+            for (const std::string &name : names) {
+                const double share = limitShare(upstreamUnderTest, limit, {name, names, 1});
+                sum += share;
+                holders += share > 0 ? 1 : 0;
+            }
+            BOOST_TEST(std::abs(sum - limit) < 1e-9);
+            BOOST_TEST(static_cast<double>(holders) <= limit / smallestShare + 1);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anEntryThatHearsHalfOfTheFleetUsesHalfOfALimit)
+{
+    const auto names = entryNames(4);
+    const std::vector<std::string> alone{names[2]};
+    BOOST_TEST(limitShare(upstreamUnderTest, 1.4, {names[2], alone, 0.25}) == 0.35);
+    // One that takes no requests has no part.
+    BOOST_TEST(limitShare(upstreamUnderTest, 1.4, {names[0], alone, 1}) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(onlyAnAnswerToALaterRequestEndsALimit)
+{
+    const TimePoint start{seconds(100)};
+    const auto at = [start](int ms) { return start + milliseconds(ms); };
+    UpstreamTerms terms;
+    BOOST_TEST(!terms.hear({}, at(0), at(10)));
+    BOOST_TEST(terms.hear({3.9}, at(0), at(20)));
+    BOOST_TEST(!terms.hear({3.9}, at(5), at(30)));
+    // Under way when the limit was heard.
+    BOOST_TEST(!terms.hear({}, at(25), at(40)));
+    BOOST_TEST(*terms.limitPerSecond() == 3.9);
+    // What cannot be read neither names nor ends it.
+    BOOST_TEST(!terms.hear({std::nullopt, true}, at(50), at(60)));
+    BOOST_TEST(terms.hear({}, at(50), at(60)));
+    BOOST_TEST(!terms.isLimited());
+    BOOST_TEST(terms.admits(at(60)));
+}
+
+BOOST_AUTO_TEST_CASE(theNewestWordOfAllEntriesHolds)
+{
+    const TimePoint start{seconds(100)};
+    UpstreamTerms terms;
+    BOOST_TEST(terms.hear({2.0}, start, start));
+    BOOST_TEST(terms.told(upstreamUnderTest, start)->limit.has_value());
+    const auto told = [&](std::optional<double> limit, int ageMs, int atMs) {
+        return HeardTerms{{upstreamUnderTest, ToldLimit{limit, milliseconds(ageMs)}, 0},
+                          9,
+                          start + milliseconds(atMs)};
+    };
+    BOOST_TEST(!terms.setTold({told(5.0, 600, 500)}));
+    BOOST_TEST(terms.setTold({told(std::nullopt, 100, 500)}));
+    BOOST_TEST(!terms.isLimited());
+    // It stays so when the other one is silent, and is the other's to tell.
+    BOOST_TEST(!terms.setTold({}));
+    BOOST_TEST(!terms.isLimited());
+    BOOST_TEST(!terms.told(upstreamUnderTest, start + seconds(1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
