LIMIT: an old answer that is read late does not lift a limit

Cause: an answer's word counted as of its reading, though it is of some time between the send of its request and that.

--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -69,7 +69,8 @@
             continue;
         terms[i].setLimited(told.limit->perSecond.has_value());
         terms[i].setLimitPerSecond(told.limit->perSecond.value_or(0));
-        terms[i].setLimitAgeMs(static_cast<std::uint32_t>(told.limit->age.count()));
+        terms[i].setLimitSentAgeMs(static_cast<std::uint32_t>(told.limit->sentAge.count()));
+        terms[i].setLimitReadAgeMs(static_cast<std::uint32_t>(told.limit->readAge.count()));
     }
 }
 
@@ -166,7 +167,8 @@
     const double limit = from.getLimitPerSecond();
     if (!std::isfinite(limit) || limit < 0)
         return std::nullopt;
-    told.limit = ToldLimit{std::nullopt, milliseconds(from.getLimitAgeMs())};
+    told.limit = ToldLimit{std::nullopt, milliseconds(from.getLimitSentAgeMs()),
+                           milliseconds(from.getLimitReadAgeMs())};
     if (from.getLimited())
         told.limit->perSecond = limit;
     return told;
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -161,8 +161,9 @@
     hasLimit @1 :Bool;
     limited @2 :Bool;
     limitPerSecond @3 :Float64;
-    limitAgeMs @4 :UInt32;
+    limitReadAgeMs @4 :UInt32;
     recentSends @5 :UInt32;
+    limitSentAgeMs @6 :UInt32;
 }
 
 struct EntryLoad {
--- a/src/serving/ToldTerms.h
+++ b/src/serving/ToldTerms.h
@@ -13,8 +13,10 @@
 {
     /// None: it named no limit any more.
     std::optional<double> perSecond;
-    /// Since it was heard.
-    milliseconds age{};
+    /// It was said at some time between these: since the request was sent, and since its answer was
+    /// read.
+    milliseconds sentAge{};
+    milliseconds readAge{};
 
     bool operator==(const ToldLimit &) const = default;
 };
--- a/src/serving/UpstreamTerms.cpp
+++ b/src/serving/UpstreamTerms.cpp
@@ -17,24 +17,42 @@
 
 } // namespace
 
-UpstreamTerms::Limit UpstreamTerms::limitOf(const HeardTerms &heard)
+bool UpstreamTerms::Word::isStricterThan(const Word &other) const
+{
+    return perSecond && (!other.perSecond || *perSecond < *other.perSecond);
+}
+
+std::optional<UpstreamTerms::Word> UpstreamTerms::wordOf(const HeardTerms &heard)
 {
     const auto &limit = heard.terms.limit;
-    return limit ? Limit{limit->perSecond, heard.toldAt - limit->age} : Limit{};
+    if (!limit)
+        return std::nullopt;
+    return Word{limit->perSecond, heard.toldAt - limit->sentAge, heard.toldAt - limit->readAge};
 }
 
 bool UpstreamTerms::hear(const UpstreamStatement &statement, TimePoint sentAt, TimePoint now)
 {
-    if (statement.malformed)
-        return false;
-    const bool mayBeOlder = isLimited() && sentAt <= m_newest.heardAt;
-    if (!statement.limitPerSecond && (mayBeOlder || !isLimited()))
+    const bool says = statement.limitPerSecond || isLimited();
+    if (statement.malformed || !says)
         return false;
-    m_heard = {statement.limitPerSecond, now};
-    m_heardHere = true;
+    if (merge({statement.limitPerSecond, sentAt, now}))
+        m_heardHere = true;
     return renew();
 }
 
+bool UpstreamTerms::merge(const Word &word)
+{
+    if (word.perSecond == m_heard.perSecond && !word.isAfter(m_heard)) {
+        m_heard.from = std::max(m_heard.from, word.from);
+        m_heard.to = std::max(m_heard.to, word.to);
+        return false;
+    }
+    const bool replaces = word.isAfter(m_heard) || word.isStricterThan(m_heard);
+    if (replaces)
+        m_heard = word;
+    return replaces;
+}
+
 bool UpstreamTerms::setTold(std::vector<HeardTerms> told)
 {
     const auto tellsOn = [&told](const HeardTerms &before) {
@@ -44,26 +62,32 @@
     };
     // What an entry has told holds on when it tells it no longer.
     for (const HeardTerms &before : m_told) {
-        const Limit limit = limitOf(before);
-        if (limit.heardAt > m_heard.heardAt && !tellsOn(before)) {
-            m_heard = limit;
+        const auto word = wordOf(before);
+        if (word && !tellsOn(before) && merge(*word))
             m_heardHere = false;
-        }
     }
     m_told = std::move(told);
     return renew();
 }
 
+std::vector<UpstreamTerms::Word> UpstreamTerms::currentWords() const
+{
+    std::vector<Word> words{m_heard};
+    for (const HeardTerms &each : m_told)
+        if (const auto word = wordOf(each))
+            words.push_back(*word);
+    const TimePoint latest = std::ranges::max(words, {}, &Word::from).from;
+    std::erase_if(words, [latest](const Word &word) { return latest > word.to; });
+    return words;
+}
+
 bool UpstreamTerms::renew()
 {
-    Limit newest = m_heard;
-    for (const HeardTerms &each : m_told) {
-        const Limit limit = limitOf(each);
-        if (limit.heardAt > newest.heardAt)
-            newest = limit;
-    }
-    const auto before = std::exchange(m_newest, newest).perSecond;
-    return before != m_newest.perSecond;
+    const std::vector<Word> words = currentWords();
+    const auto strictest = std::ranges::min_element(
+        words, [](const Word &a, const Word &b) { return a.isStricterThan(b); });
+    const auto limit = strictest == words.end() ? std::nullopt : strictest->perSecond;
+    return std::exchange(m_limit, limit) != limit;
 }
 
 bool UpstreamTerms::admits(TimePoint now) const
@@ -72,7 +96,7 @@
         return true;
     if (m_share <= 0 || now < m_nextSend)
         return false;
-    const double most = std::max(leastSends, *m_newest.perSecond * windowSeconds);
+    const double most = std::max(leastSends, *m_limit * windowSeconds);
     return recentSends(now) + 1 <= most;
 }
 
@@ -102,20 +126,22 @@
         });
 }
 
-bool UpstreamTerms::isContradicted() const
-{
-    return std::ranges::any_of(m_told, [this](const HeardTerms &each) {
-        return each.terms.limit && each.terms.limit->perSecond != m_newest.perSecond;
-    });
-}
-
 std::optional<ToldTerms> UpstreamTerms::told(UpstreamKey upstream, TimePoint now) const
 {
+    if (!m_heardHere && !isLimited())
+        return std::nullopt;
     ToldTerms terms{upstream, std::nullopt, 0};
-    const Duration age = now - m_heard.heardAt;
-    const bool isNewest = m_heardHere && m_heard.heardAt == m_newest.heardAt;
-    if (isNewest && (isLimited() || age < endTold || isContradicted()))
-        terms.limit = ToldLimit{m_heard.perSecond, std::chrono::duration_cast<milliseconds>(age)};
+    const std::vector<Word> words = currentWords();
+    const bool isCurrent =
+        std::ranges::none_of(words, [this](const Word &word) { return word.isAfter(m_heard); });
+    const bool isContradicted = std::ranges::any_of(m_told, [this](const HeardTerms &each) {
+        return each.terms.limit && each.terms.limit->perSecond != m_heard.perSecond;
+    });
+    const bool isUseful = isLimited() || isContradicted || now - m_heard.to < endTold;
+    if (m_heardHere && isCurrent && isUseful)
+        terms.limit =
+            ToldLimit{m_heard.perSecond, std::chrono::ceil<milliseconds>(now - m_heard.from),
+                      std::chrono::floor<milliseconds>(now - m_heard.to)};
     if (isLimited())
         terms.recentSends = ownSends(now);
     if (!terms.limit && terms.recentSends == 0)
--- a/src/serving/UpstreamTerms.h
+++ b/src/serving/UpstreamTerms.h
@@ -20,9 +20,7 @@
 class UpstreamTerms
 {
 public:
-    /// Takes what an answer to a request sent at `sentAt` says; true when it is news. An answer
-    /// without a limit ends a limit only if its request was sent after that was heard: one that was
-    /// under way then says nothing of what came later.
+    /// Takes what an answer to a request sent at `sentAt` says; true when it is news.
     bool hear(const UpstreamStatement &statement, TimePoint sentAt, TimePoint now);
     /// Takes what the other entries tell, all of it each time; true when it is news.
     bool setTold(std::vector<HeardTerms> told);
@@ -34,11 +32,11 @@
     void countSend(TimePoint now);
 
     /// Requests a second from all entries together; none without a limit.
-    std::optional<double> limitPerSecond() const { return m_newest.perSecond; }
+    std::optional<double> limitPerSecond() const { return m_limit; }
     double share() const { return m_share; }
     /// Sends of all entries within the window, as far as known.
     std::uint32_t recentSends(TimePoint now) const;
-    bool isLimited() const { return m_newest.perSecond.has_value(); }
+    bool isLimited() const { return m_limit.has_value(); }
     bool hasTold() const { return !m_told.empty(); }
 
     /// What this entry tells the others; none when it has nothing to tell.
@@ -48,24 +46,32 @@
     static constexpr milliseconds window{4500};
 
 private:
-    struct Limit
+    /// One word of the upstream on its limit, said between `from` and `to` on this entry's clock:
+    /// answers may be under way, or lie unread, for any time.
+    struct Word
     {
         std::optional<double> perSecond;
-        /// On this entry's clock, never before the upstream said it; the epoch: nothing was said.
-        TimePoint heardAt{};
+        TimePoint from{};
+        TimePoint to{};
+
+        bool isStricterThan(const Word &other) const;
+        bool isAfter(const Word &other) const { return from > other.to; }
     };
 
-    static Limit limitOf(const HeardTerms &heard);
-    /// Takes over the newest of what was heard and told; true when the limit is another.
+    static std::optional<Word> wordOf(const HeardTerms &heard);
+    /// Adds to what was heard: what is certainly later, or stricter and perhaps later, replaces it.
+    bool merge(const Word &word);
+    /// Of the words that no other is certainly after, the strictest holds. True when it is another
+    /// limit than before.
     bool renew();
+    std::vector<Word> currentWords() const;
     std::uint32_t ownSends(TimePoint now) const;
-    bool isContradicted() const;
 
     /// By this entry, or told by one that tells no longer.
-    Limit m_heard;
+    Word m_heard;
     bool m_heardHere = false;
     std::vector<HeardTerms> m_told;
-    Limit m_newest;
+    std::optional<double> m_limit;
     double m_share = 0;
     /// The next send within the share.
     TimePoint m_nextSend{};
--- a/tests/UpstreamTermsTest.cpp
+++ b/tests/UpstreamTermsTest.cpp
@@ -274,6 +274,10 @@
 
 BOOST_AUTO_TEST_CASE(noScheduleSendsMoreThanTheLimit)
 {
+    // An entry woke from a pause with an old answer that named no limit, and told the others so.
+    BOOST_TEST(LimitSchedule(68417).holds());
+    // The same with an old, higher limit.
+    BOOST_TEST(LimitSchedule(77654).holds());
     constexpr std::uint64_t schedules = 10'000;
     for (std::uint64_t seed = 1; seed <= schedules; ++seed)
         BOOST_REQUIRE_MESSAGE(LimitSchedule(seed).holds(), "seed " << seed);
@@ -322,6 +326,7 @@
     BOOST_TEST(!terms.hear({std::nullopt, true}, at(50), at(60)));
     BOOST_TEST(terms.hear({}, at(50), at(60)));
     BOOST_TEST(!terms.isLimited());
+    BOOST_TEST(terms.told(upstreamUnderTest, at(60))->limit->sentAge.count() == 10);
     BOOST_TEST(terms.admits(at(60)));
 }
 
@@ -332,9 +337,10 @@
     BOOST_TEST(terms.hear({2.0}, start, start));
     BOOST_TEST(terms.told(upstreamUnderTest, start)->limit.has_value());
     const auto told = [&](std::optional<double> limit, int ageMs, int atMs) {
-        return HeardTerms{{upstreamUnderTest, ToldLimit{limit, milliseconds(ageMs)}, 0},
-                          9,
-                          start + milliseconds(atMs)};
+        return HeardTerms{
+            {upstreamUnderTest, ToldLimit{limit, milliseconds(ageMs), milliseconds(ageMs)}, 0},
+            9,
+            start + milliseconds(atMs)};
     };
     BOOST_TEST(!terms.setTold({told(5.0, 600, 500)}));
     BOOST_TEST(terms.setTold({told(std::nullopt, 100, 500)}));
