DRAIN: an upstream that says that it leaves gets nothing new

What callers saw: requests were sent to an upstream that had said in its answers that it leaves, until the store listed it as draining; without the store, until it was gone. Cause: the header was not read. Why this works: the word is kept by the upstream's id and start, here and at the entries that are told; it is asked in the same place as the limit, and again right before the send, when a connection had to be made first. Idle connections are dropped. Nothing takes it back: not an answer without it, nor the store listing the upstream again, whose state is kept in mind.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -264,7 +264,7 @@
 {
     switch (end) {
     case AttemptEnd::NotSent:
-        return HealthSign::Unreachable;
+        return m_attempt->withheld() ? HealthSign::Full : HealthSign::Unreachable;
     case AttemptEnd::NotExecuted:
         return m_attempt->answer().facts.misdirected ? HealthSign::Unreachable : HealthSign::Full;
     case AttemptEnd::Broken:
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -180,11 +180,11 @@
 {
     m_peersChanged = false;
     upstreams.setOthers(peers.loads(now));
-    const auto limitChanged = upstreams.setTold(peers.terms(now));
-    if (!limitChanged.empty())
+    const auto changed = upstreams.setTold(peers.terms(now));
+    if (!changed.empty())
         shareLimits(now);
-    for (const UpstreamPtr &upstream : limitChanged)
-        logLimit(*upstream, "entries");
+    for (const auto &[upstream, news] : changed)
+        noteTerms(*upstream, news, "entries");
     queue.setPeerDemand(peers.demand(now));
     pump();
 }
@@ -268,26 +268,37 @@
         logEvent(LogLevel::Warning, "upstream_statement_ignored",
                  {{"upstream", upstream.record.id}});
     const TimePoint now = steadyNow();
-    if (!upstream.terms.hear(statement, sentAt, now))
+    const TermsNews news = upstream.terms.hear(statement, sentAt, now);
+    if (!news.any())
         return;
     ++m_statements;
-    metrics.add("tamarack_upstream_statements_total", "about=\"limit\"");
     shareLimits(now);
-    logLimit(upstream, "answer");
+    noteTerms(upstream, news, "answer");
     pump();
 }
 
-void TrafficState::logLimit(const UpstreamState &upstream, std::string_view source)
+void TrafficState::noteTerms(const UpstreamState &upstream, TermsNews news, std::string_view source)
 {
     const UpstreamTerms &terms = upstream.terms;
-    logEvent(LogLevel::Info, "upstream_limit",
-             {{"upstream", upstream.record.id},
-              {"limited", terms.isLimited()},
-              {"per_s", terms.limitPerSecond().value_or(0)},
-              {"own_share_per_s", terms.isLimited() ? terms.share() : 0.0},
-              {"source", source},
-              {"recent_sends", terms.recentSends(steadyNow())},
-              {"in_flight", upstream.inFlight()}});
+    if (news.limit) {
+        metrics.add("tamarack_upstream_statements_total", "about=\"limit\"");
+        logEvent(LogLevel::Info, "upstream_limit",
+                 {{"upstream", upstream.record.id},
+                  {"limited", terms.isLimited()},
+                  {"per_s", terms.limitPerSecond().value_or(0)},
+                  {"own_share_per_s", terms.isLimited() ? terms.share() : 0.0},
+                  {"source", source},
+                  {"recent_sends", terms.recentSends(steadyNow())},
+                  {"in_flight", upstream.inFlight()}});
+    }
+    if (news.leaving) {
+        metrics.add("tamarack_upstream_statements_total", "about=\"leaving\"");
+        pool.drop(upstream.key);
+        logEvent(LogLevel::Info, "upstream_leaving",
+                 {{"upstream", upstream.record.id},
+                  {"source", source},
+                  {"in_flight", upstream.inFlight()}});
+    }
 }
 
 void TrafficState::shareLimits(TimePoint now)
@@ -360,6 +371,7 @@
     retries.setEntries(peers.heard(now));
     shareLimits(now);
     metrics.set("tamarack_upstreams_limited", "", upstreams.limited());
+    metrics.set("tamarack_upstreams_leaving", "", upstreams.leaving());
     crashes.forgetOld(now);
     followStore(now);
     pool.dropExpired(now);
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -147,7 +147,8 @@
     void noticeNews(const EntryLoad &load);
     /// Shares the limits that upstreams name among the entries that are heard.
     void shareLimits(TimePoint now);
-    static void logLimit(const UpstreamState &upstream, std::string_view source);
+    /// Logs and counts what an upstream or another entry has said, and closes what it ends.
+    void noteTerms(const UpstreamState &upstream, TermsNews news, std::string_view source);
 
     std::unordered_map<Ticket, std::shared_ptr<QueueWait>> m_waits;
     std::unordered_map<UpstreamKey, std::pair<TimePoint, std::vector<RequestFingerprint>>> m_broken;
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -56,7 +56,8 @@
 asio::awaitable<AttemptEnd> UpstreamAttempt::sendAndRead()
 {
     m_connection = co_await connect();
-    if (!m_connection || m_cancelled)
+    m_withheld = m_connection && !m_assignment.upstream->terms.isOpen();
+    if (!m_connection || m_cancelled || m_withheld)
         co_return AttemptEnd::NotSent;
     m_sentAt = steadyNow();
     m_sent = true;
@@ -223,7 +224,8 @@
     const bool clean = end == AttemptEnd::Whole || end == AttemptEnd::Failed
                        || (end == AttemptEnd::NotExecuted && !facts.misdirected);
     const UpstreamState &upstream = *m_assignment.upstream;
-    if (clean && connection->reusable() && !facts.closing && !upstream.gone)
+    const bool leaves = upstream.gone || upstream.terms.isLeaving();
+    if (clean && connection->reusable() && !facts.closing && !leaves)
         m_state.pool.keep(upstream.key, connection, facts.keepAlive, steadyNow());
     else
         connection->close();
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -41,6 +41,8 @@
 
     /// The request was handed to a connection.
     bool sent() const { return m_sent; }
+    /// Not sent, as the upstream has said meanwhile that it takes no request.
+    bool withheld() const { return m_withheld; }
     bool reusedConnection() const { return m_reusedConnection; }
     bool clientGone() const { return m_clientGone; }
     /// When the first event, or the whole answer, had come.
@@ -70,6 +72,7 @@
     TimePoint m_sentAt{};
     std::optional<TimePoint> m_firstTokenAt;
     bool m_sent = false;
+    bool m_withheld = false;
     bool m_reusedConnection = false;
     bool m_cancelled = false;
     bool m_clientGone = false;
--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -64,6 +64,7 @@
         const ToldTerms &told = load.terms[i];
         terms[i].setUpstream(told.upstream);
         terms[i].setRecentSends(told.recentSends);
+        terms[i].setLeaving(told.leaving);
         terms[i].setHasLimit(told.limit.has_value());
         if (!told.limit)
             continue;
@@ -161,7 +162,7 @@
 /// None when its limit is no number that an upstream can name.
 std::optional<ToldTerms> read(wire::UpstreamTerms::Reader from)
 {
-    ToldTerms told{from.getUpstream(), std::nullopt, from.getRecentSends()};
+    ToldTerms told{from.getUpstream(), std::nullopt, from.getLeaving(), from.getRecentSends()};
     if (!from.getHasLimit())
         return told;
     const double limit = from.getLimitPerSecond();
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -164,6 +164,7 @@
     limitReadAgeMs @4 :UInt32;
     recentSends @5 :UInt32;
     limitSentAgeMs @6 :UInt32;
+    leaving @7 :Bool;
 }
 
 struct EntryLoad {
--- a/src/serving/ToldTerms.h
+++ b/src/serving/ToldTerms.h
@@ -21,12 +21,14 @@
     bool operator==(const ToldLimit &) const = default;
 };
 
-/// What one entry tells the others of an upstream that limits itself.
+/// What one entry tells the others of an upstream that limits itself or leaves.
 struct ToldTerms
 {
     UpstreamKey upstream = 0;
     /// Only what the upstream said to the teller itself, while nothing newer is known to it.
     std::optional<ToldLimit> limit;
+    /// The upstream has said that it leaves.
+    bool leaving = false;
     /// Requests that the teller sent there within the window of limits.
     std::uint32_t recentSends = 0;
 
--- a/src/serving/UpstreamChooser.cpp
+++ b/src/serving/UpstreamChooser.cpp
@@ -148,9 +148,10 @@
 {
     if (prefix == 0 || upstreams.empty())
         return 0;
-    // An upstream that limits itself is no place for prompts that come again.
+    // An upstream that limits itself or leaves is no place for prompts that come again.
     const auto weight = [prefix](const UpstreamPtr &upstream) {
-        return std::pair(!upstream->terms.isLimited(), mixBits(prefix, upstream->key));
+        const bool takesAll = upstream->terms.isOpen() && !upstream->terms.isLimited();
+        return std::pair(takesAll, mixBits(prefix, upstream->key));
     };
     return (*std::ranges::max_element(upstreams, {}, weight))->key;
 }
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -62,7 +62,7 @@
         const bool missing = !present.contains(item.first);
         if (missing)
             item.second->gone = true;
-        return missing && item.second->own.inFlight == 0;
+        return missing && item.second->own.inFlight == 0 && !item.second->terms.isLeaving();
     });
 }
 
@@ -88,17 +88,18 @@
     return found == m_services.end() ? none : found->second.upstreams;
 }
 
-std::vector<UpstreamPtr>
+std::vector<std::pair<UpstreamPtr, TermsNews>>
 UpstreamTable::setTold(std::unordered_map<UpstreamKey, std::vector<HeardTerms>> told)
 {
-    std::vector<UpstreamPtr> changed;
+    std::vector<std::pair<UpstreamPtr, TermsNews>> changed;
     for (const auto &[key, upstream] : m_byKey) {
         const auto found = told.find(key);
         if (found == told.end() && !upstream->terms.hasTold())
             continue;
-        if (upstream->terms.setTold(found == told.end() ? std::vector<HeardTerms>()
-                                                        : std::move(found->second)))
-            changed.push_back(upstream);
+        auto rows = found == told.end() ? std::vector<HeardTerms>() : std::move(found->second);
+        const TermsNews news = upstream->terms.setTold(std::move(rows));
+        if (news.any())
+            changed.emplace_back(upstream, news);
     }
     return changed;
 }
@@ -125,6 +126,12 @@
         m_byKey, [](const auto &item) { return item.second->terms.isLimited(); }));
 }
 
+std::size_t UpstreamTable::leaving() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_byKey, [](const auto &item) { return item.second->terms.isLeaving(); }));
+}
+
 void UpstreamTable::started(UpstreamState &upstream, std::uint32_t promptTokens, TimePoint now)
 {
     upstream.terms.countSend(now);
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -78,7 +78,8 @@
 class UpstreamTable
 {
 public:
-    /// Replaces the set of known upstreams. Those missing are gone.
+    /// Replaces the set of known upstreams. Those missing are gone. What has said that it leaves is
+    /// kept in mind: the store may list it again.
     void assign(const std::vector<UpstreamRecord> &records);
 
     /// Names the services with model engines behind them.
@@ -87,14 +88,16 @@
     /// Replaces the load of the other entries: key to load.
     void setOthers(const std::unordered_map<UpstreamKey, UpstreamLoad> &loads);
 
-    /// Replaces what the other entries tell of upstreams; returns those whose limit changes by it.
-    std::vector<UpstreamPtr> setTold(std::unordered_map<UpstreamKey, std::vector<HeardTerms>> told);
+    /// Replaces what the other entries tell of upstreams; returns those of which it is news.
+    std::vector<std::pair<UpstreamPtr, TermsNews>>
+    setTold(std::unordered_map<UpstreamKey, std::vector<HeardTerms>> told);
     /// Shares the limits among the entries.
     void shareLimits(const LimitMembers &members);
     /// What this entry tells the others of upstreams.
     std::vector<ToldTerms> told(TimePoint now) const;
-    /// Upstreams that limit themselves.
+    /// Upstreams that limit themselves, and that have said that they leave.
     std::size_t limited() const;
+    std::size_t leaving() const;
 
     const std::vector<UpstreamPtr> &ofService(std::string_view service) const;
 
--- a/src/serving/UpstreamTerms.cpp
+++ b/src/serving/UpstreamTerms.cpp
@@ -30,7 +30,15 @@
     return Word{limit->perSecond, heard.toldAt - limit->sentAge, heard.toldAt - limit->readAge};
 }
 
-bool UpstreamTerms::hear(const UpstreamStatement &statement, TimePoint sentAt, TimePoint now)
+TermsNews UpstreamTerms::hear(const UpstreamStatement &statement, TimePoint sentAt, TimePoint now)
+{
+    TermsNews news;
+    news.leaving = statement.leaving && !std::exchange(m_leaving, true);
+    news.limit = hearLimit(statement, sentAt, now);
+    return news;
+}
+
+bool UpstreamTerms::hearLimit(const UpstreamStatement &statement, TimePoint sentAt, TimePoint now)
 {
     const bool says = statement.limitPerSecond || isLimited();
     if (statement.malformed || !says)
@@ -53,8 +61,12 @@
     return replaces;
 }
 
-bool UpstreamTerms::setTold(std::vector<HeardTerms> told)
+TermsNews UpstreamTerms::setTold(std::vector<HeardTerms> told)
 {
+    TermsNews news;
+    const bool leaves =
+        std::ranges::any_of(told, [](const HeardTerms &each) { return each.terms.leaving; });
+    news.leaving = leaves && !std::exchange(m_leaving, true);
     const auto tellsOn = [&told](const HeardTerms &before) {
         return std::ranges::any_of(told, [&before](const HeardTerms &each) {
             return each.teller == before.teller && each.terms.limit;
@@ -67,7 +79,8 @@
             m_heardHere = false;
     }
     m_told = std::move(told);
-    return renew();
+    news.limit = renew();
+    return news;
 }
 
 std::vector<UpstreamTerms::Word> UpstreamTerms::currentWords() const
@@ -92,6 +105,8 @@
 
 bool UpstreamTerms::admits(TimePoint now) const
 {
+    if (!isOpen())
+        return false;
     if (!isLimited())
         return true;
     if (m_share <= 0 || now < m_nextSend)
@@ -128,9 +143,9 @@
 
 std::optional<ToldTerms> UpstreamTerms::told(UpstreamKey upstream, TimePoint now) const
 {
-    if (!m_heardHere && !isLimited())
+    if (!m_heardHere && !isLimited() && !m_leaving)
         return std::nullopt;
-    ToldTerms terms{upstream, std::nullopt, 0};
+    ToldTerms terms{upstream, std::nullopt, m_leaving, 0};
     const std::vector<Word> words = currentWords();
     const bool isCurrent =
         std::ranges::none_of(words, [this](const Word &word) { return word.isAfter(m_heard); });
@@ -144,7 +159,7 @@
                       std::chrono::floor<milliseconds>(now - m_heard.to)};
     if (isLimited())
         terms.recentSends = ownSends(now);
-    if (!terms.limit && terms.recentSends == 0)
+    if (!terms.limit && !terms.leaving && terms.recentSends == 0)
         return std::nullopt;
     return terms;
 }
--- a/src/serving/UpstreamTerms.h
+++ b/src/serving/UpstreamTerms.h
@@ -11,6 +11,15 @@
 
 namespace tamarack {
 
+/// What of an upstream's terms has changed.
+struct TermsNews
+{
+    bool limit = false;
+    bool leaving = false;
+
+    bool any() const { return limit || leaving; }
+};
+
 /// On what terms one upstream takes requests, as it says in its answers to this entry and to the
 /// others, and whether it may get a request from this entry now.
 ///
@@ -20,13 +29,15 @@
 class UpstreamTerms
 {
 public:
-    /// Takes what an answer to a request sent at `sentAt` says; true when it is news.
-    bool hear(const UpstreamStatement &statement, TimePoint sentAt, TimePoint now);
-    /// Takes what the other entries tell, all of it each time; true when it is news.
-    bool setTold(std::vector<HeardTerms> told);
+    /// Takes what an answer to a request sent at `sentAt` says.
+    TermsNews hear(const UpstreamStatement &statement, TimePoint sentAt, TimePoint now);
+    /// Takes what the other entries tell, all of it each time.
+    TermsNews setTold(std::vector<HeardTerms> told);
     /// Requests a second that this entry may send while a limit holds.
     void setShare(double perSecond) { m_share = perSecond; }
 
+    /// Whether a request that has been assigned may still be sent.
+    bool isOpen() const { return !m_leaving; }
     /// Whether a request may be sent now.
     bool admits(TimePoint now) const;
     void countSend(TimePoint now);
@@ -37,6 +48,8 @@
     /// Sends of all entries within the window, as far as known.
     std::uint32_t recentSends(TimePoint now) const;
     bool isLimited() const { return m_limit.has_value(); }
+    /// It has said that it leaves; nothing that it says later takes that back.
+    bool isLeaving() const { return m_leaving; }
     bool hasTold() const { return !m_told.empty(); }
 
     /// What this entry tells the others; none when it has nothing to tell.
@@ -59,6 +72,7 @@
     };
 
     static std::optional<Word> wordOf(const HeardTerms &heard);
+    bool hearLimit(const UpstreamStatement &statement, TimePoint sentAt, TimePoint now);
     /// Adds to what was heard: what is certainly later, or stricter and perhaps later, replaces it.
     bool merge(const Word &word);
     /// Of the words that no other is certainly after, the strictest holds. True when it is another
@@ -70,6 +84,7 @@
     /// By this entry, or told by one that tells no longer.
     Word m_heard;
     bool m_heardHere = false;
+    bool m_leaving = false;
     std::vector<HeardTerms> m_told;
     std::optional<double> m_limit;
     double m_share = 0;
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -145,6 +145,21 @@
     BOOST_TEST(has(platform::decodeAnswer(200, {{"Server-Limit", "2"}}).forwarded, "Server-Limit"));
 }
 
+BOOST_AUTO_TEST_CASE(decodesThatAnUpstreamLeaves)
+{
+    const auto statement = [](const std::string &value) {
+        return platform::decodeAnswer(503, {{"Server-Leaving", value}}).statement;
+    };
+    BOOST_TEST(statement("1").leaving);
+    BOOST_TEST(statement(" 1").leaving);
+    BOOST_TEST(!statement("0").leaving);
+    BOOST_TEST(!statement("0").malformed);
+    for (const char *bad : {"", "yes", "11", "-1"}) {
+        BOOST_TEST(!statement(bad).leaving, bad);
+        BOOST_TEST(statement(bad).malformed, bad);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(decodesUpstreamsAndIgnoresOtherWriters)
 {
     const auto entry = json::parse(
--- a/tests/UpstreamStatementsTest.cpp
+++ b/tests/UpstreamStatementsTest.cpp
@@ -20,6 +20,12 @@
 constexpr double limitRatio = 1.5;
 constexpr double limitSlack = 5;
 
+std::size_t arrivalsFrom(const std::vector<TimePoint> &times, TimePoint from)
+{
+    const auto first = std::ranges::lower_bound(times, from);
+    return static_cast<std::size_t>(std::distance(first, times.end()));
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(UpstreamStatementsSuite, StatingFleet)
@@ -39,9 +45,26 @@
     const std::vector<TimePoint> times = arrivals(0);
     BOOST_TEST(mostWithin(times, limitWindow, namedAt + stableBound) <= allowed);
     // What the upstream still takes is used, and the other one serves the rest.
-    const auto late = std::ranges::lower_bound(times, namedAt + seconds(8));
-    const auto lateCount = std::distance(late, times.end());
-    BOOST_TEST(lateCount >= limit * limitWindow.count() / 2);
+    const auto late = static_cast<double>(arrivalsFrom(times, namedAt + seconds(8)));
+    BOOST_TEST(late >= limit * limitWindow.count() / 2);
+    BOOST_TEST(served() - servedBefore >= 0.9 * (asked() - askedBefore));
+}
+
+// An upstream that said in its answers that it leaves got new requests until the store listed it as
+// draining.
+BOOST_AUTO_TEST_CASE(anUpstreamThatSaysThatItLeavesGetsNothingNew)
+{
+    constexpr seconds drainBound{2};
+    std::this_thread::sleep_for(seconds(1));
+    upstream(0).leaving = true;
+    const TimePoint saidAt = steadyNow();
+    std::this_thread::sleep_for(drainBound);
+    // An answer without the word does not bring it back.
+    upstream(0).leaving = false;
+    const int askedBefore = asked();
+    const int servedBefore = served();
+    std::this_thread::sleep_for(seconds(2));
+    BOOST_TEST(arrivalsFrom(arrivals(0), saidAt + drainBound) == 0);
     BOOST_TEST(served() - servedBefore >= 0.9 * (asked() - askedBefore));
 }
 
--- a/tests/UpstreamTermsTest.cpp
+++ b/tests/UpstreamTermsTest.cpp
@@ -216,7 +216,7 @@
         const TimePoint at = m_now + milliseconds(draw(0, 9) == 0 ? draw(0, 300) : 5);
         m_arrivals.push_back({at, number});
         const TimePoint answered = at + milliseconds(draw(30, 600));
-        entry.answers.push_back({answered, m_now, {m_limit}});
+        entry.answers.push_back({answered, m_now, {m_limit, false, false}});
         check(at, entry);
     }
 
@@ -283,6 +283,24 @@
         BOOST_REQUIRE_MESSAGE(LimitSchedule(seed).holds(), "seed " << seed);
 }
 
+BOOST_AUTO_TEST_CASE(anUpstreamThatLeavesIsNotBackWhateverItSays)
+{
+    const TimePoint start{seconds(100)};
+    UpstreamStatement leaves;
+    leaves.leaving = true;
+    UpstreamTerms terms;
+    BOOST_TEST(terms.hear(leaves, start, start).leaving);
+    BOOST_TEST(!terms.hear(leaves, start, start).any());
+    BOOST_TEST(!terms.hear({}, start + seconds(1), start + seconds(2)).any());
+    BOOST_TEST(!terms.admits(start + seconds(2)));
+    const auto told = terms.told(upstreamUnderTest, start + seconds(2));
+    BOOST_REQUIRE(told);
+    UpstreamTerms elsewhere;
+    BOOST_TEST(elsewhere.setTold({{*told, 9, start}}).leaving);
+    BOOST_TEST(!elsewhere.setTold({}).any());
+    BOOST_TEST(!elsewhere.isOpen());
+}
+
 // An upstream of 1.4 a second before 4 and before 103 entries: equal parts would be 0.35 and 0.014.
 BOOST_AUTO_TEST_CASE(aLimitIsSharedByAsManyEntriesAsCanUseIt)
 {
@@ -316,15 +334,15 @@
     const TimePoint start{seconds(100)};
     const auto at = [start](int ms) { return start + milliseconds(ms); };
     UpstreamTerms terms;
-    BOOST_TEST(!terms.hear({}, at(0), at(10)));
-    BOOST_TEST(terms.hear({3.9}, at(0), at(20)));
-    BOOST_TEST(!terms.hear({3.9}, at(5), at(30)));
+    BOOST_TEST(!terms.hear({}, at(0), at(10)).limit);
+    BOOST_TEST(terms.hear({3.9}, at(0), at(20)).limit);
+    BOOST_TEST(!terms.hear({3.9}, at(5), at(30)).limit);
     // Under way when the limit was heard.
-    BOOST_TEST(!terms.hear({}, at(25), at(40)));
+    BOOST_TEST(!terms.hear({}, at(25), at(40)).limit);
     BOOST_TEST(*terms.limitPerSecond() == 3.9);
     // What cannot be read neither names nor ends it.
-    BOOST_TEST(!terms.hear({std::nullopt, true}, at(50), at(60)));
-    BOOST_TEST(terms.hear({}, at(50), at(60)));
+    BOOST_TEST(!terms.hear({std::nullopt, false, true}, at(50), at(60)).limit);
+    BOOST_TEST(terms.hear({}, at(50), at(60)).limit);
     BOOST_TEST(!terms.isLimited());
     BOOST_TEST(terms.told(upstreamUnderTest, at(60))->limit->sentAge.count() == 10);
     BOOST_TEST(terms.admits(at(60)));
@@ -334,19 +352,19 @@
 {
     const TimePoint start{seconds(100)};
     UpstreamTerms terms;
-    BOOST_TEST(terms.hear({2.0}, start, start));
+    BOOST_TEST(terms.hear({2.0}, start, start).limit);
     BOOST_TEST(terms.told(upstreamUnderTest, start)->limit.has_value());
     const auto told = [&](std::optional<double> limit, int ageMs, int atMs) {
-        return HeardTerms{
-            {upstreamUnderTest, ToldLimit{limit, milliseconds(ageMs), milliseconds(ageMs)}, 0},
-            9,
-            start + milliseconds(atMs)};
+        return HeardTerms{{upstreamUnderTest,
+                           ToldLimit{limit, milliseconds(ageMs), milliseconds(ageMs)}, false, 0},
+                          9,
+                          start + milliseconds(atMs)};
     };
-    BOOST_TEST(!terms.setTold({told(5.0, 600, 500)}));
-    BOOST_TEST(terms.setTold({told(std::nullopt, 100, 500)}));
+    BOOST_TEST(!terms.setTold({told(5.0, 600, 500)}).limit);
+    BOOST_TEST(terms.setTold({told(std::nullopt, 100, 500)}).limit);
     BOOST_TEST(!terms.isLimited());
     // It stays so when the other one is silent, and is the other's to tell.
-    BOOST_TEST(!terms.setTold({}));
+    BOOST_TEST(!terms.setTold({}).limit);
     BOOST_TEST(!terms.isLimited());
     BOOST_TEST(!terms.told(upstreamUnderTest, start + seconds(1)));
 }
--- a/tests/support/StatingFleet.cpp
+++ b/tests/support/StatingFleet.cpp
@@ -19,8 +19,9 @@
 
 namespace {
 
-constexpr int clientsOfEntry = 2;
-constexpr int workMs = 20;
+/// More in all than one upstream has places for: what the other takes is needed.
+constexpr int clientsOfEntry = 5;
+constexpr int workMs = 40;
 constexpr int okStatus = 200;
 
 json::object configuration()
--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -48,11 +48,16 @@
     const UpstreamMood now = mood;
     const std::string requestId(findHeader(request.headers, "Request-Id").value_or(""));
     HttpResponse response{200, {{"Request-Id", requestId}}, "from " + m_id + " " + request.body};
+    if (leaving)
+        response.headers.emplace_back("Server-Leaving", "1");
     if (limitPerSecond >= 0)
         response.headers.emplace_back("Server-Limit", std::to_string(limitPerSecond));
     const bool expected = findHeader(request.headers, "Expect-Replica") == m_id;
-    if (!expected || now == UpstreamMood::NotExecuted) {
+    const double closedFor = closedForSeconds;
+    if (!expected || now == UpstreamMood::NotExecuted || closedFor > 0) {
         response.status = expected ? 503 : 421;
+        if (expected && closedFor > 0)
+            response.headers.emplace_back("Retry-After", std::to_string(closedFor));
         response.headers.emplace_back("Not-Executed", "1");
         co_await exchange.respond(std::move(response));
         co_return;
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -41,6 +41,10 @@
     std::atomic<UpstreamMood> mood{UpstreamMood::Well};
     /// Requests a second that its answers name as its limit; negative: they name none.
     std::atomic<double> limitPerSecond{-1};
+    /// Its answers say that it leaves.
+    std::atomic<bool> leaving{false};
+    /// Turns requests away and wants none for so long; 0: takes them.
+    std::atomic<double> closedForSeconds{0};
     std::atomic<bool> clientGone{false};
     std::atomic<int> eventPauseMs{0};
     /// Before an answer that does not stream.
