BUDGET: an upstream that wants nothing for a while is left alone

What callers saw: a request that an upstream had turned away with a time to come back was followed by the next one 30 ms later, and so on: capacity lost in refusals, retries spent. Cause: Retry-After of an upstream was not read. Why this works: the time is kept in UpstreamTerms, of this entry alone (it speaks to one sender), and asked in the one place before a start and again right before a send. While all upstreams of a service are closed, what can wait until the first opens waits; the rest is refused at once, told a time after that (DispatchQueueSuite/aClosedServiceTellsWhenItOpens).

--- a/fuzz/PlatformFuzz.cpp
+++ b/fuzz/PlatformFuzz.cpp
@@ -63,6 +63,8 @@
     }
     const auto limit = platform::decodeAnswer(200, headers).statement.limitPerSecond;
     check(!limit || (std::isfinite(*limit) && *limit >= 0));
+    const auto closedFor = platform::decodeAnswer(503, headers).statement.closedFor;
+    check(!closedFor || closedFor->count() >= 0);
 }
 
 /// The events that are returned are a prefix of the stream, however it is cut.
@@ -109,7 +111,8 @@
         R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":4}}}],"currentRev":9})",
         "Host:h\nRequest-Id:r1\nDeadline-Ms:5000\nApi-Key:k\nToken-Usage:1460,80\n"
         "Prompt-Prefix:5c1e07a2:800,e4:250\nConnection:close, Model\nKeep-Alive:timeout=5\n"
-        "Replica-Load:3,0,8\nServer-Limit:3.9\nServer-Leaving:1\nTransfer-Encoding:chunked\nLast-"
+        "Replica-Load:3,0,8\nServer-Limit:3.9\nServer-Leaving:1\nRetry-After:1.5\nTransfer-"
+        "Encoding:chunked\nLast-"
         "Event-Id:4",
         "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: x\n\n"};
 }
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -291,6 +291,13 @@
                   {"recent_sends", terms.recentSends(steadyNow())},
                   {"in_flight", upstream.inFlight()}});
     }
+    if (news.closed) {
+        metrics.add("tamarack_upstream_statements_total", "about=\"closed\"");
+        logEvent(LogLevel::Info, "upstream_closed",
+                 {{"upstream", upstream.record.id},
+                  {"for_ms", toMs(terms.closedUntil() - steadyNow())},
+                  {"in_flight", upstream.inFlight()}});
+    }
     if (news.leaving) {
         metrics.add("tamarack_upstream_statements_total", "about=\"leaving\"");
         pool.drop(upstream.key);
@@ -372,6 +379,7 @@
     shareLimits(now);
     metrics.set("tamarack_upstreams_limited", "", upstreams.limited());
     metrics.set("tamarack_upstreams_leaving", "", upstreams.leaving());
+    metrics.set("tamarack_upstreams_closed", "", upstreams.closed(now));
     crashes.forgetOld(now);
     followStore(now);
     pool.dropExpired(now);
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -56,7 +56,7 @@
 asio::awaitable<AttemptEnd> UpstreamAttempt::sendAndRead()
 {
     m_connection = co_await connect();
-    m_withheld = m_connection && !m_assignment.upstream->terms.isOpen();
+    m_withheld = m_connection && !m_assignment.upstream->terms.isOpen(steadyNow());
     if (!m_connection || m_cancelled || m_withheld)
         co_return AttemptEnd::NotSent;
     m_sentAt = steadyNow();
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -56,9 +56,14 @@
 QueueDecisions DispatchQueue::decide(TimePoint now)
 {
     QueueDecisions decisions;
-    for (auto &[service, line] : m_lines)
-        if (!line.waiting.empty())
+    for (auto &[service, line] : m_lines) {
+        if (line.waiting.empty())
+            continue;
+        if (const auto opensAt = m_upstreams.opensAt(service, now))
+            refuseWhileClosed(line, *opensAt, now, decisions);
+        else
             decideService(service, line, now, decisions);
+    }
     return decisions;
 }
 
@@ -106,6 +111,22 @@
         remove(ticket);
 }
 
+void DispatchQueue::refuseWhileClosed(const Line &line, TimePoint opensAt, TimePoint now,
+                                      QueueDecisions &decisions)
+{
+    std::vector<Ticket> refused;
+    for (const auto &[place, request] : line.waiting) {
+        if (request.refuseAt > opensAt)
+            continue;
+        QueueRefusal refusal = refuse(request, {}, 0, 0, now);
+        refusal.retryAfter += opensAt - now;
+        decisions.refusals.push_back(refusal);
+        refused.push_back(request.ticket);
+    }
+    for (const Ticket ticket : refused)
+        remove(ticket);
+}
+
 DispatchQueue::RankView DispatchQueue::viewRank(QueueRank rank, const Line &line, TimePoint now)
 {
     const auto starts = line.starts.find(rank);
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -159,6 +159,9 @@
     static bool isHopeless(const QueuedRequest &request, const RankView &view, TimePoint now);
     static QueueRefusal refuse(const QueuedRequest &request, const RankView &view, int freePlaces,
                                int kept, TimePoint now);
+    /// Refuses what would wait beyond `opensAt`, before which no upstream takes a request.
+    void refuseWhileClosed(const Line &line, TimePoint opensAt, TimePoint now,
+                           QueueDecisions &decisions);
     /// Places that a request of the rank leaves free: for those that rank above it.
     static int reserve(QueueRank rank, const Line &line);
     static Duration retryAfter(const QueuedRequest &request, TimePoint now);
--- a/src/serving/UpstreamChooser.cpp
+++ b/src/serving/UpstreamChooser.cpp
@@ -150,7 +150,7 @@
         return 0;
     // An upstream that limits itself or leaves is no place for prompts that come again.
     const auto weight = [prefix](const UpstreamPtr &upstream) {
-        const bool takesAll = upstream->terms.isOpen() && !upstream->terms.isLimited();
+        const bool takesAll = !upstream->terms.isLeaving() && !upstream->terms.isLimited();
         return std::pair(takesAll, mixBits(prefix, upstream->key));
     };
     return (*std::ranges::max_element(upstreams, {}, weight))->key;
--- a/src/serving/UpstreamStatement.h
+++ b/src/serving/UpstreamStatement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/Time.h"
+
 #include <optional>
 
 namespace tamarack {
@@ -10,6 +12,8 @@
     /// Requests a second that it takes from all entries together; none when it names no limit.
     std::optional<double> limitPerSecond;
     bool leaving = false;
+    /// It turned the request away and wants none from this entry for so long.
+    std::optional<milliseconds> closedFor;
     /// A header could not be read or is out of range: its part is unknown.
     bool malformed = false;
 };
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -120,16 +120,40 @@
     return rows;
 }
 
-std::size_t UpstreamTable::limited() const
+template <std::predicate<const UpstreamTerms &> Holds>
+std::size_t UpstreamTable::countTerms(Holds holds) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
-        m_byKey, [](const auto &item) { return item.second->terms.isLimited(); }));
+        m_byKey, [&](const auto &item) { return holds(item.second->terms); }));
+}
+
+std::size_t UpstreamTable::limited() const
+{
+    return countTerms([](const UpstreamTerms &terms) { return terms.isLimited(); });
 }
 
 std::size_t UpstreamTable::leaving() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_byKey, [](const auto &item) { return item.second->terms.isLeaving(); }));
+    return countTerms([](const UpstreamTerms &terms) { return terms.isLeaving(); });
+}
+
+std::size_t UpstreamTable::closed(TimePoint now) const
+{
+    return countTerms([now](const UpstreamTerms &terms) { return now < terms.closedUntil(); });
+}
+
+std::optional<TimePoint> UpstreamTable::opensAt(std::string_view service, TimePoint now) const
+{
+    std::optional<TimePoint> first;
+    for (const UpstreamPtr &upstream : ofService(service)) {
+        if (upstream->gone || upstream->terms.isLeaving())
+            continue;
+        const TimePoint opens = upstream->terms.closedUntil();
+        if (opens <= now)
+            return std::nullopt;
+        first = std::min(first.value_or(opens), opens);
+    }
+    return first;
 }
 
 void UpstreamTable::started(UpstreamState &upstream, std::uint32_t promptTokens, TimePoint now)
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -7,10 +7,13 @@
 #include "serving/UpstreamRecord.h"
 #include "serving/UpstreamTerms.h"
 
+#include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -95,9 +98,13 @@
     void shareLimits(const LimitMembers &members);
     /// What this entry tells the others of upstreams.
     std::vector<ToldTerms> told(TimePoint now) const;
-    /// Upstreams that limit themselves, and that have said that they leave.
+    /// Upstreams that limit themselves, that have said that they leave, and that want no request
+    /// for a while.
     std::size_t limited() const;
     std::size_t leaving() const;
+    std::size_t closed(TimePoint now) const;
+    /// When the first upstream of the service takes requests again; none while one takes them.
+    std::optional<TimePoint> opensAt(std::string_view service, TimePoint now) const;
 
     const std::vector<UpstreamPtr> &ofService(std::string_view service) const;
 
@@ -126,6 +133,9 @@
         EngineTimeModel model;
     };
 
+    template <std::predicate<const UpstreamTerms &> Holds>
+    std::size_t countTerms(Holds holds) const;
+
     std::map<std::string, ServiceState, std::less<>> m_services;
     std::unordered_map<UpstreamKey, UpstreamPtr> m_byKey;
     std::set<std::string> m_engines;
--- a/src/serving/UpstreamTerms.cpp
+++ b/src/serving/UpstreamTerms.cpp
@@ -35,6 +35,11 @@
     TermsNews news;
     news.leaving = statement.leaving && !std::exchange(m_leaving, true);
     news.limit = hearLimit(statement, sentAt, now);
+    if (statement.closedFor) {
+        const TimePoint until = now + std::min<Duration>(*statement.closedFor, longestClosed);
+        news.closed = now >= m_closedUntil && until > now;
+        m_closedUntil = std::max(m_closedUntil, until);
+    }
     return news;
 }
 
@@ -105,7 +110,7 @@
 
 bool UpstreamTerms::admits(TimePoint now) const
 {
-    if (!isOpen())
+    if (!isOpen(now))
         return false;
     if (!isLimited())
         return true;
--- a/src/serving/UpstreamTerms.h
+++ b/src/serving/UpstreamTerms.h
@@ -16,8 +16,9 @@
 {
     bool limit = false;
     bool leaving = false;
+    bool closed = false;
 
-    bool any() const { return limit || leaving; }
+    bool any() const { return limit || leaving || closed; }
 };
 
 /// On what terms one upstream takes requests, as it says in its answers to this entry and to the
@@ -37,7 +38,9 @@
     void setShare(double perSecond) { m_share = perSecond; }
 
     /// Whether a request that has been assigned may still be sent.
-    bool isOpen() const { return !m_leaving; }
+    bool isOpen(TimePoint now) const { return !m_leaving && now >= m_closedUntil; }
+    /// When it takes requests again, as it said; not for one that leaves.
+    TimePoint closedUntil() const { return m_closedUntil; }
     /// Whether a request may be sent now.
     bool admits(TimePoint now) const;
     void countSend(TimePoint now);
@@ -57,6 +60,8 @@
 
     /// The platform judges limits over 4 s of arrivals; sends take different times to arrive.
     static constexpr milliseconds window{4500};
+    /// An upstream is not left alone for longer, whatever it asks: it may be a mistake.
+    static constexpr std::chrono::minutes longestClosed{5};
 
 private:
     /// One word of the upstream on its limit, said between `from` and `to` on this entry's clock:
@@ -85,6 +90,7 @@
     Word m_heard;
     bool m_heardHere = false;
     bool m_leaving = false;
+    TimePoint m_closedUntil{};
     std::vector<HeardTerms> m_told;
     std::optional<double> m_limit;
     double m_share = 0;
--- a/tests/DispatchQueueTest.cpp
+++ b/tests/DispatchQueueTest.cpp
@@ -302,4 +302,26 @@
     }
 }
 
+// Every upstream wants nothing for a while: what can wait so long waits, the rest is told when.
+BOOST_AUTO_TEST_CASE(aClosedServiceTellsWhenItOpens)
+{
+    upstreams.assign({upstream("a")});
+    UpstreamStatement closed;
+    closed.closedFor = milliseconds(2000);
+    upstreams.ofService("models").front()->terms.hear(closed, now, now);
+    QueuedRequest patient = request(1, 0);
+    patient.refuseAt = now + milliseconds(2500);
+    QueuedRequest hasty = request(2, 0);
+    hasty.refuseAt = now + milliseconds(1000);
+    queue.push(patient);
+    queue.push(hasty);
+    const QueueDecisions decisions = queue.decide(now);
+    BOOST_TEST(decisions.assignments.empty());
+    BOOST_REQUIRE(decisions.refusals.size() == 1U);
+    BOOST_TEST(decisions.refusals[0].ticket == 2U);
+    BOOST_TEST((decisions.refusals[0].retryAfter >= milliseconds(2000)));
+    BOOST_TEST(queue.size() == 1U);
+    BOOST_TEST(queue.decide(now + milliseconds(2000)).assignments.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -160,6 +160,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(decodesForHowLongAnUpstreamWantsNothing)
+{
+    const auto statement = [](const std::string &value, int status = 503) {
+        return platform::decodeAnswer(status, {{"Retry-After", value}}).statement;
+    };
+    BOOST_TEST(statement("1.5").closedFor->count() == 1500);
+    BOOST_TEST(statement("0").closedFor->count() == 0);
+    BOOST_TEST(statement("1e300").closedFor->count() == 1'000'000'000);
+    BOOST_TEST(!statement("1.5", 429).closedFor);
+    for (const char *bad : {"", "-1", "nan", "inf", "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+        BOOST_TEST(!statement(bad).closedFor, bad);
+        BOOST_TEST(statement(bad).malformed, bad);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(decodesUpstreamsAndIgnoresOtherWriters)
 {
     const auto entry = json::parse(
--- a/tests/UpstreamStatementsTest.cpp
+++ b/tests/UpstreamStatementsTest.cpp
@@ -68,4 +68,25 @@
     BOOST_TEST(served() - servedBefore >= 0.9 * (asked() - askedBefore));
 }
 
+// An upstream that turned requests away until later was asked again at once.
+BOOST_AUTO_TEST_CASE(anUpstreamThatWantsNothingForAWhileIsLeftAlone)
+{
+    constexpr double closedForSeconds = 3;
+    constexpr std::size_t mostOfEntry = 2;
+    std::this_thread::sleep_for(seconds(1));
+    upstream(0).closedForSeconds = closedForSeconds;
+    const TimePoint closedAt = steadyNow();
+    std::this_thread::sleep_until(closedAt + milliseconds(700));
+    const std::size_t seenBefore = upstream(0).seen().size();
+    const int askedBefore = asked();
+    const int servedBefore = served();
+    std::this_thread::sleep_until(closedAt + milliseconds(2900));
+    BOOST_TEST(upstream(0).seen().size() - seenBefore <= mostOfEntry * entryCount);
+    BOOST_TEST(served() - servedBefore >= 0.9 * (asked() - askedBefore));
+    // The time is over: it takes requests again.
+    upstream(0).closedForSeconds = 0;
+    std::this_thread::sleep_until(closedAt + milliseconds(4500));
+    BOOST_TEST(arrivalsFrom(arrivals(0), closedAt + seconds(3)) > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/UpstreamTermsTest.cpp
+++ b/tests/UpstreamTermsTest.cpp
@@ -216,7 +216,7 @@
         const TimePoint at = m_now + milliseconds(draw(0, 9) == 0 ? draw(0, 300) : 5);
         m_arrivals.push_back({at, number});
         const TimePoint answered = at + milliseconds(draw(30, 600));
-        entry.answers.push_back({answered, m_now, {m_limit, false, false}});
+        entry.answers.push_back({answered, m_now, {m_limit, false, {}, false}});
         check(at, entry);
     }
 
@@ -298,7 +298,29 @@
     UpstreamTerms elsewhere;
     BOOST_TEST(elsewhere.setTold({{*told, 9, start}}).leaving);
     BOOST_TEST(!elsewhere.setTold({}).any());
-    BOOST_TEST(!elsewhere.isOpen());
+    BOOST_TEST(!elsewhere.isOpen(start));
+}
+
+BOOST_AUTO_TEST_CASE(anUpstreamIsClosedForAsLongAsItSaysWithinABound)
+{
+    const TimePoint start{seconds(100)};
+    const auto closedFor = [](Duration length) {
+        UpstreamStatement statement;
+        statement.closedFor = std::chrono::duration_cast<milliseconds>(length);
+        return statement;
+    };
+    UpstreamTerms terms;
+    BOOST_TEST(!terms.hear(closedFor(seconds(0)), start, start).any());
+    BOOST_TEST(terms.hear(closedFor(seconds(3)), start, start).closed);
+    // A shorter time, or an answer that says nothing, does not open it earlier.
+    BOOST_TEST(!terms.hear(closedFor(seconds(1)), start, start + seconds(1)).closed);
+    terms.hear({}, start, start + seconds(1));
+    BOOST_TEST(!terms.admits(start + milliseconds(2999)));
+    BOOST_TEST(terms.admits(start + seconds(3)));
+    // It is this entry's matter: the others are not told.
+    BOOST_TEST(!terms.told(upstreamUnderTest, start));
+    terms.hear(closedFor(std::chrono::hours(9)), start, start);
+    BOOST_TEST(terms.admits(start + UpstreamTerms::longestClosed));
 }
 
 // An upstream of 1.4 a second before 4 and before 103 entries: equal parts would be 0.35 and 0.014.
@@ -341,7 +363,7 @@
     BOOST_TEST(!terms.hear({}, at(25), at(40)).limit);
     BOOST_TEST(*terms.limitPerSecond() == 3.9);
     // What cannot be read neither names nor ends it.
-    BOOST_TEST(!terms.hear({std::nullopt, false, true}, at(50), at(60)).limit);
+    BOOST_TEST(!terms.hear({std::nullopt, false, {}, true}, at(50), at(60)).limit);
     BOOST_TEST(terms.hear({}, at(50), at(60)).limit);
     BOOST_TEST(!terms.isLimited());
     BOOST_TEST(terms.told(upstreamUnderTest, at(60))->limit->sentAge.count() == 10);
