--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -180,11 +180,16 @@
 
     asio::awaitable<void> tickLoop()
     {
+        TimePoint nextTick = steadyNow() + tickInterval;
         while (true) {
-            const TimePoint due = steadyNow() + tickInterval;
-            co_await pause(tickInterval);
+            const TimePoint due = std::min(nextTick, steadyNow() + state.readLag.interval());
+            co_await pause(due - steadyNow());
             const TimePoint now = steadyNow();
-            state.tick(now, now - due);
+            state.noteLateness(now - due);
+            if (now < nextTick)
+                continue;
+            state.tick(now);
+            nextTick = now + tickInterval;
         }
     }
 
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -53,7 +53,7 @@
     , m_exchange(exchange)
     , m_relay(exchange)
     , m_readAt(steadyNow())
-    , m_arrivedAt(m_readAt - state.readDelay())
+    , m_arrivedAt(m_readAt - state.readLag.readDelay())
     , m_endTimer(state.executor)
 {}
 
@@ -191,14 +191,19 @@
     if (m_assignment && m_exchange.isGone())
         stop(Stop::ClientGone);
     const bool proved = m_admitted.workspace.empty() || m_state.freshness.isFresh(bootNow());
-    if (m_assignment && m_stop == Stop::None && proved)
+    const bool endsInTime = !m_assignment || timeLeft() > shortestAttempt;
+    if (m_assignment && m_stop == Stop::None && proved && endsInTime)
         co_return true;
     if (m_assignment)
         releaseUpstream();
     if (wait->refusal)
         logRefusal(*wait->refusal);
     const Duration retryAfter = wait->refusal ? wait->refusal->retryAfter : unprovedReturn;
-    co_await answerUnserved(proved ? ErrorKind::Overloaded : ErrorKind::ConfigUnproved, retryAfter);
+    if (!proved)
+        co_await answerUnserved(ErrorKind::ConfigUnproved, retryAfter);
+    else
+        co_await answerUnserved(endsInTime ? ErrorKind::Overloaded : ErrorKind::DeadlineUnmet,
+                                retryAfter);
     co_return false;
 }
 
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -19,8 +19,6 @@
 constexpr milliseconds breakWindow{1000};
 /// Messages of other entries that come within this time are used together.
 constexpr milliseconds peerRefresh{5};
-/// A tick that comes later than this shows that the process is behind its work.
-constexpr milliseconds lateTick{200};
 /// A watch of the upstreams returns within 4 s; a follower whose watch does not has lost the store.
 constexpr milliseconds oldestFollowed{6000};
 /// A follower's own proof is never as old while it reaches the store.
@@ -366,14 +364,17 @@
     return load;
 }
 
-void TrafficState::tick(TimePoint now, Duration lateness)
+void TrafficState::noteLateness(Duration lateness)
+{
+    const bool wasBehind = readLag.isBehind();
+    readLag.note(lateness);
+    if (readLag.isBehind() != wasBehind)
+        logEvent(LogLevel::Warning, readLag.isBehind() ? "traffic_behind" : "traffic_caught_up",
+                 {{"late_ms", toMs(readLag.lateness())}, {"waiting", queue.size()}});
+}
+
+void TrafficState::tick(TimePoint now)
 {
-    const bool wasBehind = m_lateness > lateTick;
-    m_lateness = std::max(Duration::zero(), lateness);
-    const bool behind = m_lateness > lateTick;
-    if (behind != wasBehind)
-        logEvent(LogLevel::Warning, behind ? "traffic_behind" : "traffic_caught_up",
-                 {{"late_ms", toMs(m_lateness)}, {"waiting", queue.size()}});
     quotas.setHeardShare(peers.heardShare(now), now);
     retries.setEntries(peers.heard(now));
     shareLimits(now);
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -12,6 +12,7 @@
 #include "serving/FreshnessGuard.h"
 #include "serving/PeerBook.h"
 #include "serving/QuotaLedger.h"
+#include "serving/ReadLag.h"
 #include "serving/RetryBudget.h"
 #include "serving/ServingConfig.h"
 #include "serving/UpstreamTable.h"
@@ -112,11 +113,10 @@
     /// Called when another entry knows a newer configuration, or newer changes of upstreams.
     std::function<void(std::uint64_t configVersion, std::uint64_t upstreamRevision)> onNewsTold;
 
-    /// Regular work: forgets what is old. `lateness`: of this call against its time.
-    void tick(TimePoint now, Duration lateness);
-    /// How long requests that are read now have probably lain unread. A process that is behind
-    /// reads in large batches: what it reads arrived during the batch before, half of it ago.
-    Duration readDelay() const { return m_lateness / 2; }
+    /// A look at the clock came `lateness` later than its time.
+    void noteLateness(Duration lateness);
+    /// Regular work: forgets what is old.
+    void tick(TimePoint now);
 
     Settings settings;
     boost::asio::any_io_executor executor;
@@ -134,6 +134,7 @@
     ProofRelay proofs;
     AttemptAge attemptAge;
     UpstreamPool pool;
+    ReadLag readLag;
     bool draining = false;
 
 private:
@@ -156,7 +157,6 @@
     boost::asio::steady_timer m_peerTimer;
     TimePoint m_startedAt;
     bool m_peersChanged = false;
-    Duration m_lateness{};
     std::set<std::string> m_heard;
     /// Of this data centre.
     std::vector<std::string> m_followers;
--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -528,4 +528,15 @@
     BOOST_TEST(text.find("tamarack_request_seconds_bucket") != std::string::npos);
 }
 
+// Soak seed 424: an entry that had been paused for 6 s took requests that came after it for 3 s
+// old.
+BOOST_AUTO_TEST_CASE(aRequestThatComesAfterAPauseIsNotTakenForOld)
+{
+    constexpr std::chrono::seconds paused(5);
+    constexpr milliseconds afterwards(40);
+    asio::post(*contexts->traffic().front(), [paused] { std::this_thread::sleep_for(paused); });
+    std::this_thread::sleep_for(paused + afterwards);
+    BOOST_TEST(call("/read/x").status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
