Soak: upstreams name limits, want nothing for a while, say that they leave

StatementChecks holds entries to LIMIT, DRAIN and BUDGET from what upstreams see; SoakPromisesTest gives it each finding and excuse.

--- a/tests/SoakPromisesTest.cpp
+++ b/tests/SoakPromisesTest.cpp
@@ -176,4 +176,51 @@
     BOOST_TEST(std::ranges::is_sorted(first, {}, &Fault::at));
 }
 
+BOOST_AUTO_TEST_CASE(anUpstreamThatGetsMoreThanItsLimitIsAFinding)
+{
+    StatementChecks checks(disturbances);
+    checks.namesLimit(0, 2.0, now);
+    checks.passedOn(0, 1, now - milliseconds(1), now);
+    // 1.5 x 2 x 4 + 5 are allowed, by entries that have passed the limit on, from 3 s after it.
+    const TimePoint later = now + std::chrono::seconds(5);
+    for (int i = 0; i < 40; ++i)
+        BOOST_TEST(!checks.arrived(0, 1, later, later));
+    checks.passedOn(0, 2, now, now);
+    int findings = 0;
+    for (int i = 0; i < 18; ++i)
+        findings += checks.arrived(0, 2, later, later) ? 1 : 0;
+    BOOST_TEST(findings == 1);
+    const auto paused = disturbances.begin(Scope::Process, 2, later);
+    disturbances.end(paused, later);
+    BOOST_TEST(!checks.arrived(0, 2, later, later));
+}
+
+BOOST_AUTO_TEST_CASE(anUpstreamThatSaidThatItLeavesAndGetsMoreIsAFinding)
+{
+    StatementChecks checks(disturbances);
+    checks.saysThatItLeaves(0, now);
+    checks.passedOn(0, 1, now, now);
+    const TimePoint late = now + milliseconds(2001);
+    BOOST_TEST(!checks.arrived(0, 1, now + milliseconds(1999), late));
+    BOOST_TEST(!checks.arrived(0, 2, late, late));
+    BOOST_TEST(checks.arrived(0, 1, late, late).has_value());
+    checks.isReplaced(0);
+    BOOST_TEST(!checks.arrived(0, 1, late, late));
+}
+
+BOOST_AUTO_TEST_CASE(anUpstreamThatWantsNothingAndGetsMoreIsAFinding)
+{
+    StatementChecks checks(disturbances);
+    checks.turnedAway(0, 1, std::chrono::seconds(2), now);
+    const auto arrives = [&](int ms, std::size_t entry = 1) {
+        return checks.arrived(0, entry, now, now + milliseconds(ms)).has_value();
+    };
+    BOOST_TEST(!arrives(400));
+    BOOST_TEST(!arrives(500));
+    BOOST_TEST(!arrives(600));
+    BOOST_TEST(!arrives(700, 2));
+    BOOST_TEST(arrives(700));
+    BOOST_TEST(!arrives(2000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -45,6 +45,8 @@
         const std::lock_guard lock(m_mutex);
         m_seen.push_back(request);
     }
+    if (onArrival)
+        onArrival(request);
     const UpstreamMood now = mood;
     const std::string requestId(findHeader(request.headers, "Request-Id").value_or(""));
     HttpResponse response{200, {{"Request-Id", requestId}}, "from " + m_id + " " + request.body};
@@ -56,8 +58,12 @@
     const double closedFor = closedForSeconds;
     if (!expected || now == UpstreamMood::NotExecuted || closedFor > 0) {
         response.status = expected ? 503 : 421;
-        if (expected && closedFor > 0)
+        if (expected && closedFor > 0) {
             response.headers.emplace_back("Retry-After", std::to_string(closedFor));
+            if (onTurnedAway)
+                onTurnedAway(request, std::chrono::duration_cast<Duration>(
+                                          std::chrono::duration<double>(closedFor)));
+        }
         response.headers.emplace_back("Not-Executed", "1");
         co_await exchange.respond(std::move(response));
         co_return;
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -51,6 +51,10 @@
     std::atomic<int> workMs{0};
     /// Called on the server's thread for each request that it runs.
     std::function<void(const HttpRequest &)> onRun;
+    /// Called for each request that comes.
+    std::function<void(const HttpRequest &)> onArrival;
+    /// Called for each request that it turns away because it is closed, with the time it names.
+    std::function<void(const HttpRequest &, Duration)> onTurnedAway;
 
     static constexpr int streamEvents = 5;
 
--- a/tools/soak/FaultPlan.cpp
+++ b/tools/soak/FaultPlan.cpp
@@ -2,17 +2,25 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <random>
 
 namespace tamarack::soak {
 
 namespace {
 
-constexpr auto names = std::to_array<std::string_view>(
-    {"entry_killed", "entry_paused", "entry_stopped", "entry_reloaded", "store_unavailable",
-     "store_busy", "store_silent", "store_forgets", "store_link_refused", "store_link_silent",
-     "store_link_one_way", "store_link_slow", "upstream_crashed", "upstream_silent",
-     "upstream_slow", "upstream_reset", "upstream_misbehaves", "upstream_leaves", "key_changed"});
+constexpr auto names =
+    std::to_array<std::string_view>({"entry_killed",        "entry_paused",
+                                     "entry_stopped",       "entry_reloaded",
+                                     "store_unavailable",   "store_busy",
+                                     "store_silent",        "store_forgets",
+                                     "store_link_refused",  "store_link_silent",
+                                     "store_link_one_way",  "store_link_slow",
+                                     "upstream_crashed",    "upstream_silent",
+                                     "upstream_slow",       "upstream_reset",
+                                     "upstream_misbehaves", "upstream_leaves",
+                                     "key_changed",         "upstream_limits",
+                                     "upstream_closes",     "upstream_says_it_leaves"});
 
 /// A run draws its faults from a few kinds, so that some runs leave the store, or the upstreams,
 /// alone and the checks that need them apply.
@@ -27,6 +35,10 @@
 constexpr std::size_t faultsPerLong = 4;
 constexpr milliseconds shortestLong{4500};
 constexpr milliseconds longestLong{7500};
+constexpr std::size_t manyTargets = 60;
+/// What upstreams say of themselves, at most so often a run.
+constexpr std::size_t mostStatements = 3;
+constexpr std::uint64_t statementsSeed = 0x5eed5eed;
 
 } // namespace
 
@@ -42,29 +54,65 @@
            + " for " + std::to_string(fault.lasts.count()) + " ms";
 }
 
-std::vector<Fault> drawFaults(std::uint64_t seed, milliseconds length)
+namespace {
+
+/// Distributions of the standard library differ between its versions; a remainder does not.
+class Draw
 {
-    std::mt19937_64 random(seed);
-    // Distributions of the standard library differ between its versions; a remainder does not.
-    const auto below = [&random](std::size_t bound) { return random() % bound; };
-    const auto between = [&below](milliseconds from, milliseconds to) {
+public:
+    explicit Draw(std::uint64_t seed)
+        : m_random(seed)
+    {}
+
+    std::size_t below(std::size_t bound) { return m_random() % bound; }
+    milliseconds between(milliseconds from, milliseconds to)
+    {
         return from + milliseconds(below((to - from).count()));
-    };
-    std::vector<FaultKind> kinds(fewestKinds + below(extraKinds));
-    for (FaultKind &kind : kinds)
-        kind = static_cast<FaultKind>(below(names.size()));
-    constexpr std::size_t manyTargets = 60;
-    std::vector<Fault> faults(fewestFaults + below(extraFaults));
-    for (Fault &fault : faults) {
-        fault.kind = kinds[below(kinds.size())];
+    }
+    Fault fault(FaultKind kind, milliseconds length)
+    {
+        Fault fault;
+        fault.kind = kind;
         fault.at = between(firstFault, length);
         const bool isLong = below(faultsPerLong) == 0;
         fault.lasts =
             isLong ? between(shortestLong, longestLong) : between(shortestFault, longestFault);
         fault.target = below(manyTargets);
         fault.variant = below(manyTargets);
+        return fault;
+    }
+
+private:
+    std::mt19937_64 m_random;
+};
+
+/// Drawn apart: the other faults of a seed stay what they were.
+std::vector<Fault> drawStatements(std::uint64_t seed, milliseconds length)
+{
+    Draw draw(seed ^ statementsSeed);
+    std::vector<Fault> faults(draw.below(mostStatements + 1));
+    for (Fault &fault : faults) {
+        const auto first = static_cast<std::size_t>(FaultKind::UpstreamLimits);
+        const auto kind = static_cast<FaultKind>(first + draw.below(names.size() - first));
+        fault = draw.fault(kind, length);
     }
-    std::ranges::sort(faults, {}, &Fault::at);
+    return faults;
+}
+
+} // namespace
+
+std::vector<Fault> drawFaults(std::uint64_t seed, milliseconds length)
+{
+    Draw draw(seed);
+    constexpr auto fromOutside = static_cast<std::size_t>(FaultKind::UpstreamLimits);
+    std::vector<FaultKind> kinds(fewestKinds + draw.below(extraKinds));
+    for (FaultKind &kind : kinds)
+        kind = static_cast<FaultKind>(draw.below(fromOutside));
+    std::vector<Fault> faults(fewestFaults + draw.below(extraFaults));
+    for (Fault &fault : faults)
+        fault = draw.fault(kinds[draw.below(kinds.size())], length);
+    std::ranges::move(drawStatements(seed, length), std::back_inserter(faults));
+    std::ranges::stable_sort(faults, {}, &Fault::at);
     return faults;
 }
 
--- a/tools/soak/FaultPlan.h
+++ b/tools/soak/FaultPlan.h
@@ -34,6 +34,11 @@
     UpstreamLeaves,
     /// A key of the workspace is replaced by another.
     KeyChanged,
+    /// What upstreams say of themselves: a limit, that they want nothing for a while, that they
+    /// leave.
+    UpstreamLimits,
+    UpstreamCloses,
+    UpstreamSaysItLeaves,
 };
 
 std::string_view faultName(FaultKind kind);
--- a/tools/soak/Promises.cpp
+++ b/tools/soak/Promises.cpp
@@ -53,6 +53,7 @@
 
 Promises::Promises(const Disturbances &disturbances)
     : m_disturbances(disturbances)
+    , m_statements(disturbances)
 {}
 
 void Promises::broken(const std::string &what)
@@ -82,6 +83,8 @@
         return broken(id + ": nobody asked for it, but it ran");
     Call &call = found->second;
     ++call.runs;
+    call.upstream = upstream;
+    call.ranAt = now;
     if (call.sent.kind == CallKind::Book && call.runs > 1)
         broken(call, "a booking ran twice");
     if (call.saidNotRun)
@@ -95,12 +98,32 @@
         broken(call, "sent to upstream " + std::to_string(upstream) + ", which is leaving");
 }
 
+void Promises::arrived(const std::string &id, std::size_t upstream, TimePoint now)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const Call &call = found->second;
+    if (const auto finding = m_statements.arrived(upstream, call.sent.entry, call.sentAt, now))
+        broken(call, *finding);
+}
+
+void Promises::turnedAway(const std::string &id, std::size_t upstream, Duration closedFor,
+                          TimePoint now)
+{
+    const auto found = m_calls.find(id);
+    if (found != m_calls.end())
+        m_statements.turnedAway(upstream, found->second.sent.entry, closedFor, now);
+}
+
 void Promises::answered(const std::string &id, const CallAnswer &answer, TimePoint now)
 {
     Call &call = m_calls.at(id);
     checkWord(call, answer);
     checkBody(call, answer);
     checkKey(call, answer, now);
+    if (answer.status == okStatus && call.runs > 0)
+        m_statements.passedOn(call.upstream, call.sent.entry, call.ranAt, now);
     if (!call.left && !answer.whole)
         checkEnd(call, answer, now);
     m_served += answer.whole && answer.status == okStatus ? 1 : 0;
--- a/tools/soak/Promises.h
+++ b/tools/soak/Promises.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "soak/Disturbances.h"
+#include "soak/StatementChecks.h"
 
 #include <map>
 #include <optional>
@@ -47,6 +48,9 @@
     /// The caller closes its connection before the answer.
     void left(const std::string &id);
     void ran(const std::string &id, std::size_t upstream, TimePoint now);
+    /// An upstream got the request, and turned it away for so long.
+    void arrived(const std::string &id, std::size_t upstream, TimePoint now);
+    void turnedAway(const std::string &id, std::size_t upstream, Duration closedFor, TimePoint now);
     void answered(const std::string &id, const CallAnswer &answer, TimePoint now);
 
     /// From now on `newKey` is valid in place of `oldKey`.
@@ -59,6 +63,9 @@
     /// A finding from outside this class, such as a process that ended by itself.
     void broken(const std::string &what);
 
+    /// What upstreams say of themselves.
+    StatementChecks &statements() { return m_statements; }
+
     const std::vector<std::string> &violations() const { return m_violations; }
     std::size_t calls() const { return m_calls.size(); }
     std::size_t served() const { return m_served; }
@@ -71,6 +78,9 @@
         bool left = false;
         bool saidNotRun = false;
         int runs = 0;
+        /// Where it ran last, and since when.
+        std::size_t upstream = 0;
+        TimePoint ranAt;
     };
 
     void broken(const Call &call, const std::string &what);
@@ -80,6 +90,7 @@
     void checkKey(const Call &call, const CallAnswer &answer, TimePoint now);
 
     const Disturbances &m_disturbances;
+    StatementChecks m_statements;
     std::map<std::string, Call> m_calls;
     std::map<std::string, TimePoint> m_validSince;
     std::map<std::string, TimePoint> m_revokedAt;
--- a/tools/soak/SoakRun.cpp
+++ b/tools/soak/SoakRun.cpp
@@ -40,6 +40,8 @@
 constexpr milliseconds endMargin{1500};
 /// Longer than entries may take to notice.
 constexpr milliseconds leavingBeforeRemoval{4000};
+/// Longer than entries have to keep to a limit.
+constexpr milliseconds limitHolds{6000};
 constexpr int readyStatus = 200;
 
 std::optional<StoreMood> storeMood(FaultKind kind)
@@ -121,13 +123,15 @@
     {
         return {{"service", "models"}, {"address", addressOf(link.port())},
                 {"zone", "dc"},        {"slots", slotsOfUpstream},
-                {"state", state},      {"born", index + 1}};
+                {"state", state},      {"born", born}};
     }
 
     std::size_t index;
     standin::UpstreamServer server;
     LinkRelay link;
     bool leaving = false;
+    /// Start of its incarnation.
+    std::size_t born = index + 1;
 };
 
 /// One entry with its own link to the store.
@@ -248,10 +252,25 @@
                 store.create("servers", upstream->name(), upstream->record("ready"));
         });
         for (const auto &upstream : m_upstreams)
-            upstream->server.onRun = [this, index = upstream->index](const HttpRequest &request) {
-                m_promises.ran(std::string(findHeader(request.headers, "Request-Id").value_or("")),
-                               index, steadyNow());
-            };
+            watchUpstream(*upstream);
+    }
+
+    void watchUpstream(Upstream &upstream)
+    {
+        const auto idOf = [](const HttpRequest &request) {
+            return std::string(findHeader(request.headers, "Request-Id").value_or(""));
+        };
+        const std::size_t index = upstream.index;
+        upstream.server.onRun = [this, idOf, index](const HttpRequest &request) {
+            m_promises.ran(idOf(request), index, steadyNow());
+        };
+        upstream.server.onArrival = [this, idOf, index](const HttpRequest &request) {
+            m_promises.arrived(idOf(request), index, steadyNow());
+        };
+        upstream.server.onTurnedAway = [this, idOf, index](const HttpRequest &request,
+                                                           Duration closedFor) {
+            m_promises.turnedAway(idOf(request), index, closedFor, steadyNow());
+        };
     }
 
     json::object configuration() const
@@ -380,6 +399,12 @@
             co_await misbehave(fault, upstreamOf(fault));
         else if (fault.kind == FaultKind::UpstreamLeaves)
             co_await leave(fault, upstreamOf(fault));
+        else if (fault.kind == FaultKind::UpstreamLimits)
+            co_await limit(fault, upstreamOf(fault));
+        else if (fault.kind == FaultKind::UpstreamCloses)
+            co_await close(fault, upstreamOf(fault));
+        else if (fault.kind == FaultKind::UpstreamSaysItLeaves)
+            co_await sayLeaving(fault, upstreamOf(fault));
         else if (fault.kind == FaultKind::UpstreamReset)
             resetUpstream(upstreamOf(fault));
         else if (fault.kind == FaultKind::KeyChanged)
@@ -485,6 +510,44 @@
         upstream.leaving = false;
     }
 
+    asio::awaitable<void> limit(const Fault &fault, Upstream &upstream)
+    {
+        constexpr std::array limits{0.0, 0.4, 1.3, 2.0, 3.9};
+        if (upstream.server.limitPerSecond >= 0)
+            co_return;
+        const double perSecond = limits.at(fault.variant % limits.size());
+        m_promises.statements().namesLimit(upstream.index, perSecond, steadyNow());
+        upstream.server.limitPerSecond = perSecond;
+        co_await pause(limitHolds + fault.lasts);
+        m_promises.statements().namesLimit(upstream.index, std::nullopt, steadyNow());
+        upstream.server.limitPerSecond = -1;
+    }
+
+    asio::awaitable<void> close(const Fault &fault, Upstream &upstream)
+    {
+        constexpr std::array lengths{0.3, 1.0, 2.5, 4.0};
+        upstream.server.closedForSeconds = lengths.at(fault.variant % lengths.size());
+        co_await pause(fault.lasts);
+        upstream.server.closedForSeconds = 0;
+    }
+
+    /// Says so in its answers alone; later a new incarnation stands in its place.
+    asio::awaitable<void> sayLeaving(const Fault &fault, Upstream &upstream)
+    {
+        if (std::exchange(upstream.leaving, true))
+            co_return;
+        m_promises.statements().saysThatItLeaves(upstream.index, steadyNow());
+        upstream.server.leaving = true;
+        co_await pause(leavingBeforeRemoval + fault.lasts);
+        upstream.server.leaving = false;
+        m_promises.statements().isReplaced(upstream.index);
+        upstream.born += upstreamCount;
+        m_store.with([&upstream](standin::PlatformStore &store) {
+            store.replace("servers", upstream.name(), upstream.record("ready"), 0);
+        });
+        upstream.leaving = false;
+    }
+
     void changeKey()
     {
         ++m_configVersion;
