--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -26,6 +26,8 @@
 /// Requests a second at an upstream that takes fewer: without an answer now and then nobody learns
 /// that its limit has ended.
 constexpr double leastLimit = 0.2;
+/// An upstream that has left does not come back later than this.
+constexpr std::chrono::minutes leavingMemory{10};
 
 /// Subtracts without passing zero.
 void lower(std::uint32_t &value, std::uint32_t by)
@@ -104,6 +106,18 @@
     return changed;
 }
 
+void UpstreamTable::forgetLeft(TimePoint now)
+{
+    for (const auto &[key, upstream] : m_byKey)
+        upstream->goneSince =
+            upstream->gone ? std::optional(upstream->goneSince.value_or(now)) : std::nullopt;
+    std::erase_if(m_byKey, [now](const auto &item) {
+        const UpstreamState &upstream = *item.second;
+        return upstream.goneSince && now - *upstream.goneSince > leavingMemory
+               && upstream.own.inFlight == 0;
+    });
+}
+
 void UpstreamTable::shareLimits(const LimitMembers &members)
 {
     for (const auto &[key, upstream] : m_byKey)
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -63,6 +63,8 @@
     TimePoint blockedUntil{};
     /// It has left or drains; requests in flight go on.
     bool gone = false;
+    /// Since when, as far as `forgetLeft` has noticed.
+    std::optional<TimePoint> goneSince;
     UpstreamTerms terms;
     /// A model engine, which slows down with every request, rather than a plain service.
     bool engine = false;
@@ -82,7 +84,7 @@
 {
 public:
     /// Replaces the set of known upstreams. Those missing are gone. What has said that it leaves is
-    /// kept in mind: the store may list it again.
+    /// kept in mind for a while: the store may list it again.
     void assign(const std::vector<UpstreamRecord> &records);
 
     /// Names the services with model engines behind them.
@@ -94,6 +96,8 @@
     /// Replaces what the other entries tell of upstreams; returns those of which it is news.
     std::vector<std::pair<UpstreamPtr, TermsNews>>
     setTold(std::unordered_map<UpstreamKey, std::vector<HeardTerms>> told);
+    /// Forgets upstreams that have left.
+    void forgetLeft(TimePoint now);
     /// Shares the limits among the entries.
     void shareLimits(const LimitMembers &members);
     /// What this entry tells the others of upstreams.
--- a/src/serving/UpstreamTerms.cpp
+++ b/src/serving/UpstreamTerms.cpp
@@ -10,6 +10,8 @@
 
 /// The end of a limit is told for this long, and again while another entry tells the limit.
 constexpr std::chrono::seconds endTold{20};
+/// That an upstream leaves is told for this long; later the store tells it.
+constexpr std::chrono::seconds leavingTold{5};
 constexpr double windowSeconds = std::chrono::duration<double>(UpstreamTerms::window).count();
 /// An upstream that takes next to nothing is sent one request a window: only answers tell that its
 /// limit has ended.
@@ -34,6 +36,8 @@
 {
     TermsNews news;
     news.leaving = statement.leaving && !std::exchange(m_leaving, true);
+    if (news.leaving)
+        m_leavingHeardAt = now;
     news.limit = hearLimit(statement, sentAt, now);
     if (statement.closedFor) {
         const TimePoint until = now + std::min<Duration>(*statement.closedFor, longestClosed);
@@ -150,7 +154,8 @@
 {
     if (!m_heardHere && !isLimited() && !m_leaving)
         return std::nullopt;
-    ToldTerms terms{upstream, std::nullopt, m_leaving, 0};
+    const bool tellsLeaving = m_leaving && now - m_leavingHeardAt < leavingTold;
+    ToldTerms terms{upstream, std::nullopt, tellsLeaving, 0};
     const std::vector<Word> words = currentWords();
     const bool isCurrent =
         std::ranges::none_of(words, [this](const Word &word) { return word.isAfter(m_heard); });
--- a/src/serving/UpstreamTerms.h
+++ b/src/serving/UpstreamTerms.h
@@ -90,6 +90,8 @@
     Word m_heard;
     bool m_heardHere = false;
     bool m_leaving = false;
+    /// When it said so to this entry; the epoch: only others were told.
+    TimePoint m_leavingHeardAt{};
     TimePoint m_closedUntil{};
     std::vector<HeardTerms> m_told;
     std::optional<double> m_limit;
--- /dev/null
+++ b/tests/UpstreamTableTest.cpp
@@ -0,0 +1,86 @@
+#include "serving/UpstreamTable.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using std::chrono::seconds;
+
+namespace {
+
+UpstreamRecord record(const std::string &id, std::uint64_t born = 1)
+{
+    UpstreamRecord upstream;
+    upstream.id = id;
+    upstream.service = "models";
+    upstream.endpoint = {"10.0.0.9", 80};
+    upstream.slots = 4;
+    upstream.born = born;
+    return upstream;
+}
+
+const TimePoint start{seconds(100)};
+
+UpstreamStatement leavingStatement()
+{
+    UpstreamStatement statement;
+    statement.leaving = true;
+    return statement;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(UpstreamTableSuite)
+
+// The store was out: the entry of an upstream that leaves expired and came back.
+BOOST_AUTO_TEST_CASE(anUpstreamThatLeavesIsNotBackWhenTheStoreListsItAgain)
+{
+    UpstreamTable table;
+    table.assign({record("a")});
+    table.ofService("models").front()->terms.hear(leavingStatement(), start, start);
+    table.assign({});
+    table.assign({record("a")});
+    BOOST_TEST(table.freePlaces("models", start) == 0);
+    BOOST_TEST(table.leaving() == 1U);
+    table.assign({});
+    table.forgetLeft(start);
+    table.forgetLeft(start + std::chrono::minutes(9));
+    BOOST_TEST(table.leaving() == 1U);
+    table.forgetLeft(start + std::chrono::minutes(11));
+    BOOST_TEST(table.leaving() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(anAddressThatIsUsedAgainIsNotTainted)
+{
+    UpstreamTable table;
+    table.assign({record("a")});
+    table.ofService("models").front()->terms.hear(leavingStatement(), start, start);
+    table.assign({record("b")});
+    BOOST_TEST(table.freePlaces("models", start) > 0);
+    // Nor another start under the same id.
+    table.assign({record("a", 2)});
+    BOOST_TEST(table.freePlaces("models", start) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(aLimitedUpstreamHasOnePlaceAtATimeAndOnlyForItsHolder)
+{
+    UpstreamTable table;
+    table.assign({record("a")});
+    UpstreamStatement limited;
+    limited.limitPerSecond = 2.0;
+    const UpstreamPtr &upstream = table.ofService("models").front();
+    upstream->terms.hear(limited, start, start);
+    const std::vector<std::string> names{"e1", "e2"};
+    table.shareLimits({"e1", names, 1});
+    const int first = table.freePlaces("models", start);
+    table.shareLimits({"e2", names, 1});
+    const int second = table.freePlaces("models", start);
+    BOOST_TEST(first + second == 1);
+    table.shareLimits({first > 0 ? "e1" : "e2", names, 1});
+    table.started(*upstream, 0, start);
+    BOOST_TEST(table.freePlaces("models", start) <= 1);
+    table.started(*upstream, 0, start);
+    BOOST_TEST(table.freePlaces("models", start) == 0);
+    BOOST_TEST(table.freePlaces("models", start + seconds(1)) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/UpstreamTermsTest.cpp
+++ b/tests/UpstreamTermsTest.cpp
@@ -297,6 +297,9 @@
     BOOST_REQUIRE(told);
     UpstreamTerms elsewhere;
     BOOST_TEST(elsewhere.setTold({{*told, 9, start}}).leaving);
+    // It is not the other one's to tell, nor for ever.
+    BOOST_TEST(!elsewhere.told(upstreamUnderTest, start + seconds(2)));
+    BOOST_TEST(!terms.told(upstreamUnderTest, start + seconds(6)));
     BOOST_TEST(!elsewhere.setTold({}).any());
     BOOST_TEST(!elsewhere.isOpen(start));
 }
