--- a/tests/SoakPromisesTest.cpp
+++ b/tests/SoakPromisesTest.cpp
@@ -223,4 +223,17 @@
     BOOST_TEST(!arrives(2000));
 }
 
+BOOST_AUTO_TEST_CASE(aCutIsAFindingUntilTheTimeoutOfItsRoute)
+{
+    const auto cutAfter = [this](milliseconds age) {
+        const SentCall stream = call(CallKind::Stream);
+        promises.ran(stream.id, 0, now);
+        const std::size_t before = violations();
+        promises.answered(stream.id, {200, false, false, event(1, stream.id), ""}, now + age);
+        return violations() - before;
+    };
+    BOOST_TEST(cutAfter(routeTimeout - milliseconds(1)) == 1U);
+    BOOST_TEST(cutAfter(routeTimeout) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tools/soak/Promises.cpp
+++ b/tools/soak/Promises.cpp
@@ -159,8 +159,10 @@
     if (answer.timedOut)
         return broken(call, "no answer long after its deadline");
     if (answer.status == okStatus) {
+        // The route's timeout ends an answer, whoever was slow.
         const bool excused =
-            m_disturbances.touched(Scope::Upstream, std::nullopt, call.sentAt, now);
+            now - call.sentAt >= routeTimeout
+            || m_disturbances.touched(Scope::Upstream, std::nullopt, call.sentAt, now);
         return excused ? void() : broken(call, "its answer was cut");
     }
     const auto stops = m_stopsAt.find(entry);
--- a/tools/soak/Promises.h
+++ b/tools/soak/Promises.h
@@ -23,6 +23,9 @@
     bool reusedConnection = false;
 };
 
+/// Timeout of every route of a run.
+constexpr milliseconds routeTimeout{2000};
+
 /// What a caller got.
 struct CallAnswer
 {
--- a/tools/soak/SoakRun.cpp
+++ b/tools/soak/SoakRun.cpp
@@ -26,9 +26,6 @@
 
 namespace {
 
-constexpr std::size_t entryCount = 3;
-constexpr std::size_t upstreamCount = 4;
-constexpr std::size_t clientCount = 24;
 constexpr int slotsOfUpstream = 4;
 constexpr int eventPauseMs = 12;
 constexpr int workMs = 40;
@@ -100,9 +97,15 @@
 
 json::object routeEntry(const std::string &name, const std::string &kind, int attempts)
 {
-    return {{"name", name},         {"host", "soak.example"}, {"pathPrefix", "/" + name + "/"},
-            {"kind", kind},         {"timeoutMs", 2000},      {"targetLatencyMs", 500},
-            {"priority", 0},        {"service", "models"},    {"maxAttempts", attempts},
+    return {{"name", name},
+            {"host", "soak.example"},
+            {"pathPrefix", "/" + name + "/"},
+            {"kind", kind},
+            {"timeoutMs", routeTimeout.count()},
+            {"targetLatencyMs", 500},
+            {"priority", 0},
+            {"service", "models"},
+            {"maxAttempts", attempts},
             {"resumeStreams", true}};
 }
 
@@ -187,9 +190,9 @@
         m_view.steadyKey = "steady";
         m_view.newestKey = "key-1";
         m_view.formerKey = "key-0";
-        for (std::size_t i = 0; i < upstreamCount; ++i)
+        for (std::size_t i = 0; i < m_options.upstreams; ++i)
             m_upstreams.push_back(std::make_unique<Upstream>(m_context, i));
-        for (std::size_t i = 0; i < entryCount; ++i)
+        for (std::size_t i = 0; i < m_options.entries; ++i)
             m_entries.push_back(std::make_unique<Entry>(m_context, m_store.port(), i, options));
         for (const auto &entry : m_entries)
             m_view.entries.push_back(onLoopback(entry->callerPort));
@@ -286,9 +289,9 @@
 
     void startClients()
     {
-        for (std::size_t i = 0; i < clientCount; ++i) {
+        for (std::size_t i = 0; i < m_options.clients; ++i) {
             m_clients.push_back(std::make_unique<SoakClient>(
-                m_view, m_promises, "c" + std::to_string(i), m_seed * clientCount + i));
+                m_view, m_promises, "c" + std::to_string(i), m_seed * m_options.clients + i));
             asio::co_spawn(m_context, m_clients.back()->run(), asio::detached);
         }
     }
@@ -415,10 +418,10 @@
             co_await disturbProcess(fault, entryOf(fault));
     }
 
-    Entry &entryOf(const Fault &fault) { return *m_entries.at(fault.target % entryCount); }
+    Entry &entryOf(const Fault &fault) { return *m_entries.at(fault.target % m_entries.size()); }
     Upstream &upstreamOf(const Fault &fault)
     {
-        return *m_upstreams.at(fault.target % upstreamCount);
+        return *m_upstreams.at(fault.target % m_upstreams.size());
     }
 
     asio::awaitable<void> disturbProcess(const Fault &fault, Entry &entry)
@@ -541,7 +544,7 @@
         co_await pause(leavingBeforeRemoval + fault.lasts);
         upstream.server.leaving = false;
         m_promises.statements().isReplaced(upstream.index);
-        upstream.born += upstreamCount;
+        upstream.born += m_upstreams.size();
         m_store.with([&upstream](standin::PlatformStore &store) {
             store.replace("servers", upstream.name(), upstream.record("ready"), 0);
         });
--- a/tools/soak/SoakRun.h
+++ b/tools/soak/SoakRun.h
@@ -2,6 +2,7 @@
 
 #include "soak/FaultPlan.h"
 
+#include <cstddef>
 #include <filesystem>
 #include <string>
 #include <vector>
@@ -15,6 +16,9 @@
     /// Settings and logs of the entries are written here.
     std::filesystem::path directory;
     milliseconds length{10000};
+    std::size_t entries = 3;
+    std::size_t upstreams = 4;
+    std::size_t clients = 24;
 };
 
 struct SoakReport
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -16,6 +16,9 @@
 ABSL_FLAG(double, minutes, 0, "go on with further seeds for so long; 0: run --seeds seeds");
 ABSL_FLAG(bool, plan, false, "print the faults of the seeds and run nothing");
 ABSL_FLAG(int, length_ms, 10000, "time under faults of one seed, in milliseconds");
+ABSL_FLAG(std::uint64_t, entries, 3, "entries of a run, each a process");
+ABSL_FLAG(std::uint64_t, upstreams, 4, "upstreams of a run");
+ABSL_FLAG(std::uint64_t, clients, 24, "clients of a run");
 
 namespace {
 
@@ -48,6 +51,9 @@
     options.daemon = absl::GetFlag(FLAGS_daemon);
     options.directory = std::filesystem::path(absl::GetFlag(FLAGS_logs)) / std::to_string(seed);
     options.length = milliseconds(absl::GetFlag(FLAGS_length_ms));
+    options.entries = absl::GetFlag(FLAGS_entries);
+    options.upstreams = absl::GetFlag(FLAGS_upstreams);
+    options.clients = absl::GetFlag(FLAGS_clients);
     std::filesystem::remove_all(options.directory);
     const SoakReport report = runSoak(seed, options);
     if (report.interrupted)
@@ -75,6 +81,11 @@
     setLogLevel("off");
     const std::uint64_t first = absl::GetFlag(FLAGS_first);
     const std::uint64_t seeds = absl::GetFlag(FLAGS_seeds);
+    constexpr int usageExit = 2;
+    if (absl::GetFlag(FLAGS_entries) == 0 || absl::GetFlag(FLAGS_upstreams) == 0) {
+        std::cerr << "--entries and --upstreams must be above 0\n";
+        return usageExit;
+    }
     if (absl::GetFlag(FLAGS_plan))
         return printPlans(first, seeds);
     const std::chrono::duration<double, std::ratio<60>> minutes(absl::GetFlag(FLAGS_minutes));
