What an upstream said holds when the store's list loses it for a moment

An upstream that wanted nothing, or limited itself, was forgotten when its entry was missing from the store's list and taken for new when it was back: UpstreamTableSuite/ anUpstreamThatWantsNothingIsLeftAloneWhenTheStoreListsItAgain, 12 free places, 0 expected; passes now. State of upstreams that have said something binding stays for 10 minutes after they are gone, as it did for those that leave. DirectProcessTest uses the harness' exchange of bytes instead of its own.

--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -27,7 +27,7 @@
 /// that its limit has ended.
 constexpr double leastLimit = 0.2;
 /// An upstream that has left does not come back later than this.
-constexpr std::chrono::minutes leavingMemory{10};
+constexpr std::chrono::minutes goneMemory{10};
 
 /// Subtracts without passing zero.
 void lower(std::uint32_t &value, std::uint32_t by)
@@ -64,7 +64,7 @@
         const bool missing = !present.contains(item.first);
         if (missing)
             item.second->gone = true;
-        return missing && item.second->own.inFlight == 0 && !item.second->terms.isLeaving();
+        return missing && item.second->own.inFlight == 0 && item.second->terms.isPlain();
     });
 }
 
@@ -113,7 +113,7 @@
             upstream->gone ? std::optional(upstream->goneSince.value_or(now)) : std::nullopt;
     std::erase_if(m_byKey, [now](const auto &item) {
         const UpstreamState &upstream = *item.second;
-        return upstream.goneSince && now - *upstream.goneSince > leavingMemory
+        return upstream.goneSince && now - *upstream.goneSince > goneMemory
                && upstream.own.inFlight == 0;
     });
 }
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -83,8 +83,8 @@
 class UpstreamTable
 {
 public:
-    /// Replaces the set of known upstreams. Those missing are gone. What has said that it leaves is
-    /// kept in mind for a while: the store may list it again.
+    /// Replaces the set of known upstreams. Those missing are gone. What they have said of
+    /// themselves is kept in mind for a while: the store may list them again.
     void assign(const std::vector<UpstreamRecord> &records);
 
     /// Names the services with model engines behind them.
--- a/src/serving/UpstreamTerms.h
+++ b/src/serving/UpstreamTerms.h
@@ -53,6 +53,8 @@
     bool isLimited() const { return m_limit.has_value(); }
     /// It has said that it leaves; nothing that it says later takes that back.
     bool isLeaving() const { return m_leaving; }
+    /// Nothing was said that binds beyond a moment's absence from the store's list.
+    bool isPlain() const { return !m_leaving && !m_limit && m_closedUntil == TimePoint{}; }
     bool hasTold() const { return !m_told.empty(); }
 
     /// What this entry tells the others; none when it has nothing to tell.
--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -6,6 +6,7 @@
 #include "model/StoreServer.h"
 #include "model/UpstreamServer.h"
 #include "process/Contexts.h"
+#include "support/DirectEntry.h"
 #include "support/Eventually.h"
 
 #include <array>
@@ -20,6 +21,7 @@
 using namespace tamarack;
 using namespace tamarack::standin;
 using tamarack::harness::eventually;
+using tamarack::harness::exchangeBytes;
 namespace asio = boost::asio;
 namespace json = boost::json;
 using tcp = asio::ip::tcp;
@@ -138,26 +140,11 @@
         return settings;
     }
 
-    static std::string exchange(unsigned short port, const std::string &request)
-    {
-        asio::io_context context;
-        tcp::socket socket(context);
-        boost::system::error_code error;
-        socket.connect({asio::ip::make_address("127.0.0.1"), port}, error);
-        asio::write(socket, asio::buffer(request), error);
-        std::string text;
-        std::array<char, 4096> piece{};
-        while (!error) {
-            const std::size_t size = socket.read_some(asio::buffer(piece), error);
-            text.append(piece.data(), size);
-        }
-        return text;
-    }
-
     int readiness() const
     {
-        return parseAnswer(exchange(readinessPort,
-                                    "GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
+        return parseAnswer(
+                   exchangeBytes(readinessPort,
+                                 "GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
             .status;
     }
 
@@ -172,7 +159,7 @@
 
     ClientAnswer call(const std::string &path, const std::string &key = "k1") const
     {
-        return parseAnswer(exchange(callerPort, request(path, "Api-Key: " + key + "\r\n")));
+        return parseAnswer(exchangeBytes(callerPort, request(path, "Api-Key: " + key + "\r\n")));
     }
 
     std::size_t sends() const { return upstreamA.seen().size() + upstreamB.seen().size(); }
@@ -335,8 +322,8 @@
     socket.close();
     clientLeft.set_value();
     BOOST_TEST(eventually([this] {
-        const std::string metrics =
-            exchange(adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        const std::string metrics = exchangeBytes(
+            adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
         return metrics.find("outcome=\"client_gone\"") != std::string::npos;
     }));
     BOOST_TEST(sends() == 1U);
@@ -356,7 +343,7 @@
     const auto sentAt = std::chrono::steady_clock::now();
     const std::string late = std::regex_replace(
         request("/read/x", "Api-Key: k1\r\n"), std::regex("Deadline-Ms: \\d+"), "Deadline-Ms: 800");
-    const ClientAnswer answer = parseAnswer(exchange(callerPort, late));
+    const ClientAnswer answer = parseAnswer(exchangeBytes(callerPort, late));
     const auto took = std::chrono::steady_clock::now() - sentAt;
     BOOST_TEST(answer.status == 504);
     // Without the time unread it takes the block and the whole deadline.
@@ -522,7 +509,7 @@
 {
     call("/read/x");
     const std::string text =
-        exchange(adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        exchangeBytes(adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     BOOST_TEST(text.find("tamarack_requests_total{outcome=\"served\"} 1") != std::string::npos);
     BOOST_TEST(text.find("tamarack_ranked_requests_total{service=\"") != std::string::npos);
     BOOST_TEST(text.find("tamarack_request_seconds_bucket") != std::string::npos);
--- a/tests/UpstreamTableTest.cpp
+++ b/tests/UpstreamTableTest.cpp
@@ -49,6 +49,19 @@
     BOOST_TEST(table.leaving() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(anUpstreamThatWantsNothingIsLeftAloneWhenTheStoreListsItAgain)
+{
+    UpstreamTable table;
+    table.assign({record("a")});
+    UpstreamStatement closed;
+    closed.closedFor = milliseconds(3000);
+    table.ofService("models").front()->terms.hear(closed, start, start);
+    table.assign({});
+    table.assign({record("a")});
+    BOOST_TEST(table.freePlaces("models", start) == 0);
+    BOOST_TEST(table.freePlaces("models", start + seconds(3)) > 0);
+}
+
 BOOST_AUTO_TEST_CASE(anAddressThatIsUsedAgainIsNotTainted)
 {
     UpstreamTable table;
