--- a/tools/soak/Promises.cpp
+++ b/tools/soak/Promises.cpp
@@ -68,7 +68,10 @@
 
 void Promises::sent(const SentCall &call, TimePoint now)
 {
-    m_calls[call.id] = {call, now};
+    Call &entry = m_calls[call.id];
+    entry = Call{};
+    entry.sent = call;
+    entry.sentAt = now;
 }
 
 void Promises::left(const std::string &id)
