--- /dev/null
+++ b/tests/support/DirectEntry.cpp
@@ -0,0 +1,92 @@
+#include "support/DirectEntry.h"
+
+#include "model/LoopbackListener.h"
+
+#include <array>
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace tamarack::harness {
+
+namespace asio = boost::asio;
+using std::chrono::seconds;
+using tamarack::standin::freePort;
+using tcp = asio::ip::tcp;
+
+DirectEntry::DirectEntry() = default;
+
+DirectEntry::~DirectEntry()
+{
+    stop();
+}
+
+void DirectEntry::stop()
+{
+    if (!m_contexts || !m_thread.joinable())
+        return;
+    m_contexts->stop();
+    m_thread.join();
+}
+
+Settings DirectEntry::makeSettings(const std::string &name, const std::string &dataCentre,
+                                   unsigned short storePort)
+{
+    Settings settings;
+    settings.role = Role::Direct;
+    settings.name = name;
+    settings.dataCentre = dataCentre;
+    settings.caller.endpoint = {"127.0.0.1", freePort()};
+    settings.admin.endpoint = {"127.0.0.1", freePort()};
+    settings.peer = {"127.0.0.1", freePort()};
+    settings.peerKey = "0123456789abcdef";
+    settings.limits.connections = 100;
+    settings.direct.readiness.endpoint = {"127.0.0.1", freePort()};
+    settings.direct.store = {"127.0.0.1", storePort};
+    settings.direct.revokeBound = milliseconds(5000);
+    settings.direct.stopGrace = milliseconds(5000);
+    settings.direct.quotaWindow = milliseconds(8000);
+    settings.direct.retries = {0.2, seconds(10), 100};
+    return settings;
+}
+
+void DirectEntry::start(const Settings &settings)
+{
+    m_settings = settings;
+    m_contexts = new Contexts(1);
+    auto made = DirectProcess::makeProcess(settings, *m_contexts);
+    BOOST_REQUIRE(made.has_value());
+    m_process = made->release();
+    m_thread = std::jthread([contexts = m_contexts] { contexts->run(); });
+}
+
+int DirectEntry::readiness() const
+{
+    return answerStatus(exchangeBytes(
+        readinessPort(), "GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+}
+
+std::string exchangeBytes(unsigned short port, const std::string &bytes)
+{
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code error;
+    socket.connect({asio::ip::make_address("127.0.0.1"), port}, error);
+    asio::write(socket, asio::buffer(bytes), error);
+    std::string text;
+    std::array<char, 4096> piece{};
+    while (!error) {
+        const std::size_t size = socket.read_some(asio::buffer(piece), error);
+        text.append(piece.data(), size);
+    }
+    return text;
+}
+
+int answerStatus(const std::string &answer)
+{
+    constexpr std::size_t statusAt = 9;
+    constexpr std::size_t shortest = 12;
+    return answer.size() > shortest ? std::stoi(answer.substr(statusAt, 3)) : 0;
+}
+
+} // namespace tamarack::harness
