--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -183,9 +183,10 @@
         TimePoint nextTick = steadyNow() + tickInterval;
         while (true) {
             const TimePoint due = std::min(nextTick, steadyNow() + state.readLag.interval());
+            state.readLag.expect(due);
             co_await pause(due - steadyNow());
             const TimePoint now = steadyNow();
-            state.noteLateness(now - due);
+            state.noteLateness(now);
             if (now < nextTick)
                 continue;
             state.tick(now);
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -364,10 +364,10 @@
     return load;
 }
 
-void TrafficState::noteLateness(Duration lateness)
+void TrafficState::noteLateness(TimePoint now)
 {
     const bool wasBehind = readLag.isBehind();
-    readLag.note(lateness);
+    readLag.note(now);
     if (readLag.isBehind() != wasBehind)
         logEvent(LogLevel::Warning, readLag.isBehind() ? "traffic_behind" : "traffic_caught_up",
                  {{"late_ms", toMs(readLag.lateness())}, {"waiting", queue.size()}});
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -113,8 +113,8 @@
     /// Called when another entry knows a newer configuration, or newer changes of upstreams.
     std::function<void(std::uint64_t configVersion, std::uint64_t upstreamRevision)> onNewsTold;
 
-    /// A look at the clock came `lateness` later than its time.
-    void noteLateness(Duration lateness);
+    /// A look at the clock that `readLag` expects is made.
+    void noteLateness(TimePoint now);
     /// Regular work: forgets what is old.
     void tick(TimePoint now);
 
--- a/tests/DirectProcessTest.cpp
+++ b/tests/DirectProcessTest.cpp
@@ -539,4 +539,33 @@
     BOOST_TEST(call("/read/x").status == 200);
 }
 
+// fleetbench bmfms-seam-grown, scale-2: hosts that read requests 1.8 s late held 163 of 237 beyond
+// their time-out. The platform allows 0.5 s.
+BOOST_AUTO_TEST_CASE(aRequestThatLayUnreadEndsAtItsTimeout)
+{
+    constexpr milliseconds paused(1700);
+    constexpr milliseconds deadline(1900);
+    constexpr milliseconds answerBound(500);
+    setMoods(UpstreamMood::Hangs);
+    for (const bool kept : {false, true}) {
+        asio::io_context context;
+        tcp::socket socket(context);
+        if (kept)
+            socket.connect({asio::ip::make_address("127.0.0.1"), callerPort});
+        std::this_thread::sleep_for(milliseconds(300));
+        asio::post(*contexts->traffic().front(), [paused] { std::this_thread::sleep_for(paused); });
+        std::this_thread::sleep_for(milliseconds(20));
+        const auto sentAt = std::chrono::steady_clock::now();
+        if (!kept)
+            socket.connect({asio::ip::make_address("127.0.0.1"), callerPort});
+        asio::write(socket, asio::buffer(request("/read/x", "Api-Key: k1\r\n")));
+        std::array<char, 64> head{};
+        boost::system::error_code error;
+        socket.read_some(asio::buffer(head), error);
+        const auto took = std::chrono::steady_clock::now() - sentAt;
+        BOOST_TEST(std::chrono::duration_cast<milliseconds>(took).count()
+                   <= (deadline + answerBound).count());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
