Log the longest pause of each stream

Cause: streams of the organ fleets are late although their first event is on time; the log did not show why.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -437,6 +437,7 @@
               {"unread_ms", toMs(m_readAt - m_arrivedAt)},
               {"waited_ms", toMs(m_waited)},
               {"first_ms", m_firstToken ? toMs(*m_firstToken) : -1},
+              {"pause_ms", toMs(m_relay.longestPause())},
               {"total_ms", toMs(now - m_arrivedAt)},
               {"status", status},
               {"outcome", outcome}});
--- a/src/direct/ResponseRelay.cpp
+++ b/src/direct/ResponseRelay.cpp
@@ -1,6 +1,9 @@
 #include "direct/ResponseRelay.h"
 
 #include "base/AsioPch.h"
+#include "process/Timers.h"
+
+#include <algorithm>
 
 namespace tamarack {
 
@@ -13,6 +16,10 @@
 asio::awaitable<bool> ResponseRelay::forward(std::string_view events,
                                              const UpstreamResponse &answer)
 {
+    const TimePoint now = steadyNow();
+    if (m_started)
+        m_longestPause = std::max(m_longestPause, now - m_lastForwardAt);
+    m_lastForwardAt = now;
     if (!m_started) {
         m_started = true;
         const bool started = co_await m_exchange.startStream(answer.status, answer.facts.forwarded);
--- a/src/direct/ResponseRelay.h
+++ b/src/direct/ResponseRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Time.h"
 #include "http/HttpServer.h"
 #include "serving/EventScanner.h"
 #include "serving/RequestFacts.h"
@@ -46,11 +47,15 @@
     /// Whether part of the response has been sent to the client.
     bool started() const { return m_started; }
     const EventScanner &events() const { return m_events; }
+    /// Longest time between two sends of events to the client.
+    Duration longestPause() const { return m_longestPause; }
 
 private:
     HttpExchange &m_exchange;
     EventScanner m_events;
     bool m_started = false;
+    TimePoint m_lastForwardAt{};
+    Duration m_longestPause{};
 };
 
 } // namespace tamarack
