Start long prompts only where running streams keep their pace

Change: a prompt waits for an engine whose predicted pause is at most half of the pause objective, or close to the shortest possible one. Within a rank, requests of less engine time start first.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -158,6 +158,7 @@
         request.prefix = m_facts.promptParts.back().id;
     request.arrived = m_arrivedAt - m_sinceFirstAttempt;
     request.objectiveAt = request.arrived + m_admitted.route.objective;
+    request.pauseObjective = m_admitted.route.eventGapObjective;
     request.refuseAt =
         refusalTime({steadyNow(), m_admitted.route.objective, m_admitted.route.eventGapObjective,
                      isStream(), timeLeft(), m_sinceFirstAttempt});
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <tuple>
 
 namespace tamarack {
 
@@ -35,14 +36,17 @@
     m_positions[request.ticket] = {request.service, position};
     ServiceQueue &queue = m_serviceQueues[request.service];
     if (request.isFirstAttempt) {
-        const EngineTimeModel &model = m_upstreams.model(request.service);
-        const Duration engineTime =
-            model.nominal(request.promptTokens) + model.predictEvents(1, request.responseEvents);
-        queue.shares.countArrival(routeTierOf(request.rank), engineTime, request.arrived);
+        queue.shares.countArrival(routeTierOf(request.rank), engineTime(request), request.arrived);
     }
     queue.waiting.emplace(position, std::move(request));
 }
 
+Duration DispatchQueue::engineTime(const QueuedRequest &request) const
+{
+    const EngineTimeModel &model = m_upstreams.model(request.service);
+    return model.nominal(request.promptTokens) + model.predictEvents(1, request.responseEvents);
+}
+
 bool DispatchQueue::remove(Ticket ticket)
 {
     const auto found = m_positions.find(ticket);
@@ -145,7 +149,8 @@
     for (const auto &[position, request] : queue.waiting)
         order.push_back({&request, request.rank});
     std::ranges::stable_sort(order, {}, [&](const Candidate &each) {
-        return std::pair(each.effectiveRank, now + firstToken > each.request->objectiveAt);
+        return std::tuple(each.effectiveRank, now + firstToken > each.request->objectiveAt,
+                          engineTime(*each.request));
     });
     promoteUnderserved(order, queue.shares, now);
     std::ranges::stable_sort(order, {}, [](const Candidate &each) {
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -79,7 +79,9 @@
 ///
 /// Designed for bursts of twice the capacity, with tiers that differ in value and request length.
 /// Within a rank, requests that can still meet their objective go first; in arrival order all of
-/// them would be late under overload. Within a tier, kinds of requests are ordered by the tier of
+/// them would be late under overload. Among these, requests that need less engine time go first:
+/// response lengths differ by a factor of 100, and the longest tenth needs half of the engine time.
+/// Within a tier, kinds of requests are ordered by the tier of
 /// their routes as long as each kind gets its guaranteed share. A request may only use capacity
 /// beyond a reserve for higher ranks: one slot for each of their requests queued at other entries,
 /// and a fraction of the slots they occupy, since their next burst arrives sooner than long
@@ -133,6 +135,8 @@
     };
     void decideService(const std::string &service, ServiceQueue &queue, TimePoint now,
                        QueueDecisions &decisions);
+    /// Expected time for which the request occupies a slot of an average engine.
+    Duration engineTime(const QueuedRequest &request) const;
     /// A queued request with the rank that determines its position in the start order.
     struct Candidate
     {
--- a/src/serving/EngineTimeModel.cpp
+++ b/src/serving/EngineTimeModel.cpp
@@ -40,6 +40,11 @@
     return fromMilliseconds(factor * (m_fixedMs + m_msPerToken * tokens));
 }
 
+Duration EngineTimeModel::predictPause(double factor, std::uint32_t tokens) const
+{
+    return fromMilliseconds(factor * (m_msPerEvent + m_msPerToken * tokens));
+}
+
 double EngineTimeModel::learn(double factor, std::uint32_t tokens, Duration elapsed)
 {
     const double predicted = toFractionalMs(nominal(tokens));
--- a/src/serving/EngineTimeModel.h
+++ b/src/serving/EngineTimeModel.h
@@ -22,6 +22,10 @@
     /// Time from the first token of a stream through `events` further events.
     Duration predictEvents(double factor, std::uint32_t events) const;
 
+    /// Interval between two events of a running stream while the engine processes `tokens` prompt
+    /// tokens.
+    Duration predictPause(double factor, std::uint32_t tokens) const;
+
     /// Updates the model from an observed time to the first token; returns the engine's new factor.
     double learn(double factor, std::uint32_t tokens, Duration elapsed);
     /// Updates the model from a complete stream whose events after the first elapsed `elapsed`.
--- a/src/serving/QueuedRequest.h
+++ b/src/serving/QueuedRequest.h
@@ -29,6 +29,8 @@
     TimePoint arrived{};
     /// Latest time at which the first token meets the objective.
     TimePoint objectiveAt{};
+    /// Latency objective for the interval between two events; 0: none.
+    Duration pauseObjective{};
     /// Latest time for the complete response.
     TimePoint deadlineAt = TimePoint::max();
     /// Time at which the request is refused if it is still queued.
--- a/src/serving/UpstreamChooser.cpp
+++ b/src/serving/UpstreamChooser.cpp
@@ -4,6 +4,7 @@
 #include "serving/QueuedRequest.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <numeric>
 #include <ranges>
@@ -30,6 +31,8 @@
 constexpr double lateFirstTokenMs = 400;
 /// Fraction of the time left until the deadline that a response may be predicted to take.
 constexpr double deadlineUse = 0.8;
+/// Fraction of the objective for the interval between events that one prompt may use up.
+constexpr double pauseUse = 0.5;
 
 } // namespace
 
@@ -50,18 +53,9 @@
     const auto &upstreams = m_upstreams.ofService(request.service);
     const UpstreamKey home = homeOf(request.prefix, upstreams);
     const Speeds bySpeed = speeds(upstreams, now);
-    const Duration firstToken = m_upstreams.model(request.service).nominal(request.promptTokens);
-    const auto isInTime = [&](const UpstreamPtr &upstream) {
-        return endsInTime(request, *upstream, firstToken, now);
-    };
-    const bool someInTime = std::ranges::any_of(upstreams, [&](const UpstreamPtr &upstream) {
-        return UpstreamTable::limit(*upstream, now) > 0 && isInTime(upstream);
-    });
     UpstreamChoice best;
     best.costMs = std::numeric_limits<double>::max();
-    for (const UpstreamPtr &upstream : upstreams) {
-        if (someInTime && !isInTime(upstream))
-            continue;
+    for (const UpstreamPtr &upstream : suitable(request, now)) {
         const bool full =
             static_cast<int>(upstream->inFlight()) >= UpstreamTable::limit(*upstream, now);
         if (full || std::ranges::find(request.excluded, upstream->key) != request.excluded.end())
@@ -73,6 +67,42 @@
     return best;
 }
 
+std::vector<UpstreamPtr> UpstreamChooser::suitable(const QueuedRequest &request,
+                                                   TimePoint now) const
+{
+    std::vector<UpstreamPtr> open;
+    std::ranges::copy_if(m_upstreams.ofService(request.service), std::back_inserter(open),
+                         [now](const UpstreamPtr &each) {
+                             return UpstreamTable::limit(*each, now) > 0;
+                         });
+    // Keeps only the upstreams that have the property, if there are any.
+    const auto prefer = [&open](auto hasProperty) {
+        if (std::ranges::any_of(open, hasProperty))
+            std::erase_if(open, [&](const UpstreamPtr &each) { return !hasProperty(each); });
+    };
+    const Duration firstToken = m_upstreams.model(request.service).nominal(request.promptTokens);
+    prefer([&](const UpstreamPtr &each) { return endsInTime(request, *each, firstToken, now); });
+    if (open.empty() || request.pauseObjective == Duration::zero())
+        return open;
+    const double fastest = (*std::ranges::min_element(open, {}, &UpstreamState::factor))->factor;
+    prefer([&](const UpstreamPtr &each) { return keepsPauses(request, *each, fastest); });
+    return open;
+}
+
+bool UpstreamChooser::keepsPauses(const QueuedRequest &request, const UpstreamState &upstream,
+                                  double fastestFactor) const
+{
+    if (upstream.inFlight() == 0)
+        return true;
+    const EngineTimeModel &model = m_upstreams.model(request.service);
+    const Duration shortest = model.predictPause(fastestFactor, request.promptTokens);
+    const Duration objective =
+        std::chrono::duration_cast<Duration>(request.pauseObjective * pauseUse);
+    const Duration bound = std::max(objective, shortest + shortest / 4);
+    return model.predictPause(upstream.factor, upstream.prefillTokens() + request.promptTokens)
+           <= bound;
+}
+
 UpstreamChooser::Speeds UpstreamChooser::speeds(const std::vector<UpstreamPtr> &upstreams,
                                                 TimePoint now) const
 {
@@ -102,7 +132,7 @@
     const EngineTimeModel &model = m_upstreams.model(request.service);
     const Duration whole =
         firstToken + model.predictEvents(upstream.factor, request.responseEvents);
-    return whole * 1.0 <= (request.deadlineAt - now) * deadlineUse;
+    return whole <= (request.deadlineAt - now) * deadlineUse;
 }
 
 double UpstreamChooser::lateCost(const QueuedRequest &request, const UpstreamState &upstream,
--- a/src/serving/UpstreamChooser.h
+++ b/src/serving/UpstreamChooser.h
@@ -31,7 +31,9 @@
 /// requests already running there, a penalty for missed objectives and deadlines, and a price for a
 /// place at a fast engine that grows as fewer are free. If any available engine can finish a long
 /// response before its deadline, the request waits for such an engine: a slow one would be occupied
-/// until the deadline and the response would still be lost.
+/// until the deadline and the response would still be lost. Likewise, a long prompt waits for an
+/// engine that can process it without delaying the events of its running streams beyond their
+/// objective.
 class UpstreamChooser
 {
 public:
@@ -54,6 +56,12 @@
     Speeds speeds(const std::vector<UpstreamPtr> &upstreams, TimePoint now) const;
     UpstreamChoice evaluate(const QueuedRequest &request, const UpstreamPtr &upstream,
                             UpstreamKey home, const Speeds &speeds, TimePoint now) const;
+    /// Upstreams among which the request may choose or for which it waits.
+    std::vector<UpstreamPtr> suitable(const QueuedRequest &request, TimePoint now) const;
+    /// Whether the running streams of the upstream are expected to meet their objective for the
+    /// interval between events while the prompt is processed.
+    bool keepsPauses(const QueuedRequest &request, const UpstreamState &upstream,
+                     double fastestFactor) const;
     /// Whether the complete response is expected before the deadline, with a safety margin.
     bool endsInTime(const QueuedRequest &request, const UpstreamState &upstream,
                     Duration firstToken, TimePoint now) const;
