Late requests leave places to requests of their rank that can be on time

An entry orders its own queue only. Change: entries report the waiting requests that can still be on time; a late one leaves places for those of its own rank as well as of higher ranks, and a tenth of the places that these occupy.

--- a/src/direct/PeerExchange.cpp
+++ b/src/direct/PeerExchange.cpp
@@ -162,7 +162,7 @@
         if (peers.empty() || scheduledAt <= next)
             return;
         const bool changed = state.upstreams.ownLoads() != sentLoads
-                             || state.queue.demand() != sentDemand
+                             || state.queue.demand(steadyNow()) != sentDemand
                              || state.updateVersions() != sentUpdateVersions;
         if (changed)
             scheduleSend(next);
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -360,7 +360,7 @@
     load.upstreamRevision = updateVersions().upstreamRevision;
     load.incarnation = incarnation;
     load.loads = upstreams.ownLoads();
-    load.demand = queue.demand();
+    load.demand = queue.demand(steadyNow());
     load.quotas = quotas.uses();
     load.crashes = crashes.rows(maxReportedCrashes, steadyNow());
     load.terms = upstreams.termsReports(steadyNow());
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -88,13 +88,13 @@
     int free = m_upstreams.freePlaces(service, now);
     std::vector<Ticket> ended;
     std::map<QueueRank, RankState> ranks;
-    for (const auto &[request, effectiveRank] : startOrder(service, queue, now)) {
+    for (const auto &[request, effectiveRank, late] : startOrder(service, queue, now)) {
         const bool promoted = effectiveRank != request->rank;
         const auto [rank, isNew] = ranks.try_emplace(request->rank);
         RankState &view = rank->second;
         if (isNew)
             view = rankState(request->rank, queue, now);
-        const int reserved = promoted ? reserve(effectiveRank, queue) : view.reserve;
+        const int reserved = reserve(effectiveRank, late, queue);
         UpstreamChoice choice;
         if (free > reserved)
             choice = m_chooser.choose(*request, now);
@@ -136,7 +136,7 @@
 {
     const auto starts = queue.starts.find(rank);
     const double perSecond = starts == queue.starts.end() ? 0 : starts->second.perSecond(now);
-    return {reserve(rank, queue), perSecond, 0};
+    return {perSecond, 0};
 }
 
 std::vector<DispatchQueue::Candidate> DispatchQueue::startOrder(const std::string &service,
@@ -147,10 +147,9 @@
     std::vector<Candidate> order;
     order.reserve(queue.waiting.size());
     for (const auto &[position, request] : queue.waiting)
-        order.push_back({&request, request.rank});
+        order.push_back({&request, request.rank, now + firstToken > request.objectiveAt});
     std::ranges::stable_sort(order, {}, [&](const Candidate &each) {
-        return std::tuple(each.effectiveRank, now + firstToken > each.request->objectiveAt,
-                          engineTime(*each.request));
+        return std::tuple(each.effectiveRank, each.late, engineTime(*each.request));
     });
     promoteUnderserved(order, queue.shares, now);
     std::ranges::stable_sort(order, {}, [](const Candidate &each) {
@@ -213,17 +212,19 @@
     m_chooser.recordStart(request, *choice.upstream);
 }
 
-int DispatchQueue::reserve(QueueRank rank, const ServiceQueue &queue)
+int DispatchQueue::reserve(QueueRank rank, bool late, const ServiceQueue &queue)
 {
+    const auto above = [rank, late](QueueRank other) {
+        return other < rank || (late && other == rank);
+    };
     std::uint32_t waitingAbove = 0;
     std::uint32_t runningAbove = 0;
-    for (auto row = queue.peerDemand.begin(); row != queue.peerDemand.end() && row->first < rank;
-         ++row) {
-        waitingAbove += row->second.waiting;
-        runningAbove += row->second.running;
+    for (const auto &[other, demand] : queue.peerDemand) {
+        waitingAbove += above(other) ? demand.waiting : 0;
+        runningAbove += above(other) ? demand.running : 0;
     }
-    for (auto row = queue.running.begin(); row != queue.running.end() && row->first < rank; ++row)
-        runningAbove += row->second;
+    for (const auto &[other, running] : queue.running)
+        runningAbove += above(other) ? running : 0;
     return static_cast<int>(waitingAbove) + static_cast<int>(reservedFraction * runningAbove);
 }
 
@@ -247,13 +248,13 @@
     return std::max<Duration>(minRetryAfter, std::chrono::duration_cast<Duration>(left * share));
 }
 
-std::vector<QueueDemand> DispatchQueue::demand() const
+std::vector<QueueDemand> DispatchQueue::demand(TimePoint now) const
 {
     std::vector<QueueDemand> rows;
     for (const auto &[service, queue] : m_serviceQueues) {
         std::map<QueueRank, QueueDemand> byRank;
         for (const auto &[position, request] : queue.waiting)
-            ++byRank[position.rank].waiting;
+            byRank[position.rank].waiting += now <= request.objectiveAt ? 1 : 0;
         for (const auto &[rank, count] : queue.running)
             byRank[rank].running = count;
         for (const auto &[rank, row] : byRank)
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -68,6 +68,7 @@
 {
     std::string service;
     QueueRank rank = 0;
+    /// Waiting requests that can still meet their objective.
     std::uint32_t waiting = 0;
     std::uint32_t running = 0;
 
@@ -104,7 +105,7 @@
     /// Decides which requests start and which are refused now. Assigned requests count as started.
     QueueDecisions decide(TimePoint now);
 
-    std::vector<QueueDemand> demand() const;
+    std::vector<QueueDemand> demand(TimePoint now) const;
     std::size_t size() const { return m_positions.size(); }
     /// Earliest time at which a queued request is refused; `TimePoint::max()` if none is queued.
     TimePoint nextRefusal() const;
@@ -143,6 +144,8 @@
         const QueuedRequest *request = nullptr;
         /// Its own rank, or that of the donor kind if its own kind is below its guaranteed share.
         QueueRank effectiveRank = 0;
+        /// It can no longer meet its objective.
+        bool late = false;
     };
     /// Queued requests in the order in which they may start.
     std::vector<Candidate> startOrder(const std::string &service, const ServiceQueue &queue,
@@ -155,8 +158,6 @@
     /// State shared by all queued requests of one rank during a decision.
     struct RankState
     {
-        /// Capacity reserved for higher ranks.
-        int reserve = 0;
         double startsPerSecond = 0;
         /// Requests of the rank examined so far that did not start.
         std::size_t ahead = 0;
@@ -171,8 +172,9 @@
     /// requests again.
     void refuseWhileClosed(const ServiceQueue &queue, TimePoint opensAt, TimePoint now,
                            QueueDecisions &decisions);
-    /// Capacity that requests of the rank must leave free for higher ranks.
-    static int reserve(QueueRank rank, const ServiceQueue &queue);
+    /// Capacity that requests of the rank must leave free for higher ranks, and late requests also
+    /// for those of their rank that can still meet their objective.
+    static int reserve(QueueRank rank, bool late, const ServiceQueue &queue);
     static Duration retryAfter(const QueuedRequest &request, TimePoint now);
 
     UpstreamTable &m_upstreams;
--- a/tests/support/QueueSimulation.cpp
+++ b/tests/support/QueueSimulation.cpp
@@ -186,7 +186,7 @@
 void QueueSimulation::reportLoad(Entry &entry)
 {
     entry.reportedLoads = entry.upstreams.ownLoads();
-    entry.reportedDemand = entry.queue->demand();
+    entry.reportedDemand = entry.queue->demand(m_now);
     for (const auto &other : m_entries)
         if (other.get() != &entry)
             receiveLoads(*other);
