Measure the speed of an engine by the intervals between its events

Cause: the factor was learned from times to the first token, which for short prompts are network and queue. Change: the factor follows the pace of the streams, over 8 events at a time; the first token only until a pace is known.

--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -21,6 +21,8 @@
 /// A late response to another request on the same connection is read and discarded up to this size.
 constexpr std::size_t maxSkippedResponseBytes = 1 << 20;
 constexpr int maxSkippedResponses = 2;
+/// The pace of a running stream is measured over this many events.
+constexpr std::uint64_t paceSampleEvents = 8;
 
 /// Statuses that state that the request was not processed. They are invalid from an upstream that
 /// ran the request.
@@ -174,6 +176,7 @@
         if (events.empty())
             continue;
         recordFirstToken();
+        recordPace(paceSampleEvents);
         const bool forwarded = co_await m_relay.forward(events, m_response);
         if (!forwarded) {
             m_clientGone = true;
@@ -183,10 +186,7 @@
     const EventScanner &events = m_relay.events();
     if (events.hasPartial())
         co_return AttemptEnd::Broken;
-    if (m_request.first && m_firstTokenAt && events.events() > 1)
-        m_state.upstreams.recordEvents(*m_assignment.upstream,
-                                       static_cast<std::uint32_t>(events.events() - 1),
-                                       steadyNow() - *m_firstTokenAt);
+    recordPace(EngineTimeModel::minPaceEvents);
     co_return m_cancelled ? AttemptEnd::Broken : AttemptEnd::Whole;
 }
 
@@ -218,6 +218,23 @@
                                            *m_firstTokenAt - m_sentAt);
 }
 
+void UpstreamAttempt::recordPace(std::uint64_t minEvents)
+{
+    const std::uint64_t events = m_relay.events().events();
+    const TimePoint now = steadyNow();
+    if (!m_paceSampledAt) {
+        m_paceSampledAt = now;
+        m_paceSampledEvents = events;
+    }
+    const std::uint64_t newEvents = events - m_paceSampledEvents;
+    if (!m_request.first || newEvents < minEvents)
+        return;
+    m_state.upstreams.recordEvents(*m_assignment.upstream, static_cast<std::uint32_t>(newEvents),
+                                   now - *m_paceSampledAt);
+    m_paceSampledAt = now;
+    m_paceSampledEvents = events;
+}
+
 void UpstreamAttempt::releaseConnection(AttemptEnd end)
 {
     const auto connection = std::exchange(m_connection, nullptr);
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -62,6 +62,8 @@
     boost::asio::awaitable<AttemptEnd> relayStream();
     boost::asio::awaitable<AttemptEnd> bufferResponse(AttemptEnd headOutcome);
     void recordFirstToken();
+    /// Measures the engine's pace if the stream has made at least `minEvents` new events.
+    void recordPace(std::uint64_t minEvents);
     void releaseConnection(AttemptEnd end);
 
     TrafficState &m_state;
@@ -72,6 +74,9 @@
     UpstreamResponse m_response;
     TimePoint m_sentAt{};
     std::optional<TimePoint> m_firstTokenAt;
+    /// Time and number of events at the last measurement of the pace.
+    std::optional<TimePoint> m_paceSampledAt;
+    std::uint64_t m_paceSampledEvents = 0;
     bool m_sent = false;
     bool m_withheld = false;
     bool m_reusedConnection = false;
--- a/src/serving/EngineTimeModel.cpp
+++ b/src/serving/EngineTimeModel.cpp
@@ -18,16 +18,20 @@
 /// attributed to the engine.
 constexpr double maxSampleRatio = 6;
 
-/// Smoothing weight of a new stream in the time per event. Streams with fewer than `minEvents`
-/// events are ignored, as they give too noisy an estimate.
+/// Smoothing weight of a new sample in the time per event.
 constexpr double eventSmoothing = 0.05;
-constexpr std::uint32_t minEvents = 4;
 
 Duration fromMilliseconds(double ms)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
+double smoothFactor(double factor, double sample)
+{
+    const double bounded = std::clamp(sample, minFactor, factor * maxSampleRatio);
+    return std::clamp(factor + factorSmoothing * (bounded - factor), minFactor, maxFactor);
+}
+
 } // namespace
 
 Duration EngineTimeModel::nominal(std::uint32_t tokens) const
@@ -49,9 +53,7 @@
 {
     const double predicted = toFractionalMs(nominal(tokens));
     const double ratio = toFractionalMs(elapsed) / predicted;
-    const double bounded = std::clamp(ratio, minFactor, factor * maxSampleRatio);
-    const double newFactor =
-        std::clamp(factor + factorSmoothing * (bounded - factor), minFactor, maxFactor);
+    const double newFactor = smoothFactor(factor, ratio);
     const double time = std::min(toFractionalMs(elapsed) / factor, predicted * maxSampleRatio);
     m_sums.weight = m_sums.weight * sampleDecay + 1;
     m_sums.tokens = m_sums.tokens * sampleDecay + tokens;
@@ -67,13 +69,13 @@
     return fromMilliseconds(factor * m_msPerEvent * events);
 }
 
-void EngineTimeModel::learnEvents(double factor, std::uint32_t events, Duration elapsed)
+double EngineTimeModel::learnEvents(double factor, std::uint32_t events, Duration elapsed)
 {
-    if (events < minEvents)
-        return;
-    const double sample = toFractionalMs(elapsed) / events / factor;
-    m_msPerEvent +=
-        eventSmoothing * (std::min(sample, m_msPerEvent * maxSampleRatio) - m_msPerEvent);
+    const double perEvent = toFractionalMs(elapsed) / events;
+    const double newFactor = smoothFactor(factor, perEvent / m_msPerEvent);
+    const double sample = std::min(perEvent / factor, m_msPerEvent * maxSampleRatio);
+    m_msPerEvent += eventSmoothing * (sample - m_msPerEvent);
+    return newFactor;
 }
 
 void EngineTimeModel::fit()
--- a/src/serving/EngineTimeModel.h
+++ b/src/serving/EngineTimeModel.h
@@ -28,8 +28,12 @@
 
     /// Updates the model from an observed time to the first token; returns the engine's new factor.
     double learn(double factor, std::uint32_t tokens, Duration elapsed);
-    /// Updates the model from a complete stream whose events after the first elapsed `elapsed`.
-    void learnEvents(double factor, std::uint32_t events, Duration elapsed);
+    /// Updates the model from a stream whose last `events` events took `elapsed`; returns the
+    /// engine's new factor.
+    double learnEvents(double factor, std::uint32_t events, Duration elapsed);
+
+    /// Intervals over fewer events give too noisy an estimate of the pace.
+    static constexpr std::uint32_t minPaceEvents = 4;
 
 private:
     /// Sums for a least-squares fit of time over tokens, with exponentially decaying weights.
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -191,12 +191,18 @@
 void UpstreamTable::recordFirstToken(UpstreamState &upstream, std::uint32_t tokens, Duration took)
 {
     EngineTimeModel &model = m_services[upstream.record.service].model;
-    upstream.factor = model.learn(upstream.factor, tokens, took);
+    const double factor = model.learn(upstream.factor, tokens, took);
+    if (!upstream.paceKnown)
+        upstream.factor = factor;
 }
 
-void UpstreamTable::recordEvents(const UpstreamState &upstream, std::uint32_t events, Duration took)
+void UpstreamTable::recordEvents(UpstreamState &upstream, std::uint32_t events, Duration took)
 {
-    m_services[upstream.record.service].model.learnEvents(upstream.factor, events, took);
+    if (events < EngineTimeModel::minPaceEvents)
+        return;
+    EngineTimeModel &model = m_services[upstream.record.service].model;
+    upstream.factor = model.learnEvents(upstream.factor, events, took);
+    upstream.paceKnown = true;
 }
 
 void UpstreamTable::recordHealth(UpstreamState &upstream, HealthSignal sign, TimePoint now)
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -56,6 +56,9 @@
     UpstreamLoad others;
     /// Response time relative to the average engine of its service.
     double factor = 1;
+    /// The factor is measured from the intervals between events. Before, it is estimated from times
+    /// to the first token, which depend more on the network and the queue.
+    bool paceKnown = false;
     /// Fraction of attempts that failed, as an exponential moving average.
     double failureShare = 0;
     int failuresInRow = 0;
@@ -116,7 +119,7 @@
     void firstToken(UpstreamState &upstream, std::uint32_t promptTokens);
     void ended(UpstreamState &upstream);
     void recordFirstToken(UpstreamState &upstream, std::uint32_t tokens, Duration took);
-    void recordEvents(const UpstreamState &upstream, std::uint32_t events, Duration took);
+    void recordEvents(UpstreamState &upstream, std::uint32_t events, Duration took);
     void recordHealth(UpstreamState &upstream, HealthSignal sign, TimePoint now);
 
     const EngineTimeModel &model(std::string_view service) const;
