Log the predicted time to the first token

Cause: at the grown organ site one first attempt in seven is late to its first token although it waited only some 40 ms.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -430,6 +430,7 @@
               {"events", m_relay.events().events()},
               {"upstream", m_assignment ? m_assignment->upstream->record.id : ""},
               {"factor", m_assignment ? m_assignment->upstream->factor : 0.0},
+              {"predicted_ms", m_assignment ? toMs(m_assignment->predicted) : -1},
               {"raised", m_assignment && m_assignment->promoted},
               {"sends", m_sends},
               {"peers_heard", m_state.peers.reachableCount(now)},
