Late requests of a higher tier still hold up lower tiers at other entries

Cause: found on reading the change. Entries reported only the waiting requests that can be on time, so another entry could start a lower tier while a late request of a higher one waited, and was refused. Change: the report states how many of the waiting are late. They count against lower tiers, not against their own, where two entries with late requests would hold each other up. Test: lateRequestsOfAHigherTierAtOtherEntriesHoldUpLowerTiers, red on the commit before.

--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 #include "peer/generated/peer.capnp.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include <capnp/message.h>
@@ -46,6 +47,7 @@
         demand[i].setRank(load.demand[i].rank);
         demand[i].setWaiting(load.demand[i].waiting);
         demand[i].setRunning(load.demand[i].running);
+        demand[i].setLate(load.demand[i].late);
     }
     auto quotas = to.initQuotas(load.quotas.size());
     for (unsigned i = 0; i < load.quotas.size(); ++i) {
@@ -189,8 +191,8 @@
         load.loads.emplace_back(row.getUpstream(),
                                 UpstreamLoad{row.getInFlight(), row.getPrefillTokens()});
     for (const auto row : from.getDemand())
-        load.demand.push_back(
-            {stringOf(row.getService()), row.getRank(), row.getWaiting(), row.getRunning()});
+        load.demand.push_back({stringOf(row.getService()), row.getRank(), row.getWaiting(),
+                               row.getRunning(), std::min(row.getLate(), row.getWaiting())});
     for (const auto row : from.getQuotas())
         load.quotas.push_back({stringOf(row.getWorkspace()), row.getSent(), row.getPending()});
     for (const auto row : from.getCrashes())
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -142,6 +142,8 @@
     rank @1 :UInt16;
     waiting @2 :UInt32;
     running @3 :UInt32;
+    # The part of `waiting` that can no longer meet its objective.
+    late @4 :UInt32;
 }
 
 struct QuotaUse {
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -79,6 +79,7 @@
         RankDemand &sum = m_serviceQueues[row.service].peerDemand[row.rank];
         sum.waiting += row.waiting;
         sum.running += row.running;
+        sum.late += row.late;
     }
 }
 
@@ -220,8 +221,11 @@
     std::uint32_t waitingAbove = 0;
     std::uint32_t runningAbove = 0;
     for (const auto &[other, demand] : queue.peerDemand) {
-        waitingAbove += above(other) ? demand.waiting : 0;
-        runningAbove += above(other) ? demand.running : 0;
+        if (!above(other))
+            continue;
+        waitingAbove +=
+            tierOf(other) < tierOf(rank) ? demand.waiting : demand.waiting - demand.late;
+        runningAbove += demand.running;
     }
     for (const auto &[other, running] : queue.running)
         runningAbove += above(other) ? running : 0;
@@ -253,12 +257,15 @@
     std::vector<QueueDemand> rows;
     for (const auto &[service, queue] : m_serviceQueues) {
         std::map<QueueRank, QueueDemand> byRank;
-        for (const auto &[position, request] : queue.waiting)
-            byRank[position.rank].waiting += now <= request.objectiveAt ? 1 : 0;
+        for (const auto &[position, request] : queue.waiting) {
+            QueueDemand &row = byRank[position.rank];
+            ++row.waiting;
+            row.late += now > request.objectiveAt ? 1 : 0;
+        }
         for (const auto &[rank, count] : queue.running)
             byRank[rank].running = count;
         for (const auto &[rank, row] : byRank)
-            rows.push_back({service, rank, row.waiting, row.running});
+            rows.push_back({service, rank, row.waiting, row.running, row.late});
     }
     return rows;
 }
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -68,9 +68,10 @@
 {
     std::string service;
     QueueRank rank = 0;
-    /// Waiting requests that can still meet their objective.
     std::uint32_t waiting = 0;
     std::uint32_t running = 0;
+    /// The part of `waiting` that can no longer meet its objective.
+    std::uint32_t late = 0;
 
     bool operator==(const QueueDemand &) const = default;
 };
@@ -123,6 +124,7 @@
     {
         std::uint32_t waiting = 0;
         std::uint32_t running = 0;
+        std::uint32_t late = 0;
     };
     struct ServiceQueue
     {
@@ -173,7 +175,8 @@
     void refuseWhileClosed(const ServiceQueue &queue, TimePoint opensAt, TimePoint now,
                            QueueDecisions &decisions);
     /// Capacity that requests of the rank must leave free for higher ranks, and late requests also
-    /// for those of their rank that can still meet their objective.
+    /// for those of their rank. Late requests of the own tier at other entries do not count, so
+    /// that late requests cannot block each other.
     static int reserve(QueueRank rank, bool late, const ServiceQueue &queue);
     static Duration retryAfter(const QueuedRequest &request, TimePoint now);
 
