A long prompt starts on any engine rather than be refused

Cause: found on reading the change. A long prompt of a higher tier that waited for an engine that keeps its pace could be refused while lower tiers started on the free slots of a slow engine; and with one fast engine among slow ones, most long prompts would be. A retry waited for an engine it had tried. Change: a request that would be refused now may choose any engine; tried engines do not count. Tests: longPromptStartsOnAnyEngineRatherThanBeRefused, retriedLongPromptDoesNotWaitForAnEngineThatItHasTried, both need the change.

--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -96,14 +96,17 @@
         if (isNew)
             view = rankState(request->rank, queue, now);
         const int reserved = reserve(effectiveRank, late, queue);
+        const bool refusable = cannotStartInTime(*request, view, now);
+        const auto pacing =
+            refusable ? UpstreamChooser::Pacing::Ignore : UpstreamChooser::Pacing::Keep;
         UpstreamChoice choice;
         if (free > reserved)
-            choice = m_chooser.choose(*request, now);
+            choice = m_chooser.choose(*request, pacing, now);
         if (choice.upstream) {
             assign(*request, choice, now, decisions);
             decisions.assignments.back().promoted = promoted;
             --free;
-        } else if (cannotStartInTime(*request, view, now)) {
+        } else if (refusable) {
             decisions.refusals.push_back(refuse(*request, view, free, reserved, now));
             ++view.ahead;
         } else {
--- a/src/serving/UpstreamChooser.cpp
+++ b/src/serving/UpstreamChooser.cpp
@@ -48,17 +48,16 @@
         m_affinity.record(request.prefix, upstream.record.id);
 }
 
-UpstreamChoice UpstreamChooser::choose(const QueuedRequest &request, TimePoint now) const
+UpstreamChoice UpstreamChooser::choose(const QueuedRequest &request, Pacing pacing,
+                                       TimePoint now) const
 {
     const auto &upstreams = m_upstreams.ofService(request.service);
     const UpstreamKey home = homeOf(request.prefix, upstreams);
     const Speeds bySpeed = speeds(upstreams, now);
     UpstreamChoice best;
     best.costMs = std::numeric_limits<double>::max();
-    for (const UpstreamPtr &upstream : suitable(request, now)) {
-        const bool full =
-            static_cast<int>(upstream->inFlight()) >= UpstreamTable::limit(*upstream, now);
-        if (full || std::ranges::find(request.excluded, upstream->key) != request.excluded.end())
+    for (const UpstreamPtr &upstream : suitable(request, pacing, now)) {
+        if (static_cast<int>(upstream->inFlight()) >= UpstreamTable::limit(*upstream, now))
             continue;
         UpstreamChoice choice = evaluate(request, upstream, home, bySpeed, now);
         if (choice.costMs < best.costMs)
@@ -67,13 +66,16 @@
     return best;
 }
 
-std::vector<UpstreamPtr> UpstreamChooser::suitable(const QueuedRequest &request,
+std::vector<UpstreamPtr> UpstreamChooser::suitable(const QueuedRequest &request, Pacing pacing,
                                                    TimePoint now) const
 {
     std::vector<UpstreamPtr> open;
-    std::ranges::copy_if(
-        m_upstreams.ofService(request.service), std::back_inserter(open),
-        [now](const UpstreamPtr &each) { return UpstreamTable::limit(*each, now) > 0; });
+    std::ranges::copy_if(m_upstreams.ofService(request.service), std::back_inserter(open),
+                         [&](const UpstreamPtr &each) {
+                             return UpstreamTable::limit(*each, now) > 0
+                                    && std::ranges::find(request.excluded, each->key)
+                                           == request.excluded.end();
+                         });
     // Keeps only the upstreams that have the property, if there are any.
     const auto prefer = [&open](auto hasProperty) {
         if (std::ranges::any_of(open, hasProperty))
@@ -81,7 +83,8 @@
     };
     const Duration firstToken = m_upstreams.model(request.service).nominal(request.promptTokens);
     prefer([&](const UpstreamPtr &each) { return endsInTime(request, *each, firstToken, now); });
-    if (open.empty() || request.pauseObjective == Duration::zero())
+    const bool paced = pacing == Pacing::Keep && request.pauseObjective > Duration::zero();
+    if (open.empty() || !paced)
         return open;
     const double fastest = (*std::ranges::min_element(open, {}, &UpstreamState::factor))->factor;
     prefer([&](const UpstreamPtr &each) { return keepsPauses(request, *each, fastest); });
--- a/src/serving/UpstreamChooser.h
+++ b/src/serving/UpstreamChooser.h
@@ -33,13 +33,21 @@
 /// response before its deadline, the request waits for such an engine: a slow one would be occupied
 /// until the deadline and the response would still be lost. Likewise, a long prompt waits for an
 /// engine that can process it without delaying the events of its running streams beyond their
-/// objective.
+/// objective, until it would be refused otherwise.
 class UpstreamChooser
 {
 public:
     UpstreamChooser(const UpstreamTable &upstreams, std::string dataCentre);
 
-    UpstreamChoice choose(const QueuedRequest &request, TimePoint now) const;
+    /// Which upstreams a request may choose.
+    enum class Pacing : std::uint8_t {
+        /// Those at which running streams keep their pace, if there are any.
+        Keep,
+        /// Also those at which its prompt delays running streams.
+        Ignore,
+    };
+
+    UpstreamChoice choose(const QueuedRequest &request, Pacing pacing, TimePoint now) const;
 
     /// Records that the request has started at `upstream`, which will therefore cache its prompt.
     void recordStart(const QueuedRequest &request, const UpstreamState &upstream);
@@ -57,7 +65,8 @@
     UpstreamChoice evaluate(const QueuedRequest &request, const UpstreamPtr &upstream,
                             UpstreamKey home, const Speeds &speeds, TimePoint now) const;
     /// Upstreams among which the request may choose or for which it waits.
-    std::vector<UpstreamPtr> suitable(const QueuedRequest &request, TimePoint now) const;
+    std::vector<UpstreamPtr> suitable(const QueuedRequest &request, Pacing pacing,
+                                      TimePoint now) const;
     /// Whether the running streams of the upstream are expected to meet their objective for the
     /// interval between events while the prompt is processed.
     bool keepsPauses(const QueuedRequest &request, const UpstreamState &upstream,
--- a/tests/DispatchQueueTest.cpp
+++ b/tests/DispatchQueueTest.cpp
@@ -132,6 +132,37 @@
     BOOST_TEST(queue.decide(now).assignments.size() == 1U);
 }
 
+// Otherwise a higher tier would be refused while lower ones start on the slow engine.
+BOOST_AUTO_TEST_CASE(longPromptStartsOnAnyEngineRatherThanBeRefused)
+{
+    upstreams.assign({upstream("fast", 1), upstream("slow", 4)});
+    find("fast").factor = 0.6;
+    find("fast").own.inFlight = 1;
+    find("slow").factor = 3;
+    find("slow").own.inFlight = 1;
+    QueuedRequest longPrompt = request(1, 0, 6000);
+    longPrompt.pauseObjective = milliseconds(300);
+    queue.push(longPrompt);
+    BOOST_TEST(queue.decide(now).assignments.empty());
+    const auto decisions = queue.decide(longPrompt.refuseAt);
+    BOOST_TEST(decisions.refusals.empty());
+    BOOST_REQUIRE(decisions.assignments.size() == 1U);
+    BOOST_TEST(decisions.assignments[0].upstream->record.id == "slow");
+}
+
+BOOST_AUTO_TEST_CASE(retriedLongPromptDoesNotWaitForAnEngineThatItHasTried)
+{
+    upstreams.assign({upstream("fast", 4), upstream("slow", 4)});
+    find("fast").factor = 0.6;
+    find("slow").factor = 3;
+    find("slow").own.inFlight = 1;
+    QueuedRequest longPrompt = request(1, 0, 6000);
+    longPrompt.pauseObjective = milliseconds(300);
+    longPrompt.excluded = {find("fast").key};
+    queue.push(longPrompt);
+    BOOST_TEST(queue.decide(now).assignments.size() == 1U);
+}
+
 // A prompt that would delay the streams of every engine goes to one of the fastest.
 BOOST_AUTO_TEST_CASE(promptThatNoEngineCanProcessWithoutDelayStartsOnAFastOne)
 {
