--- a/src/serving/UpstreamChooser.cpp
+++ b/src/serving/UpstreamChooser.cpp
@@ -71,10 +71,9 @@
                                                    TimePoint now) const
 {
     std::vector<UpstreamPtr> open;
-    std::ranges::copy_if(m_upstreams.ofService(request.service), std::back_inserter(open),
-                         [now](const UpstreamPtr &each) {
-                             return UpstreamTable::limit(*each, now) > 0;
-                         });
+    std::ranges::copy_if(
+        m_upstreams.ofService(request.service), std::back_inserter(open),
+        [now](const UpstreamPtr &each) { return UpstreamTable::limit(*each, now) > 0; });
     // Keeps only the upstreams that have the property, if there are any.
     const auto prefer = [&open](auto hasProperty) {
         if (std::ranges::any_of(open, hasProperty))
--- a/tests/QueueSimulationTest.cpp
+++ b/tests/QueueSimulationTest.cpp
@@ -45,6 +45,27 @@
             {"tagging", queueRank(0, 2), 24.7 * load, 1800, 4.5, milliseconds(400), seconds(3)}};
 }
 
+/// The recital office's fleet: three of nine engines need 4.4 times as long as the others.
+QueueSimulationOptions unlikeEngines()
+{
+    QueueSimulationOptions options;
+    options.entries = 3;
+    options.upstreams = 9;
+    options.slots = 12;
+    options.slowUpstreams = 3;
+    options.slowFactor = 4.4;
+    options.reportInterval = milliseconds(10);
+    return options;
+}
+
+std::vector<LoadKind> pacedRecitalKinds(double load)
+{
+    auto kinds = recitalKinds(load);
+    for (LoadKind &kind : kinds)
+        kind.pauseObjective = milliseconds(300);
+    return kinds;
+}
+
 /// Served share of a kind's requests over both tiers.
 double servedShareOfKind(const QueueSimulation &load, std::size_t kind)
 {
@@ -117,4 +138,35 @@
     }
 }
 
+// Regression (organy-hq, scale-1): a quarter of the long prompts went to engines where they delayed
+// all running streams beyond their objective.
+BOOST_AUTO_TEST_CASE(mostUrgentKindIsOnTimeAmongUnlikeEngines)
+{
+    constexpr double onTimeTarget = 0.95;
+    for (const double load : {0.7, 1.0, 1.5}) {
+        const auto kinds = pacedRecitalKinds(load);
+        QueueSimulation simulation(unlikeEngines(), kinds);
+        simulation.run(seconds(24));
+        BOOST_TEST_MESSAGE("load " << load << ": " << describe(simulation, kinds));
+        BOOST_TEST(simulation.count(0).onTimeShare() >= onTimeTarget,
+                   "at load " << load << ": " << describe(simulation, kinds));
+    }
+}
+
+// Regression (organy-hq, scale-1, 16.5 to 20 s): after a burst, returning clients took the slots of
+// first attempts that could have been on time.
+BOOST_AUTO_TEST_CASE(underOverloadMostOfWhatIsServedIsOnTime)
+{
+    constexpr double onTimeTarget = 0.8;
+    for (const double load : {1.5, 2.0}) {
+        const auto kinds = pacedRecitalKinds(load);
+        QueueSimulation simulation(unlikeEngines(), kinds);
+        simulation.run(seconds(24));
+        const RequestCounts total = simulation.total();
+        BOOST_TEST_MESSAGE("load " << load << ": " << describe(simulation, kinds));
+        BOOST_TEST(total.onTime >= onTimeTarget * total.served,
+                   "at load " << load << ": " << describe(simulation, kinds));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/UpstreamTableTest.cpp
+++ b/tests/UpstreamTableTest.cpp
@@ -31,6 +31,30 @@
 
 BOOST_AUTO_TEST_SUITE(UpstreamTableSuite)
 
+// Regression (fleetbench organy-hq, scale-1): engines that took 100 ms per event instead of 22 were
+// hardly recognised, as their times to the first token for short prompts were similar.
+BOOST_AUTO_TEST_CASE(speedOfAnEngineFollowsThePaceOfItsStreams)
+{
+    UpstreamTable table;
+    table.assign({record("fast"), record("slow")});
+    UpstreamState &fast = *table.ofService("models").front();
+    UpstreamState &slow = *table.ofService("models").back();
+    for (int i = 0; i < 100; ++i) {
+        table.recordFirstToken(fast, 500, milliseconds(50));
+        table.recordFirstToken(slow, 500, milliseconds(60));
+    }
+    BOOST_TEST(slow.factor < 1.5 * fast.factor);
+    for (int i = 0; i < 50; ++i) {
+        table.recordEvents(fast, 8, milliseconds(8 * 22));
+        table.recordEvents(slow, 8, milliseconds(8 * 100));
+        table.recordFirstToken(slow, 500, milliseconds(60));
+    }
+    BOOST_TEST(slow.factor > 3 * fast.factor);
+    const double factor = slow.factor;
+    table.recordEvents(slow, EngineTimeModel::minPaceEvents - 1, milliseconds(1));
+    BOOST_TEST(slow.factor == factor);
+}
+
 // The store entry of a leaving upstream expires during a store outage and is listed again.
 BOOST_AUTO_TEST_CASE(leavingUpstreamStaysExcludedWhenListedAgain)
 {
