--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -277,6 +277,7 @@
         const UpstreamRecord &record = change.record;
         logEvent(LogLevel::Info, "upstream_changed",
                  {{"upstream", record.id},
+                  {"born", record.born},
                   {"source", source},
                   {"position", position},
                   {"listed", !change.removed},
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -305,6 +305,8 @@
         pool.drop(upstream.key);
         logEvent(LogLevel::Info, "upstream_leaving",
                  {{"upstream", upstream.record.id},
+                  {"born", upstream.record.born},
+                  {"listed", !upstream.gone},
                   {"source", source},
                   {"in_flight", upstream.inFlight()}});
     }
