Red test: a leaving upstream gets requests once its restart is listed

The upstream restarts under its id and states that it is leaving. The store lists the new incarnation 3 s later.

The upstream stand-in gets a health check, as the platform's upstreams have.

--- a/tests/UpstreamStatementsTest.cpp
+++ b/tests/UpstreamStatementsTest.cpp
@@ -68,6 +68,27 @@
     BOOST_TEST(served() - servedBefore >= 0.9 * (sent() - sentBefore));
 }
 
+// Guards against incident DRAIN: an upstream restarts under its id, states that it is leaving, and
+// the store lists its new incarnation only afterwards.
+BOOST_AUTO_TEST_CASE(leavingUpstreamReceivesNoRequestsWhenItsRestartIsListedLate)
+{
+    constexpr seconds drainBound{2};
+    constexpr std::uint64_t secondIncarnation = 100;
+    std::this_thread::sleep_for(seconds(1));
+    upstream(0).leaving = true;
+    const TimePoint statedAt = steadyNow();
+    std::this_thread::sleep_for(drainBound + seconds(1));
+    listIncarnation(0, secondIncarnation);
+    std::this_thread::sleep_for(seconds(2));
+    BOOST_TEST(arrivalsFrom(arrivals(0), statedAt + drainBound) == 0);
+    // A third incarnation is not leaving and serves again.
+    upstream(0).leaving = false;
+    const TimePoint restartedAt = steadyNow();
+    listIncarnation(0, secondIncarnation + 1);
+    std::this_thread::sleep_for(seconds(3));
+    BOOST_TEST(arrivalsFrom(arrivals(0), restartedAt) > 0);
+}
+
 // Guards against retrying at once at an upstream that refused requests for a stated time.
 BOOST_AUTO_TEST_CASE(closedUpstreamIsNotRetriedBeforeItReopens)
 {
--- a/tests/support/LoadedFleet.cpp
+++ b/tests/support/LoadedFleet.cpp
@@ -33,7 +33,8 @@
                              {"maxAttempts", 2},       {"public", true}};
     return {{"version", 1},
             {"routes", json::array{route}},
-            {"services", json::array{json::object{{"name", "models"}}}}};
+            {"services", json::array{json::object{{"name", "models"},
+                                                  {"healthCheck", UpstreamServer::healthPath}}}}};
 }
 
 std::string upstreamName(std::size_t number)
@@ -41,11 +42,11 @@
     return "up-" + std::to_string(number);
 }
 
-json::object upstreamEntry(std::size_t number, unsigned short port)
+json::object upstreamEntry(unsigned short port, std::uint64_t born)
 {
     return {{"service", "models"}, {"address", "127.0.0.1:" + std::to_string(port)},
             {"zone", "dc"},        {"slots", 4},
-            {"state", "ready"},    {"born", number + 1}};
+            {"state", "ready"},    {"born", born}};
 }
 
 } // namespace
@@ -65,7 +66,7 @@
             m_upstreams.at(i).arrivals.push_back(steadyNow());
         };
         m_store.with([&](PlatformStore &store) {
-            store.create("servers", upstreamName(i), upstreamEntry(i, upstream.server->port()));
+            store.create("servers", upstreamName(i), upstreamEntry(upstream.server->port(), i + 1));
         });
     }
     m_serverThread = std::jthread([this] { m_serverContext.run(); });
@@ -107,6 +108,14 @@
     m_served += responseStatus(answer) == okStatus ? 1 : 0;
 }
 
+void LoadedFleet::listIncarnation(std::size_t upstream, std::uint64_t born)
+{
+    const unsigned short port = m_upstreams.at(upstream).server->port();
+    m_store.with([&](PlatformStore &store) {
+        store.replace("servers", upstreamName(upstream), upstreamEntry(port, born), 0);
+    });
+}
+
 std::vector<TimePoint> LoadedFleet::arrivals(std::size_t upstream) const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/support/LoadedFleet.h
+++ b/tests/support/LoadedFleet.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -28,6 +29,8 @@
     standin::UpstreamServer &upstream(std::size_t number) { return *m_upstreams.at(number).server; }
     /// Arrival times of the requests that the upstream ran, in order.
     std::vector<TimePoint> arrivals(std::size_t upstream) const;
+    /// Replaces the upstream's store object by that of another incarnation at the same address.
+    void listIncarnation(std::size_t upstream, std::uint64_t born);
     int sent() const { return m_sent; }
     /// Number of requests that succeeded.
     int served() const { return m_served; }
--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -41,6 +41,10 @@
 asio::awaitable<void> UpstreamServer::serve(HttpExchange &exchange)
 {
     const HttpRequest &request = exchange.request();
+    if (request.path() == healthPath) {
+        co_await respondHealth(exchange);
+        co_return;
+    }
     {
         const std::lock_guard lock(m_mutex);
         m_receivedRequests.push_back(request);
@@ -96,6 +100,14 @@
     co_await exchange.respond(std::move(response));
 }
 
+asio::awaitable<void> UpstreamServer::respondHealth(HttpExchange &exchange)
+{
+    HttpResponse response{leaving ? 503 : 200, {{"Replica-Id", m_id}}, ""};
+    if (leaving)
+        response.headers.emplace_back("Server-Leaving", "1");
+    co_await exchange.respond(std::move(response));
+}
+
 asio::awaitable<void> UpstreamServer::stream(HttpExchange &exchange, HttpHeaders headers)
 {
     const auto after = findHeader(exchange.request().headers, "Last-Event-Id");
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tamarack::standin {
@@ -60,8 +61,12 @@
 
     static constexpr int streamEvents = 5;
 
+    /// Path of the health check, which is neither counted as received nor run.
+    static constexpr std::string_view healthPath = "/healthz";
+
 private:
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
+    boost::asio::awaitable<void> respondHealth(HttpExchange &exchange);
     boost::asio::awaitable<void> stream(HttpExchange &exchange, HttpHeaders headers);
 
     std::string m_id;
