Soak: a leaving upstream is listed as a new incarnation while it leaves

Every second statement of leaving now meets a store that lists the restart late. The soak's services have a health check path.

--- a/tools/soak/SoakRun.cpp
+++ b/tools/soak/SoakRun.cpp
@@ -283,7 +283,9 @@
                 {"routes", json::array{routeEntry("read", "idempotent", 2),
                                        routeEntry("book", "non_idempotent", 1),
                                        routeEntry("stream", "streaming", 2)}},
-                {"services", json::array{json::object{{"name", "models"}}}},
+                {"services",
+                 json::array{json::object{{"name", "models"},
+                                          {"healthCheck", standin::UpstreamServer::healthPath}}}},
                 {"tenants", json::array{json::object{{"name", "w1"}, {"apiKeys", keys}}}}};
     }
 
@@ -542,13 +544,23 @@
         m_promises.statements().saysThatItLeaves(upstream.index, steadyNow());
         upstream.server.leaving = true;
         co_await pause(leavingBeforeRemoval + fault.lasts);
+        // The store lists the incarnation that is leaving only now.
+        if (fault.variant % 2 == 1) {
+            listNextIncarnation(upstream);
+            co_await pause(fault.lasts);
+        }
         upstream.server.leaving = false;
         m_promises.statements().isReplaced(upstream.index);
+        listNextIncarnation(upstream);
+        upstream.leaving = false;
+    }
+
+    void listNextIncarnation(Upstream &upstream)
+    {
         upstream.born += m_upstreams.size();
         m_store.with([&upstream](standin::PlatformStore &store) {
             store.replace("servers", upstream.name(), upstream.record("ready"), 0);
         });
-        upstream.leaving = false;
     }
 
     void changeKey()
