--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -308,6 +308,7 @@
               {"upstream", upstream.record.id},
               {"end", endName(end)},
               {"status", m_attempt->response().status},
+              {"parts", platform::promptPartText(m_facts.promptParts)},
               {"reused", m_attempt->reusedConnection()},
               {"in_flight", upstream.inFlight()},
               {"failures_in_row", upstream.failuresInRow},
