--- a/tools/model/LinkRelay.cpp
+++ b/tools/model/LinkRelay.cpp
@@ -57,6 +57,7 @@
 LinkRelay::LinkRelay(asio::io_context &context, const tcp::endpoint &listen, tcp::endpoint target)
     : m_context(context)
     , m_acceptor(context, listen)
+    , m_address(m_acceptor.local_endpoint())
     , m_target(std::move(target))
 {
     asio::co_spawn(
@@ -67,7 +68,7 @@
 
 unsigned short LinkRelay::port() const
 {
-    return m_acceptor.local_endpoint().port();
+    return m_address.port();
 }
 
 void LinkRelay::setFault(LinkFault fault)
@@ -77,6 +78,20 @@
         cut();
 }
 
+void LinkRelay::setListening(bool listening)
+{
+    if (listening == m_acceptor.is_open())
+        return;
+    if (!listening) {
+        m_acceptor.close();
+        cut();
+        return;
+    }
+    m_acceptor = tcp::acceptor(m_context, m_address);
+    asio::co_spawn(
+        m_context, [this] { return acceptLoop(); }, asio::detached);
+}
+
 void LinkRelay::cut()
 {
     for (const ConnectionPtr &connection : std::exchange(m_connections, {}))
--- a/tools/model/LinkRelay.h
+++ b/tools/model/LinkRelay.h
@@ -39,6 +39,9 @@
     unsigned short port() const;
     /// Holds for open and for new connections.
     void setFault(LinkFault fault);
+    /// Resets the open connections and closes the listener, as when the target's process ends, or
+    /// opens the listener again.
+    void setListening(bool listening);
     /// Resets the open connections.
     void cut();
     /// The open connections swallow bytes from now on and stay open.
@@ -55,6 +58,7 @@
 
     boost::asio::io_context &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_address;
     boost::asio::ip::tcp::endpoint m_target;
     std::set<ConnectionPtr> m_connections;
     LinkFault m_fault = LinkFault::None;
