Quarantine prompt parts that crash upstreams

Cause: crashes were attributed to the whole content of a request, of which no two were alike; and only if the same entry happened to be refused a connection by that upstream within a second.

Change: PartQuarantine holds a part to blame for three crashes, at different times, after which no request with it was answered at any entry. The most specific part that explains the crashes is taken, so the first part, the key and the route of the crashing requests stay in use. Entries exchange crashes and responses with their ages. Quarantined requests are refused at admission and again right before the send. A wrong quarantine ends by a response, by a trial request at one entry, or after 120 s. A broken attempt is now followed by one connection check, so that every crash is seen.

--- a/src/direct/HealthChecker.cpp
+++ b/src/direct/HealthChecker.cpp
@@ -4,6 +4,7 @@
 #include "base/Log.h"
 #include "direct/UpstreamConnection.h"
 #include "platform/HeaderCodec.h"
+#include "process/Timers.h"
 
 namespace tamarack {
 
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr milliseconds responseTimeout{400};
+/// From a broken attempt to the check: attempts that break with it are recorded by then.
+constexpr milliseconds connectDelay{40};
 constexpr int servingStatus = 200;
 
 } // namespace
@@ -22,7 +25,7 @@
 {}
 
 void HealthChecker::check(const UpstreamPtr &upstream, const ServingConfig &config, TimePoint now,
-                          const ServingCallback &onServing)
+                          const StateCallback &onServing)
 {
     const Service *service = config.service(upstream->record.service);
     if (!service || service->healthCheckPath.empty()) {
@@ -35,8 +38,26 @@
     asio::co_spawn(m_executor, run(upstream, service->healthCheckPath, onServing), asio::detached);
 }
 
+void HealthChecker::checkConnection(const UpstreamPtr &upstream, const StateCallback &onUnreachable)
+{
+    asio::co_spawn(m_executor, connect(upstream, onUnreachable), asio::detached);
+}
+
+asio::awaitable<void> HealthChecker::connect(UpstreamPtr upstream, StateCallback onUnreachable)
+{
+    co_await pause(connectDelay);
+    const auto made =
+        co_await UpstreamConnection::makeConnection(m_executor, upstream->record.endpoint);
+    m_metrics.add("tamarack_connection_checks_total",
+                  made ? "outcome=\"accepted\"" : "outcome=\"refused\"");
+    if (made)
+        (*made)->close();
+    else
+        onUnreachable(*upstream);
+}
+
 asio::awaitable<void> HealthChecker::run(UpstreamPtr upstream, std::string path,
-                                         ServingCallback onServing)
+                                         StateCallback onServing)
 {
     const bool serving = co_await isServing(upstream, std::move(path));
     m_metrics.add("tamarack_health_checks_total",
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -194,7 +194,8 @@
         stop(StopReason::ClientGone);
     const bool proved = m_admitted.workspace.empty() || m_state.freshness.isFresh(bootNow());
     const bool endsInTime = !m_assignment || timeLeft() > minAttemptTime;
-    if (m_assignment && m_stopReason == StopReason::None && proved && endsInTime)
+    const bool quarantined = isQuarantined();
+    if (m_assignment && m_stopReason == StopReason::None && proved && endsInTime && !quarantined)
         co_return true;
     if (m_assignment)
         releaseUpstream();
@@ -203,12 +204,25 @@
     const Duration retryAfter = wait->refusal ? wait->refusal->retryAfter : unprovedRetryAfter;
     if (!proved)
         co_await respondUnassigned(ErrorKind::ConfigUnproved, retryAfter);
+    else if (quarantined)
+        co_await respondUnassigned(ErrorKind::SuspectHeld, quarantineRetryAfter);
     else
         co_await respondUnassigned(endsInTime ? ErrorKind::Overloaded : ErrorKind::DeadlineUnmet,
                                    retryAfter);
     co_return false;
 }
 
+bool RequestFlow::isQuarantined() const
+{
+    // The trial of a quarantined part is sent once.
+    if (m_admitted.isTrial && m_sends == 0)
+        return false;
+    return m_state.partQuarantine.isQuarantined(m_facts.promptParts)
+           || (m_state.crashes.quarantinesAny()
+               && m_state.crashes.isQuarantined(requestFingerprint(m_admitted.workspace, parts()),
+                                                steadyNow()));
+}
+
 void RequestFlow::logRefusal(const QueueRefusal &refusal) const
 {
     const RefusalDetails &facts = refusal.details;
@@ -254,7 +268,8 @@
     m_tried.push_back(m_assignment->upstream->key);
     m_attempt.emplace(m_state, *m_assignment, m_relay,
                       AttemptRequest{m_exchange.request(), m_facts, m_admitted.workspace,
-                                     m_deadlineAt, isStream(), m_sends == 0});
+                                     m_deadlineAt, isStream(), m_sends == 0,
+                                     m_admitted.isTrial && m_sends == 0});
     const AttemptEnd end = co_await m_attempt->run();
     m_sends += m_attempt->sent() ? 1 : 0;
     if (!m_firstToken && m_attempt->firstTokenAt())
@@ -294,13 +309,17 @@
     if (sign != HealthSignal::Good && sign != HealthSignal::Full) {
         m_state.pool.drop(upstream.key);
         if (end == AttemptEnd::Broken)
-            m_state.recordBrokenAttempt(upstream, requestFingerprint(m_admitted.workspace, parts()),
-                                        now);
+            m_state.recordBrokenAttempt(m_assignment->upstream,
+                                        requestFingerprint(m_admitted.workspace, parts()),
+                                        m_facts.promptParts, now);
         if (end == AttemptEnd::NotSent)
             m_state.upstreamUnreachable(upstream, now);
     }
-    if (end == AttemptEnd::Whole)
+    if (end == AttemptEnd::Whole) {
+        if (m_attempt->response().status == okStatus)
+            m_state.recordAnswer(m_facts.promptParts, now);
         return;
+    }
     m_state.metrics.add("tamarack_attempts_failed_total",
                         fmt::format("reason=\"{}\"", endName(end)));
     logEvent(LogLevel::Info, "attempt_failed",
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -43,6 +43,8 @@
     /// Queues the request until an upstream is assigned. Returns false when none was assigned; the
     /// request has then ended, if possible with an error response.
     boost::asio::awaitable<bool> waitForUpstream();
+    /// Whether the request must not be sent, because it may crash upstreams.
+    bool isQuarantined() const;
     void releaseUpstream();
     void logRefusal(const QueueRefusal &refusal) const;
     /// Responds to a request that left the queue without an upstream.
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -43,7 +43,7 @@
     , queue(upstreams, settings.dataCentre)
     , quotas(settings.direct.quotaWindow)
     , retries(settings.direct.retries)
-    , admission(freshness, crashes, quotas)
+    , admission(freshness, crashes, partQuarantine, quotas)
     , peers(settings.name)
     , proofs(incarnation)
     , healthChecker(executor, metrics)
@@ -89,6 +89,8 @@
     quotas.applyReport(load.incarnation, load.quotas, now);
     for (const ReportedCrash &told : load.crashes)
         crashes.merge(told, now);
+    partQuarantine.merge(load.partCrashes, load.partAnswers, load.incarnation, now);
+    logPartQuarantines();
     if (std::exchange(m_peersChanged, true))
         return;
     m_peerTimer.expires_after(peerRefresh);
@@ -349,29 +351,82 @@
     upstreams.shareLimits({settings.name, serving, peers.reachableShare(now)});
 }
 
-void TrafficState::recordBrokenAttempt(const UpstreamState &upstream,
-                                       RequestFingerprint fingerprint, TimePoint now)
+void TrafficState::recordBrokenAttempt(const UpstreamPtr &upstream, RequestFingerprint fingerprint,
+                                       std::span<const PromptPart> prompt, TimePoint now)
 {
-    auto &[firstAt, fingerprints] = m_brokenAttempts[upstream.key];
-    if (now - firstAt > breakWindow) {
-        firstAt = now;
-        fingerprints.clear();
+    BrokenAttempts &broken = m_brokenAttempts[upstream->key];
+    if (now - broken.firstAt > breakWindow) {
+        broken = {now, {}, {}};
+        healthChecker.checkConnection(upstream, [this](UpstreamState &refusing) {
+            upstreamUnreachable(refusing, steadyNow());
+        });
     }
-    fingerprints.push_back(fingerprint);
+    broken.fingerprints.push_back(fingerprint);
+    std::uint16_t position = 0;
+    for (const PromptPart &part : PartQuarantine::sharedParts(prompt))
+        broken.parts.push_back({part.id, upstream->key, position++});
+}
+
+void TrafficState::recordAnswer(std::span<const PromptPart> prompt, TimePoint now)
+{
+    partQuarantine.addAnswer(prompt, now);
+    logPartQuarantines();
 }
 
 void TrafficState::upstreamUnreachable(const UpstreamState &upstream, TimePoint now)
 {
-    const auto broken = m_brokenAttempts.find(upstream.key);
-    if (broken == m_brokenAttempts.end() || now - broken->second.first > breakWindow)
+    const auto found = m_brokenAttempts.find(upstream.key);
+    if (found == m_brokenAttempts.end() || now - found->second.firstAt > breakWindow)
         return;
-    for (const RequestFingerprint suspect : broken->second.second) {
+    const BrokenAttempts broken = std::move(found->second);
+    m_brokenAttempts.erase(found);
+    metrics.add("tamarack_upstream_crashes_total", "");
+    logEvent(LogLevel::Warning, "upstream_crashed",
+             {{"upstream", upstream.record.id},
+              {"born", upstream.record.born},
+              {"broken_attempts", broken.fingerprints.size()},
+              {"parts", broken.parts.size()}});
+    for (const RequestFingerprint suspect : broken.fingerprints) {
         if (!crashes.add({suspect, upstream.key}, now))
             continue;
         logEvent(LogLevel::Warning, "crash_suspect",
                  {{"fingerprint", hex64(suspect)}, {"upstream", upstream.record.id}});
     }
-    m_brokenAttempts.erase(broken);
+    if (broken.parts.empty())
+        return;
+    partQuarantine.addCrash(broken.parts, broken.firstAt);
+    ++m_statements;
+    logPartQuarantines();
+    pump();
+}
+
+bool TrafficState::ownsTrials(PromptPartId part, TimePoint now) const
+{
+    const std::uint64_t own = mixBits(part, fnv1a(settings.name));
+    return std::ranges::all_of(peers.reachableNames(now), [&](const std::string &name) {
+        return mixBits(part, fnv1a(name)) < own;
+    });
+}
+
+void TrafficState::logPartQuarantines()
+{
+    const std::vector<PartQuarantine::Quarantine> quarantines = partQuarantine.quarantines();
+    std::set<PromptPartId> current;
+    for (const PartQuarantine::Quarantine &each : quarantines) {
+        current.insert(each.part);
+        if (m_loggedQuarantines.contains(each.part))
+            continue;
+        metrics.add("tamarack_part_quarantines_total", "");
+        logEvent(LogLevel::Warning, "part_quarantined",
+                 {{"part", hex64(each.part)},
+                  {"crashes", each.crashes},
+                  {"last_answer_ms", each.answeredAt ? toMs(steadyNow() - *each.answeredAt) : -1}});
+    }
+    for (const PromptPartId part : m_loggedQuarantines)
+        if (!current.contains(part))
+            logEvent(LogLevel::Info, "part_released", {{"part", hex64(part)}});
+    metrics.set("tamarack_parts_quarantined", "", current.size());
+    m_loggedQuarantines = std::move(current);
 }
 
 TrafficState::UpdateVersions TrafficState::updateVersions() const
@@ -391,6 +446,8 @@
     load.demand = queue.demand(steadyNow());
     load.quotas = quotas.uses();
     load.crashes = crashes.rows(maxReportedCrashes, steadyNow());
+    load.partCrashes = partQuarantine.crashes(steadyNow());
+    load.partAnswers = partQuarantine.answers(steadyNow());
     load.terms = upstreams.termsReports(steadyNow());
     load.leaving = draining;
     return load;
@@ -414,12 +471,15 @@
     metrics.set("tamarack_upstreams_leaving", "", upstreams.leaving());
     metrics.set("tamarack_upstreams_closed", "", upstreams.closed(now));
     crashes.removeExpired(now);
+    partQuarantine.removeExpired(now);
+    partQuarantine.setTrialOwner([&](PromptPartId part) { return ownsTrials(part, now); });
+    logPartQuarantines();
     upstreams.removeGone(now);
     checkUnconfirmed(now);
     updateFollowers(now);
     pool.dropExpired(now);
     std::erase_if(m_brokenAttempts,
-                  [now](const auto &item) { return now - item.second.first > breakWindow; });
+                  [now](const auto &item) { return now - item.second.firstAt > breakWindow; });
     pump();
 }
 
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -11,6 +11,7 @@
 #include "serving/DispatchQueue.h"
 #include "serving/EntryLoad.h"
 #include "serving/FreshnessGuard.h"
+#include "serving/PartQuarantine.h"
 #include "serving/PeerRegistry.h"
 #include "serving/QuotaLedger.h"
 #include "serving/ReadLag.h"
@@ -25,6 +26,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -77,9 +80,12 @@
     /// Applies the statement about itself that an upstream made in a response.
     void applyStatement(UpstreamState &upstream, const UpstreamStatement &statement,
                         TimePoint sentAt);
-    /// Records that an attempt broke off before its response was complete.
-    void recordBrokenAttempt(const UpstreamState &upstream, RequestFingerprint fingerprint,
-                             TimePoint now);
+    /// Records that an attempt broke off before its response was complete, and checks whether the
+    /// upstream still accepts connections.
+    void recordBrokenAttempt(const UpstreamPtr &upstream, RequestFingerprint fingerprint,
+                             std::span<const PromptPart> prompt, TimePoint now);
+    /// Records a complete, successful response to a request with this prompt.
+    void recordAnswer(std::span<const PromptPart> prompt, TimePoint now);
     /// Records that no connection to the upstream could be made. Attempts that broke off shortly
     /// before are attributed to a crash of the upstream.
     void upstreamUnreachable(const UpstreamState &upstream, TimePoint now);
@@ -133,6 +139,7 @@
     QuotaLedger quotas;
     RetryBudget retries;
     CrashLedger crashes;
+    PartQuarantine partQuarantine;
     Admission admission;
     PeerRegistry peers;
     ProofRelay proofs;
@@ -143,6 +150,10 @@
     bool draining = false;
 
 private:
+    /// Whether this entry decides on the trials of a quarantined part.
+    bool ownsTrials(PromptPartId part, TimePoint now) const;
+    /// Logs and counts changes to the quarantined prompt parts.
+    void logPartQuarantines();
     /// Checks upstreams that count as leaving because of another incarnation's statement.
     void checkUnconfirmed(TimePoint now);
     /// Applies the peer reports received since the last call.
@@ -161,8 +172,16 @@
                          std::string_view source);
 
     std::unordered_map<Ticket, std::shared_ptr<QueueWait>> m_waits;
-    std::unordered_map<UpstreamKey, std::pair<TimePoint, std::vector<RequestFingerprint>>>
-        m_brokenAttempts;
+    /// The attempts of the last moments that an upstream broke off.
+    struct BrokenAttempts
+    {
+        TimePoint firstAt{};
+        std::vector<RequestFingerprint> fingerprints;
+        std::vector<PartCrash> parts;
+    };
+
+    std::unordered_map<UpstreamKey, BrokenAttempts> m_brokenAttempts;
+    std::set<PromptPartId> m_loggedQuarantines;
     boost::asio::steady_timer m_refusalTimer;
     boost::asio::steady_timer m_peerTimer;
     TimePoint m_startedAt;
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -59,7 +59,9 @@
 asio::awaitable<AttemptEnd> UpstreamAttempt::sendAndRead()
 {
     m_connection = co_await connect();
-    m_withheld = m_connection && !m_assignment.upstream->terms.isOpen(steadyNow());
+    const bool quarantined =
+        !m_request.isTrial && m_state.partQuarantine.isQuarantined(m_request.facts.promptParts);
+    m_withheld = m_connection && (quarantined || !m_assignment.upstream->terms.isOpen(steadyNow()));
     if (!m_connection || m_cancelled || m_withheld)
         co_return AttemptEnd::NotSent;
     m_sentAt = steadyNow();
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -23,6 +23,8 @@
     bool streams = false;
     /// No earlier attempt has sent this request.
     bool first = true;
+    /// It may be sent although its prompt has a quarantined part.
+    bool isTrial = false;
 };
 
 /// One attempt to serve a request at the upstream that the queue assigned: connects, sends the
@@ -42,7 +44,8 @@
 
     /// The request was passed to a connection for sending.
     bool sent() const { return m_sent; }
-    /// Not sent, because the upstream reported after the assignment that it accepts no requests.
+    /// Not sent, because the upstream reported after the assignment that it accepts no requests, or
+    /// the prompt has a part that was quarantined since.
     bool withheld() const { return m_withheld; }
     bool reusedConnection() const { return m_reusedConnection; }
     bool clientGone() const { return m_clientGone; }
--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -61,6 +61,20 @@
         crashes[i].setUpstream(load.crashes[i].row.upstream);
         crashes[i].setAgeMs(static_cast<std::uint32_t>(load.crashes[i].age.count()));
     }
+    auto partCrashes = to.initPartCrashes(load.partCrashes.size());
+    for (unsigned i = 0; i < load.partCrashes.size(); ++i) {
+        const ReportedPartCrash &row = load.partCrashes[i];
+        partCrashes[i].setPart(row.crash.part);
+        partCrashes[i].setUpstream(row.crash.upstream);
+        partCrashes[i].setPosition(row.crash.position);
+        partCrashes[i].setAgeMs(static_cast<std::uint32_t>(row.age.count()));
+    }
+    auto partAnswers = to.initPartAnswers(load.partAnswers.size());
+    for (unsigned i = 0; i < load.partAnswers.size(); ++i) {
+        partAnswers[i].setPart(load.partAnswers[i].part);
+        partAnswers[i].setAgeMs(static_cast<std::uint32_t>(load.partAnswers[i].age.count()));
+        partAnswers[i].setCount(load.partAnswers[i].count);
+    }
     auto terms = to.initTerms(load.terms.size());
     for (unsigned i = 0; i < load.terms.size(); ++i) {
         const TermsReport &told = load.terms[i];
@@ -198,6 +212,11 @@
     for (const auto row : from.getCrashes())
         load.crashes.push_back(
             {{row.getFingerprint(), row.getUpstream()}, milliseconds(row.getAgeMs())});
+    for (const auto row : from.getPartCrashes())
+        load.partCrashes.push_back(
+            {{row.getPart(), row.getUpstream(), row.getPosition()}, milliseconds(row.getAgeMs())});
+    for (const auto row : from.getPartAnswers())
+        load.partAnswers.push_back({row.getPart(), milliseconds(row.getAgeMs()), row.getCount()});
     for (const auto row : from.getTerms())
         if (const auto told = read(row))
             load.terms.push_back(*told);
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -169,6 +169,19 @@
     leaving @7 :Bool;
 }
 
+struct PartCrash {
+    part @0 :UInt64;
+    upstream @1 :UInt64;
+    ageMs @2 :UInt32;
+    position @3 :UInt16;
+}
+
+struct PartAnswer {
+    part @0 :UInt64;
+    ageMs @1 :UInt32;
+    count @2 :UInt32;
+}
+
 struct EntryLoad {
     name @0 :Text;
     incarnation @1 :UInt64;
@@ -182,6 +195,8 @@
     dataCentre @9 :Text;
     upstreamRevision @10 :UInt64;
     terms @11 :List(UpstreamTerms);
+    partCrashes @12 :List(PartCrash);
+    partAnswers @13 :List(PartAnswer);
 }
 
 struct UpstreamChange {
--- a/src/serving/Admission.cpp
+++ b/src/serving/Admission.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds quarantineRetryAfter{5};
 constexpr milliseconds minQuotaRetryAfter{200};
 
 std::string_view hostWithoutPort(std::string_view host)
@@ -24,9 +23,10 @@
 }
 
 Admission::Admission(const FreshnessGuard &freshness, const CrashLedger &crashes,
-                     QuotaLedger &quotas)
+                     PartQuarantine &parts, QuotaLedger &quotas)
     : m_freshness(freshness)
     , m_crashes(crashes)
+    , m_partQuarantine(parts)
     , m_quotas(quotas)
 {}
 
@@ -40,10 +40,23 @@
         return denial;
     if (auto denial = checkKey(*config, facts, admitted, bootTime))
         return denial;
+    if (auto denial = checkQuarantine(facts, parts, admitted, now))
+        return denial;
+    return chargeQuota(admitted, now);
+}
+
+std::optional<Denial> Admission::checkQuarantine(const RequestFacts &facts,
+                                                 const RequestParts &parts,
+                                                 AdmittedRequest &admitted, TimePoint now) const
+{
+    const Denial denial{ErrorKind::SuspectHeld, quarantineRetryAfter};
     if (m_crashes.quarantinesAny()
         && m_crashes.isQuarantined(requestFingerprint(admitted.workspace, parts), now))
-        return Denial{ErrorKind::SuspectHeld, quarantineRetryAfter};
-    return chargeQuota(admitted, now);
+        return denial;
+    if (!m_partQuarantine.isQuarantined(facts.promptParts))
+        return std::nullopt;
+    admitted.isTrial = m_partQuarantine.tryTrial(facts.promptParts, now);
+    return admitted.isTrial ? std::nullopt : std::optional(denial);
 }
 
 std::optional<Denial> Admission::findRoute(const ServingConfig &config, const RequestFacts &facts,
--- a/src/serving/Admission.h
+++ b/src/serving/Admission.h
@@ -2,6 +2,7 @@
 
 #include "serving/CrashLedger.h"
 #include "serving/FreshnessGuard.h"
+#include "serving/PartQuarantine.h"
 #include "serving/QuotaLedger.h"
 #include "serving/RequestFacts.h"
 #include "serving/ServingConfig.h"
@@ -33,6 +34,8 @@
     /// charged.
     double cost = 0;
     double charged = 0;
+    /// May be sent once although its prompt has a quarantined part.
+    bool isTrial = false;
 };
 
 /// The parts of a request that admission inspects in addition to `RequestFacts`.
@@ -50,13 +53,17 @@
 /// within about this time.
 constexpr milliseconds unprovedRetryAfter{500};
 
+/// Retry-After of a request that is held because it may crash upstreams.
+constexpr std::chrono::seconds quarantineRetryAfter{5};
+
 /// Decides whether a request may be queued for an upstream. Checks the route, the key, the
 /// quarantine and the quota, in this order. A route or key is reported as unknown only if the
 /// configuration is proved to be current; otherwise the request is refused with `ConfigUnproved`.
 class Admission
 {
 public:
-    Admission(const FreshnessGuard &freshness, const CrashLedger &crashes, QuotaLedger &quotas);
+    Admission(const FreshnessGuard &freshness, const CrashLedger &crashes, PartQuarantine &parts,
+              QuotaLedger &quotas);
 
     /// Returns the denial, or nothing if the request may be queued. `config` may be null. Fills
     /// `admitted` up to the check that fails.
@@ -70,10 +77,13 @@
                                     BootTime bootTime) const;
     std::optional<Denial> checkKey(const ServingConfig &config, const RequestFacts &facts,
                                    AdmittedRequest &admitted, BootTime bootTime) const;
+    std::optional<Denial> checkQuarantine(const RequestFacts &facts, const RequestParts &parts,
+                                          AdmittedRequest &admitted, TimePoint now) const;
     std::optional<Denial> chargeQuota(AdmittedRequest &admitted, TimePoint now) const;
 
     const FreshnessGuard &m_freshness;
     const CrashLedger &m_crashes;
+    PartQuarantine &m_partQuarantine;
     QuotaLedger &m_quotas;
 };
 
--- a/src/serving/EntryLoad.h
+++ b/src/serving/EntryLoad.h
@@ -3,6 +3,7 @@
 #include "base/RequestId.h"
 #include "serving/CrashLedger.h"
 #include "serving/DispatchQueue.h"
+#include "serving/PartCrash.h"
 #include "serving/QuotaLedger.h"
 #include "serving/TermsReport.h"
 
@@ -30,6 +31,8 @@
     std::vector<QueueDemand> demand;
     std::vector<QuotaUse> quotas;
     std::vector<ReportedCrash> crashes;
+    std::vector<ReportedPartCrash> partCrashes;
+    std::vector<ReportedPartAnswer> partAnswers;
     std::vector<TermsReport> terms;
     /// The entry is shutting down gracefully and takes no new requests.
     bool leaving = false;
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -55,8 +55,9 @@
     ServingConfig config;
     FreshnessGuard freshness{revokeBound, margin};
     CrashLedger crashes;
+    PartQuarantine partQuarantine;
     QuotaLedger quotas;
-    Admission admission{freshness, crashes, quotas};
+    Admission admission{freshness, crashes, partQuarantine, quotas};
     RequestFacts facts;
     AdmittedRequest admitted;
     TimePoint now = TimePoint{} + std::chrono::hours(1);
--- a/tests/EntryMessageCodecTest.cpp
+++ b/tests/EntryMessageCodecTest.cpp
@@ -21,6 +21,8 @@
     load.demand = {{"models", queueRank(1, 2), 7, 3, 2}};
     load.quotas = {{"w", 12345.5, 17.5}};
     load.crashes = {{{8, 9}, milliseconds(10)}};
+    load.partCrashes = {{{31, 32, 2}, milliseconds(33)}};
+    load.partAnswers = {{34, milliseconds(35), 36}};
     load.terms = {{21, LimitReport{3.9, milliseconds(450), milliseconds(250)}, false, 7},
                   {22, LimitReport{std::nullopt, milliseconds(9), milliseconds(1)}, true, 0},
                   {23, std::nullopt, false, 4}};
