Check the quarantine before queueing a retry; empty streams are no evidence

A retry whose prompt part was quarantined meanwhile waited for an upstream before it was refused: it is now refused at once. A stream that ends without an event may have ended with its upstream, and no longer speaks for its parts. CrashingPartSuite, DirectProcessSuite and AdmissionSuite pass.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -132,6 +132,10 @@
     m_expectedEvents = expectedEvents();
     bool anotherAttempt = true;
     while (anotherAttempt) {
+        if (isQuarantined()) {
+            co_await respondUnassigned(ErrorKind::SuspectHeld, quarantineRetryAfter);
+            break;
+        }
         const bool assigned = co_await waitForUpstream();
         if (!assigned)
             break;
@@ -316,7 +320,9 @@
             m_state.upstreamUnreachable(upstream, now);
     }
     if (end == AttemptEnd::Whole) {
-        if (m_attempt->response().status == okStatus)
+        // A stream without events may have ended with its upstream.
+        const bool isAnswer = !isStream() || m_relay.events().events() > 0;
+        if (m_attempt->response().status == okStatus && isAnswer)
             m_state.recordAnswer(m_facts.promptParts, now);
         return;
     }
