--- a/tests/PartQuarantineTest.cpp
+++ b/tests/PartQuarantineTest.cpp
@@ -199,6 +199,27 @@
     }
 }
 
+// All entries are killed at the same moment, twice, while crashing requests come. Five of the seeds
+// 1 to 200 exceeded the bound.
+BOOST_AUTO_TEST_CASE(crashingPartIsHeldAfterAllEntriesRestart)
+{
+    constexpr std::array<std::size_t, 3> entryCounts{2, 4, 12};
+    constexpr std::array rates{0.5, 1.0, 3.0, 8.0};
+    constexpr std::array<std::uint64_t, 5> seeds{41, 85, 139, 153, 191};
+    for (const std::uint64_t seed : seeds) {
+        CrashSimulationOptions options;
+        options.entries = entryCounts.at(seed % entryCounts.size());
+        options.crashingPerSecond = rates.at(seed % rates.size());
+        options.middleParts = seed % 5 == 0 ? 0 : 60;
+        options.messageInterval = milliseconds(260);
+        options.commonRestarts = {22, 38};
+        options.seconds = 50;
+        const CrashSimulationResult result = CrashSimulation(options, seed).run();
+        BOOST_TEST(result.lateCrashingSends <= mostLateSends,
+                   "seed " << seed << ": " << result.lateCrashingSends);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(noPartIsQuarantinedForLongWhenUpstreamsCrashForOtherReasons)
 {
     for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
--- a/tests/support/CrashSimulation.cpp
+++ b/tests/support/CrashSimulation.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint64_t lastPartBase = 1'000'000;
 constexpr milliseconds timeToFirstToken{80};
 constexpr milliseconds detectionTime{45};
+constexpr milliseconds startTime{500};
 
 } // namespace
 
@@ -41,6 +42,13 @@
         exchange(i);
     disturbEntry();
     crashTogether();
+    for (const int second : m_options.commonRestarts)
+        schedule(std::chrono::seconds(second), [this] {
+            for (Entry &entry : m_entries) {
+                restart(entry);
+                entry.disturbedUntil = m_now + startTime + stableBound;
+            }
+        });
     while (!m_events.empty() && m_events.begin()->first < m_end) {
         const auto next = m_events.extract(m_events.begin());
         m_now = next.key();
--- a/tests/support/CrashSimulation.h
+++ b/tests/support/CrashSimulation.h
@@ -33,6 +33,8 @@
     bool disturbsEntries = false;
     /// A part that sound requests used before crashes upstreams from the second `crashesFrom` on.
     bool crashesKnownPart = false;
+    /// Seconds at which all entries restart together and lose what they know.
+    std::vector<int> commonRestarts;
     int seconds = 60;
 };
 
