Decide on trial owners for quarantined parts only; log held requests

The owner of each suspect's trials was worked out every 100 ms, for up to 1,024 parts, and the gauge of quarantines was set on every response: both now only where something is quarantined or changes. request_held names the parts of a refused request. eraseUpstreams takes a concept instead of std::function. CrashingPartSuite, UpstreamTableSuite, UpstreamStatementsSuite and DirectProcessSuite pass.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -410,6 +410,11 @@
 {
     const ErrorAnswer &answer = errorAnswer(kind);
     refundQuota();
+    if (kind == ErrorKind::SuspectHeld)
+        logEvent(LogLevel::Info, "request_held",
+                 {{"request", m_facts.id},
+                  {"parts", platform::promptPartText(m_facts.promptParts)},
+                  {"sends", m_sends}});
     HttpResponse response{answer.httpStatus, platform::encodeOwnAnswer(m_facts), ""};
     response.headers.emplace_back("Content-Type", "application/json");
     response.headers.emplace_back("Tamarack-Outcome", outcomeName(answer.outcome));
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -400,33 +400,39 @@
     pump();
 }
 
-bool TrafficState::ownsTrials(PromptPartId part, TimePoint now) const
+void TrafficState::updateTrialOwners(TimePoint now)
 {
-    const std::uint64_t own = mixBits(part, fnv1a(settings.name));
-    return std::ranges::all_of(peers.reachableNames(now), [&](const std::string &name) {
-        return mixBits(part, fnv1a(name)) < own;
+    if (partQuarantine.quarantinedParts().empty())
+        return;
+    const std::set<std::string> names = peers.reachableNames(now);
+    partQuarantine.setTrialOwner([&](PromptPartId part) {
+        const std::uint64_t own = mixBits(part, fnv1a(settings.name));
+        return std::ranges::all_of(
+            names, [&](const std::string &name) { return mixBits(part, fnv1a(name)) < own; });
     });
 }
 
 void TrafficState::logPartQuarantines()
 {
-    const std::vector<PartQuarantine::Quarantine> quarantines = partQuarantine.quarantines();
-    std::set<PromptPartId> current;
-    for (const PartQuarantine::Quarantine &each : quarantines) {
-        current.insert(each.part);
-        if (m_loggedQuarantines.contains(each.part))
+    const std::set<PromptPartId> &current = partQuarantine.quarantinedParts();
+    if (current == m_loggedQuarantines)
+        return;
+    for (const PromptPartId part : current) {
+        if (m_loggedQuarantines.contains(part))
             continue;
+        const PartQuarantine::Evidence evidence = partQuarantine.evidence(part);
         metrics.add("tamarack_part_quarantines_total", "");
         logEvent(LogLevel::Warning, "part_quarantined",
-                 {{"part", hex64(each.part)},
-                  {"crashes", each.crashes},
-                  {"last_answer_ms", each.answeredAt ? toMs(steadyNow() - *each.answeredAt) : -1}});
+                 {{"part", hex64(part)},
+                  {"crashes", evidence.crashes},
+                  {"last_answer_ms",
+                   evidence.answeredAt ? toMs(steadyNow() - *evidence.answeredAt) : -1}});
     }
     for (const PromptPartId part : m_loggedQuarantines)
         if (!current.contains(part))
             logEvent(LogLevel::Info, "part_released", {{"part", hex64(part)}});
     metrics.set("tamarack_parts_quarantined", "", current.size());
-    m_loggedQuarantines = std::move(current);
+    m_loggedQuarantines = current;
 }
 
 TrafficState::UpdateVersions TrafficState::updateVersions() const
@@ -472,7 +478,7 @@
     metrics.set("tamarack_upstreams_closed", "", upstreams.closed(now));
     crashes.removeExpired(now);
     partQuarantine.removeExpired(now);
-    partQuarantine.setTrialOwner([&](PromptPartId part) { return ownsTrials(part, now); });
+    updateTrialOwners(now);
     logPartQuarantines();
     upstreams.removeGone(now);
     checkUnconfirmed(now);
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -150,8 +150,8 @@
     bool draining = false;
 
 private:
-    /// Whether this entry decides on the trials of a quarantined part.
-    bool ownsTrials(PromptPartId part, TimePoint now) const;
+    /// Divides the decisions on trials of quarantined parts among the reachable entries.
+    void updateTrialOwners(TimePoint now);
     /// Logs and counts changes to the quarantined prompt parts.
     void logPartQuarantines();
     /// Checks upstreams that count as leaving because of another incarnation's statement.
--- a/src/serving/PartQuarantine.cpp
+++ b/src/serving/PartQuarantine.cpp
@@ -263,14 +263,10 @@
         update();
 }
 
-std::vector<PartQuarantine::Quarantine> PartQuarantine::quarantines() const
+PartQuarantine::Evidence PartQuarantine::evidence(PromptPartId quarantinedPart) const
 {
-    std::vector<Quarantine> found;
-    for (const PromptPartId part : m_quarantined) {
-        const Suspect &suspect = m_suspects.at(part);
-        found.push_back({part, suspect.crashes.size(), suspect.answeredAt()});
-    }
-    return found;
+    const Suspect &suspect = m_suspects.at(quarantinedPart);
+    return {suspect.crashes.size(), suspect.answeredAt()};
 }
 
 } // namespace tamarack
--- a/src/serving/PartQuarantine.h
+++ b/src/serving/PartQuarantine.h
@@ -6,6 +6,7 @@
 #include "serving/RequestFacts.h"
 
 #include <array>
+#include <concepts>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -43,12 +44,12 @@
     /// Whether this request may be sent as a trial, although it has a quarantined part. At one
     /// entry for each part, trials become rarer with each of them.
     bool tryTrial(std::span<const PromptPart> prompt, TimePoint now);
-    /// Selects the parts whose trials this entry decides on: `isOwner` of the part's id.
-    template <typename IsOwner>
+    /// Selects the quarantined parts whose trials this entry decides on.
+    template <std::predicate<PromptPartId> IsOwner>
     void setTrialOwner(IsOwner isOwner)
     {
-        for (auto &[part, suspect] : m_suspects)
-            suspect.ownsTrials = isOwner(part);
+        for (const PromptPartId part : m_quarantined)
+            m_suspects.at(part).ownsTrials = isOwner(part);
     }
 
     /// The evidence that entries exchange, with the most suspect parts first.
@@ -56,14 +57,14 @@
     std::vector<ReportedPartAnswer> answers(TimePoint now) const;
     void removeExpired(TimePoint now);
 
-    /// A quarantined part and what decided.
-    struct Quarantine
+    const std::set<PromptPartId> &quarantinedParts() const { return m_quarantined; }
+    /// What decided on a quarantined part.
+    struct Evidence
     {
-        PromptPartId part = 0;
         std::size_t crashes = 0;
         std::optional<TimePoint> answeredAt;
     };
-    std::vector<Quarantine> quarantines() const;
+    Evidence evidence(PromptPartId quarantinedPart) const;
 
     /// The parts that are evidence against a request: all but the last, which no other request has.
     static std::span<const PromptPart> sharedParts(std::span<const PromptPart> prompt);
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -43,6 +43,14 @@
     return fnv1a(record.id + '@' + std::to_string(record.born));
 }
 
+template <std::predicate<const UpstreamState &> IsObsolete>
+void UpstreamTable::eraseUpstreams(IsObsolete isObsolete)
+{
+    const auto isErased = [&](const auto &item) { return isObsolete(*item.second); };
+    std::erase_if(m_lastListed, isErased);
+    std::erase_if(m_byKey, isErased);
+}
+
 std::vector<UpstreamPtr> UpstreamTable::assign(const std::vector<UpstreamRecord> &records)
 {
     std::vector<UpstreamPtr> restricted;
@@ -74,12 +82,6 @@
     return restricted;
 }
 
-void UpstreamTable::eraseUpstreams(const std::function<bool(const UpstreamState &)> &isObsolete)
-{
-    std::erase_if(m_lastListed, [&](const auto &item) { return isObsolete(*item.second); });
-    std::erase_if(m_byKey, [&](const auto &item) { return isObsolete(*item.second); });
-}
-
 UpstreamPtr UpstreamTable::otherIncarnation(const UpstreamState &upstream) const
 {
     const auto listed = m_lastListed.find(upstream.record.id);
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -69,6 +69,7 @@
     /// When `removeGone` first saw it as gone.
     std::optional<TimePoint> goneSince;
     UpstreamTerms terms;
+    /// Earliest time of the next health check, if one is needed.
     TimePoint nextHealthCheck{};
     /// True for a model engine, which slows down with every request, false for a plain service.
     bool engine = false;
@@ -151,7 +152,8 @@
     std::size_t countTerms(Holds holds) const;
 
     std::map<std::string, ServiceState, std::less<>> m_services;
-    void eraseUpstreams(const std::function<bool(const UpstreamState &)> &isObsolete);
+    template <std::predicate<const UpstreamState &> IsObsolete>
+    void eraseUpstreams(IsObsolete isObsolete);
 
     std::unordered_map<UpstreamKey, UpstreamPtr> m_byKey;
     /// The incarnation last listed under each id.
