--- a/src/serving/PartQuarantine.cpp
+++ b/src/serving/PartQuarantine.cpp
@@ -206,6 +206,7 @@
         std::tuple<bool, std::size_t, TimePoint, PromptPartId> rank;
     };
     std::vector<Ranked> order;
+    order.reserve(m_suspects.size());
     for (const auto &item : m_suspects)
         order.push_back({&item,
                          {m_quarantined.contains(item.first), suspicion(item.second, {}),
