Test fleet: new ports after a collision, and no hang when its start fails

Traced with a debugger: the fourth entry had no running thread, so its start had failed and BOOST_REQUIRE threw in the fixture's constructor, whose server thread was then joined without its context being stopped. The start opens ports that were found unused a moment before; another program on the machine may take one. That this was the reason of the failed start is inferred, the message was lost with the hang.

--- a/tests/support/DirectEntry.h
+++ b/tests/support/DirectEntry.h
@@ -22,6 +22,9 @@
     static Settings makeSettings(const std::string &name, const std::string &dataCentre,
                                  unsigned short storePort);
     void start(const Settings &settings);
+    /// Starts with new ports if another program has taken one of them since it was found unused.
+    void startOnUnusedPorts(const std::string &name, const std::string &dataCentre,
+                            unsigned short storePort);
     void stop();
     /// HTTP status of the readiness check; 0 if there was no response.
     int readiness() const;
@@ -30,6 +33,8 @@
     unsigned short readinessPort() const { return m_settings.direct.readiness.endpoint.port; }
 
 private:
+    Result<void> tryStart(const Settings &settings);
+
     Settings m_settings;
     // Never destroyed: the contexts own coroutines that refer to the process.
     Contexts *m_contexts = nullptr;
--- a/tests/support/LoadedFleet.h
+++ b/tests/support/LoadedFleet.h
@@ -77,6 +77,13 @@
     std::atomic<int> m_lastRequest{0};
     std::atomic<int> m_served{0};
     std::jthread m_serverThread;
+    /// Ends the server thread also when the constructor throws.
+    struct ContextStopper
+    {
+        ~ContextStopper() { context.stop(); }
+        boost::asio::io_context &context;
+    };
+    ContextStopper m_serverStopper{m_serverContext};
     std::vector<std::jthread> m_clients;
 };
 
