Send the Host header with health checks

HTTP/1.1 requires it, and a server that answers 400 without it would never be confirmed to serve, so that an upstream that restarted under its id after stating that it was leaving would stay excluded.

The upstream stand-in now answers 400 without the header: HealthCheckerSuite failed in three checks before the change and passes since, as do leavingUpstreamReceivesNoRequestsWhenItsRestartIsListedLate, PlatformCodecSuite and UpstreamTableSuite.

--- a/src/direct/HealthChecker.cpp
+++ b/src/direct/HealthChecker.cpp
@@ -81,7 +81,7 @@
         if (!error)
             connection->close();
     });
-    connection->send(platform::encodeHealthCheck(std::move(path), record.id));
+    connection->send(platform::encodeHealthCheck(std::move(path), record));
     const auto head = co_await connection->readHead();
     timer.cancel();
     connection->close();
--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -102,7 +102,11 @@
 
 asio::awaitable<void> UpstreamServer::respondHealth(HttpExchange &exchange)
 {
+    const bool hasHost = findHeader(exchange.request().headers, "Host").has_value();
     HttpResponse response{leaving ? 503 : 200, {{"Replica-Id", m_id}}, ""};
+    // HTTP/1.1 requires the header.
+    if (!hasHost)
+        response.status = 400;
     if (leaving)
         response.headers.emplace_back("Server-Leaving", "1");
     co_await exchange.respond(std::move(response));
