--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -359,8 +359,7 @@
     // An attempt that sent nothing put no load on an upstream, so its retry is not charged to the
     // retry budget.
     const bool unsent = end == AttemptEnd::NotSent;
-    const bool retried = verdict.step == NextStep::Retry
-                         && (unsent || m_state.retries.trySpend(m_admitted.service, steadyNow()));
+    const bool retried = verdict.step == NextStep::Retry && (unsent || spendRetry());
     if (retried) {
         m_state.metrics.add("tamarack_retries_total", fmt::format("reason=\"{}\"", endName(end)));
         co_return true;
@@ -379,6 +378,22 @@
     co_return false;
 }
 
+bool RequestFlow::spendRetry()
+{
+    const TimePoint now = steadyNow();
+    const bool granted = m_state.retries.trySpend(m_admitted.service, now);
+    const RetryBudget::Usage usage = m_state.retries.usage(m_admitted.service, now);
+    logEvent(LogLevel::Info, "retry_decided",
+             {{"request", m_facts.id},
+              {"service", m_admitted.service},
+              {"granted", granted},
+              {"repeats", usage.repeats},
+              {"requests", usage.requests},
+              {"allowed", usage.allowed},
+              {"entries", m_state.retries.entries()}});
+    return granted;
+}
+
 asio::awaitable<void> RequestFlow::deliver()
 {
     const int status = m_attempt->response().status;
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -59,6 +59,8 @@
 
     /// Retries, delivers or refuses after an attempt. Returns true when another attempt follows.
     boost::asio::awaitable<bool> handleAttemptEnd(AttemptEnd end);
+    /// Charges a retry to the service's budget; returns false if the budget is exhausted.
+    bool spendRetry();
     boost::asio::awaitable<void> respondStopped();
     boost::asio::awaitable<void> respondError(ErrorKind kind, Duration retryAfter);
     boost::asio::awaitable<void> deliver();
--- a/src/serving/RetryBudget.cpp
+++ b/src/serving/RetryBudget.cpp
@@ -35,24 +35,30 @@
     ++sliceAt(service, now).requests;
 }
 
-bool RetryBudget::trySpend(std::string_view service, TimePoint now)
+RetryBudget::Usage RetryBudget::usage(std::string_view service, TimePoint now) const
 {
-    Slice &current = sliceAt(service, now);
-    const std::int64_t oldest = current.number - static_cast<std::int64_t>(slices);
-    std::uint32_t requests = 0;
-    std::uint32_t repeats = 0;
-    for (const Slice &slice : m_windows.find(service)->second) {
-        if (slice.number <= oldest)
-            continue;
-        requests += slice.requests;
-        repeats += slice.repeats;
+    Usage usage;
+    const std::int64_t oldest = sliceNumber(now) - static_cast<std::int64_t>(slices);
+    if (const auto found = m_windows.find(service); found != m_windows.end()) {
+        for (const Slice &slice : found->second) {
+            if (slice.number <= oldest)
+                continue;
+            usage.requests += slice.requests;
+            usage.repeats += slice.repeats;
+        }
     }
-    const double allowed =
-        m_bounds.ratio * requests
-        + m_bounds.slack / static_cast<double>(std::max<std::size_t>(m_entries, 1));
-    if (repeats + 1 > usableShare * allowed)
+    usage.allowed = usableShare
+                    * (m_bounds.ratio * usage.requests
+                       + m_bounds.slack / static_cast<double>(std::max<std::size_t>(m_entries, 1)));
+    return usage;
+}
+
+bool RetryBudget::trySpend(std::string_view service, TimePoint now)
+{
+    const Usage current = usage(service, now);
+    if (current.repeats + 1 > current.allowed)
         return false;
-    ++current.repeats;
+    ++sliceAt(service, now).repeats;
     return true;
 }
 
--- a/src/serving/RetryBudget.h
+++ b/src/serving/RetryBudget.h
@@ -37,6 +37,16 @@
     /// Counts the retry and returns true if the budget allows it.
     bool trySpend(std::string_view service, TimePoint now);
 
+    /// Counts within the window, and the number of retries that they allow.
+    struct Usage
+    {
+        std::uint32_t requests = 0;
+        std::uint32_t repeats = 0;
+        double allowed = 0;
+    };
+    Usage usage(std::string_view service, TimePoint now) const;
+    std::size_t entries() const { return m_entries; }
+
 private:
     static constexpr std::size_t slices = 10;
     struct Slice
