Divide the retry slack among all entries that may be serving

What callers saw: more repeats reached a service than its budget allows (BUDGET) while entries were cut from each other or had just started.

Cause: the slack was divided by the number of entries whose reports arrive, so an entry that hears nobody took the whole slack. Entries that are listed but silent may be serving, and those that have left count for one more window.

--- a/src/serving/PeerRegistry.cpp
+++ b/src/serving/PeerRegistry.cpp
@@ -86,13 +86,18 @@
     return reachableLoads(now).size() + 1;
 }
 
-double PeerRegistry::reachableShare(TimePoint now) const
+std::size_t PeerRegistry::servingCount(TimePoint now) const
 {
     std::set<std::string> all = m_known;
     all.insert(m_ownName);
     for (const EntryLoad *load : reachableLoads(now))
         all.insert(load->name);
-    return static_cast<double>(reachableCount(now)) / static_cast<double>(all.size());
+    return all.size();
+}
+
+double PeerRegistry::reachableShare(TimePoint now) const
+{
+    return static_cast<double>(reachableCount(now)) / static_cast<double>(servingCount(now));
 }
 
 } // namespace tamarack
--- a/src/serving/PeerRegistry.h
+++ b/src/serving/PeerRegistry.h
@@ -41,6 +41,8 @@
     std::set<std::string> reachableNames(TimePoint now) const;
     /// Number of reachable entries, including this one.
     std::size_t reachableCount(TimePoint now) const;
+    /// Number of entries that may be serving, reachable or not, including this one.
+    std::size_t servingCount(TimePoint now) const;
     /// Fraction of all possibly serving entries that is reachable.
     double reachableShare(TimePoint now) const;
 
--- a/src/serving/RetryBudget.cpp
+++ b/src/serving/RetryBudget.cpp
@@ -30,6 +30,14 @@
     return slice;
 }
 
+void RetryBudget::setEntries(std::size_t count, TimePoint now)
+{
+    if (count < m_entries && now - m_entriesAt <= m_bounds.window)
+        return;
+    m_entries = count;
+    m_entriesAt = now;
+}
+
 void RetryBudget::countRequest(std::string_view service, TimePoint now)
 {
     ++sliceAt(service, now).requests;
--- a/src/serving/RetryBudget.h
+++ b/src/serving/RetryBudget.h
@@ -32,7 +32,9 @@
         : m_bounds(bounds)
     {}
 
-    void setEntries(std::size_t count) { m_entries = count; }
+    /// Sets the number of entries that may be serving. A lower number takes effect after a window,
+    /// since the retries of an entry that has left still count until then.
+    void setEntries(std::size_t count, TimePoint now);
     void countRequest(std::string_view service, TimePoint now);
     /// Counts the retry and returns true if the budget allows it.
     bool trySpend(std::string_view service, TimePoint now);
@@ -62,6 +64,8 @@
 
     RetryBounds m_bounds;
     std::size_t m_entries = 1;
+    /// When `m_entries` was last reported.
+    TimePoint m_entriesAt{};
     std::map<std::string, Window, std::less<>> m_windows;
 };
 
--- a/tests/RetryBudgetFleetTest.cpp
+++ b/tests/RetryBudgetFleetTest.cpp
@@ -98,7 +98,7 @@
             peers.setKnown(names);
         }
 
-        void update(TimePoint now) { budget.setEntries(peers.reachableCount(now)); }
+        void update(TimePoint now) { budget.setEntries(peers.servingCount(now), now); }
 
         bool tryRetry(TimePoint now, TimePoint) { return budget.trySpend(service, now); }
 
--- a/tests/ServingBudgetsTest.cpp
+++ b/tests/ServingBudgetsTest.cpp
@@ -257,7 +257,7 @@
 BOOST_AUTO_TEST_CASE(everyWindowKeepsTheBound)
 {
     RetryBudget budget({0.2, seconds(10), 50});
-    budget.setEntries(1);
+    budget.setEntries(1, start);
     std::vector<int> spent(60, 0);
     for (int ms = 0; ms < 60000; ++ms) {
         const TimePoint now = start + milliseconds(ms);
@@ -277,7 +277,7 @@
     int spent = 0;
     for (int entry = 0; entry < 4; ++entry) {
         RetryBudget budget({0.2, seconds(10), 54});
-        budget.setEntries(4);
+        budget.setEntries(4, start);
         for (int i = 0; i < 100; ++i)
             spent += budget.trySpend("s", start) ? 1 : 0;
     }
