Retry budget as a token bucket that starts empty

Cause: repeats of the last window were in the memory of the process, so a restarted entry spent its share again, and ten slices of a tenth cover less than a window, so that bursts 9.1 s apart both counted as alone. With a bucket, the repeats of any window are at most the tokens kept before it and those received during it, over any number of restarts.

Evidence: RetryBudgetFleetSuite, 89 to 134 retries over the budget when entries restart and 174 with two bursts before, none now. entriesShareTheSlack spends over a window now, as no entry may spend its whole share at once; its bounds are unchanged.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -382,14 +382,13 @@
 {
     const TimePoint now = steadyNow();
     const bool granted = m_state.retries.trySpend(m_admitted.service, now);
-    const RetryBudget::Usage usage = m_state.retries.usage(m_admitted.service, now);
+    const RetryBudget::Usage usage = m_state.retries.usage(m_admitted.service);
     logEvent(LogLevel::Info, "retry_decided",
              {{"request", m_facts.id},
               {"service", m_admitted.service},
               {"granted", granted},
-              {"repeats", usage.repeats},
+              {"tokens", usage.tokens},
               {"requests", usage.requests},
-              {"allowed", usage.allowed},
               {"entries", m_state.retries.entries()}});
     return granted;
 }
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -471,7 +471,8 @@
 void TrafficState::tick(TimePoint now)
 {
     quotas.setReportingShare(peers.reachableShare(now), now);
-    retries.setEntries(peers.servingCount(now), now);
+    if (peers.isListKnown())
+        retries.setEntries(peers.servingCount(now), now);
     shareLimits(now);
     metrics.set("tamarack_upstreams_limited", "", upstreams.limited());
     metrics.set("tamarack_upstreams_leaving", "", upstreams.leaving());
--- a/src/serving/PeerRegistry.h
+++ b/src/serving/PeerRegistry.h
@@ -41,6 +41,8 @@
     std::set<std::string> reachableNames(TimePoint now) const;
     /// Number of reachable entries, including this one.
     std::size_t reachableCount(TimePoint now) const;
+    /// Whether the store's list of the entries has been read.
+    bool isListKnown() const { return !m_known.empty(); }
     /// Number of entries that may be serving, reachable or not, including this one.
     std::size_t servingCount(TimePoint now) const;
     /// Fraction of all possibly serving entries that is reachable.
--- a/src/serving/RetryBudget.cpp
+++ b/src/serving/RetryBudget.cpp
@@ -1,73 +1,72 @@
 #include "serving/RetryBudget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace tamarack {
 
 namespace {
 
-/// Part of the budget that may be used. The rest is a margin for the retries of entries that are
-/// not known yet.
-constexpr double usableShare = 0.8;
+/// Parts of a window's budget that are received in the course of a window, and that may be kept
+/// from before. Their sum is less than 1, since retries take time to arrive.
+constexpr double receivedShare = 0.75;
+constexpr double keptShare = 0.2;
 
 } // namespace
 
-std::int64_t RetryBudget::sliceNumber(TimePoint now) const
+void RetryBudget::setEntries(std::size_t count, TimePoint now)
 {
-    const auto length = std::chrono::duration_cast<Duration>(m_bounds.window) / slices;
-    return now.time_since_epoch() / length;
+    if (count < m_entries && now - m_entriesAt <= m_bounds.window)
+        return;
+    m_entries = count;
+    m_entriesAt = now;
 }
 
-RetryBudget::Slice &RetryBudget::sliceAt(std::string_view service, TimePoint now)
+double RetryBudget::slackShare() const
 {
-    auto found = m_windows.find(service);
-    if (found == m_windows.end())
-        found = m_windows.emplace(std::string(service), Window{}).first;
-    const std::int64_t number = sliceNumber(now);
-    Slice &slice = found->second[static_cast<std::size_t>(number) % slices];
-    if (slice.number != number)
-        slice = Slice{number, 0, 0};
-    return slice;
+    return m_entries == 0 ? 0 : m_bounds.slack / static_cast<double>(m_entries);
 }
 
-void RetryBudget::setEntries(std::size_t count, TimePoint now)
+void RetryBudget::addTokens(Bucket &bucket, double tokens) const
 {
-    if (count < m_entries && now - m_entriesAt <= m_bounds.window)
-        return;
-    m_entries = count;
-    m_entriesAt = now;
+    const double most = keptShare * (m_bounds.ratio * bucket.requests + slackShare());
+    bucket.tokens = std::min(bucket.tokens + tokens, most);
 }
 
-void RetryBudget::countRequest(std::string_view service, TimePoint now)
+RetryBudget::Bucket &RetryBudget::bucketAt(std::string_view service, TimePoint now)
 {
-    ++sliceAt(service, now).requests;
+    auto found = m_buckets.find(service);
+    if (found == m_buckets.end())
+        found = m_buckets.emplace(std::string(service), Bucket{0, 0, now}).first;
+    Bucket &bucket = found->second;
+    const double windows = std::max(0.0, std::chrono::duration<double>(now - bucket.updatedAt)
+                                             / std::chrono::duration<double>(m_bounds.window));
+    bucket.updatedAt = now;
+    bucket.requests *= std::exp(-windows);
+    addTokens(bucket, receivedShare * slackShare() * windows);
+    return bucket;
 }
 
-RetryBudget::Usage RetryBudget::usage(std::string_view service, TimePoint now) const
+void RetryBudget::countRequest(std::string_view service, TimePoint now)
 {
-    Usage usage;
-    const std::int64_t oldest = sliceNumber(now) - static_cast<std::int64_t>(slices);
-    if (const auto found = m_windows.find(service); found != m_windows.end()) {
-        for (const Slice &slice : found->second) {
-            if (slice.number <= oldest)
-                continue;
-            usage.requests += slice.requests;
-            usage.repeats += slice.repeats;
-        }
-    }
-    usage.allowed = usableShare
-                    * (m_bounds.ratio * usage.requests
-                       + m_bounds.slack / static_cast<double>(std::max<std::size_t>(m_entries, 1)));
-    return usage;
+    Bucket &bucket = bucketAt(service, now);
+    bucket.requests += 1;
+    addTokens(bucket, receivedShare * m_bounds.ratio);
 }
 
 bool RetryBudget::trySpend(std::string_view service, TimePoint now)
 {
-    const Usage current = usage(service, now);
-    if (current.repeats + 1 > current.allowed)
+    Bucket &bucket = bucketAt(service, now);
+    if (bucket.tokens < 1)
         return false;
-    ++sliceAt(service, now).repeats;
+    bucket.tokens -= 1;
     return true;
 }
 
+RetryBudget::Usage RetryBudget::usage(std::string_view service) const
+{
+    const auto found = m_buckets.find(service);
+    return found == m_buckets.end() ? Usage{} : Usage{found->second.tokens, found->second.requests};
+}
+
 } // namespace tamarack
--- a/src/serving/RetryBudget.h
+++ b/src/serving/RetryBudget.h
@@ -2,7 +2,6 @@
 
 #include "base/Time.h"
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -24,7 +23,8 @@
 /// Retry budget of each service. Every entry uses only its share.
 ///
 /// The budget prevents retries from doubling the load when upstreams fail or refuse many requests
-/// at once.
+/// at once. It is a token bucket that starts empty: whatever a former process of this entry has
+/// spent, tokens received and tokens kept stay within the budget of any window.
 class RetryBudget
 {
 public:
@@ -32,41 +32,42 @@
         : m_bounds(bounds)
     {}
 
-    /// Sets the number of entries that may be serving. A lower number takes effect after a window,
-    /// since the retries of an entry that has left still count until then.
+    /// Sets the number of entries that may be serving; before, there is no share of the slack. A
+    /// lower number takes effect after a window, since the retries of an entry that has left still
+    /// count until then.
     void setEntries(std::size_t count, TimePoint now);
     void countRequest(std::string_view service, TimePoint now);
     /// Counts the retry and returns true if the budget allows it.
     bool trySpend(std::string_view service, TimePoint now);
 
-    /// Counts within the window, and the number of retries that they allow.
+    /// Retries that the service's budget allows at once, and its requests of about one window.
     struct Usage
     {
-        std::uint32_t requests = 0;
-        std::uint32_t repeats = 0;
-        double allowed = 0;
+        double tokens = 0;
+        double requests = 0;
     };
-    Usage usage(std::string_view service, TimePoint now) const;
+    Usage usage(std::string_view service) const;
     std::size_t entries() const { return m_entries; }
 
 private:
-    static constexpr std::size_t slices = 10;
-    struct Slice
+    struct Bucket
     {
-        std::int64_t number = -1;
-        std::uint32_t requests = 0;
-        std::uint32_t repeats = 0;
+        double tokens = 0;
+        /// Requests, each of which decays exponentially over the window.
+        double requests = 0;
+        TimePoint updatedAt{};
     };
-    using Window = std::array<Slice, slices>;
 
-    Slice &sliceAt(std::string_view service, TimePoint now);
-    std::int64_t sliceNumber(TimePoint now) const;
+    /// Returns the bucket with the tokens received until now.
+    Bucket &bucketAt(std::string_view service, TimePoint now);
+    void addTokens(Bucket &bucket, double tokens) const;
+    double slackShare() const;
 
     RetryBounds m_bounds;
-    std::size_t m_entries = 1;
+    std::size_t m_entries = 0;
     /// When `m_entries` was last reported.
     TimePoint m_entriesAt{};
-    std::map<std::string, Window, std::less<>> m_windows;
+    std::map<std::string, Bucket, std::less<>> m_buckets;
 };
 
 } // namespace tamarack
