--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -102,8 +102,12 @@
             reachable = succeeded;
             logEvent(succeeded ? LogLevel::Info : LogLevel::Warning,
                      succeeded ? "store_regained" : "store_lost",
-                     {{"call", what}, {"reason", reason}});
+                     {{"call", what},
+                      {"reason", reason},
+                      {"last_answer_ms", answeredAt ? toMs(now - *answeredAt) : -1}});
         }
+        if (succeeded)
+            answeredAt = now;
     }
 
     template <typename T>
@@ -280,10 +284,16 @@
                   {"born", record.born},
                   {"source", source},
                   {"position", position},
+                  {"position_age_ms", toMs(steadyNow() - positionAt)},
                   {"listed", !change.removed},
                   {"draining", record.draining}});
         if (change.removed) {
             directory.remove(record.id, steadyNow());
+            if (directory.knows(record.id))
+                logEvent(LogLevel::Info, "upstream_kept",
+                         {{"upstream", record.id},
+                          {"reason", "store_was_away"},
+                          {"for_ms", toMs(*directory.nextExpiry() - steadyNow())}});
             return false;
         }
         const bool isNew = !record.draining && !directory.knows(record.id);
@@ -410,6 +420,8 @@
     /// there is no configuration.
     std::optional<BootTime> provedAt;
     bool reachable = true;
+    /// When the store last answered this entry.
+    std::optional<TimePoint> answeredAt;
 };
 
 StoreFollower::StoreFollower(const asio::any_io_executor &executor, const Settings &settings,
