--- a/tests/UpstreamTableTest.cpp
+++ b/tests/UpstreamTableTest.cpp
@@ -73,6 +73,23 @@
     BOOST_TEST(table.leaving() == 0U);
 }
 
+// A heartbeat may be written to the store late, after the one that said that the upstream drains.
+BOOST_AUTO_TEST_CASE(drainingUpstreamStaysExcludedWhenListedAsReadyLater)
+{
+    UpstreamTable table;
+    table.assign({record("a")});
+    UpstreamRecord draining = record("a");
+    draining.draining = true;
+    table.assign({draining});
+    table.assign({record("a")});
+    BOOST_TEST(table.freePlaces("models", start) == 0);
+    table.assign({});
+    table.assign({record("a")});
+    BOOST_TEST(table.freePlaces("models", start) == 0);
+    table.assign({record("a", 2)});
+    BOOST_TEST(table.freePlaces("models", start) == 4);
+}
+
 BOOST_AUTO_TEST_CASE(closedUpstreamStaysClosedWhenListedAgain)
 {
     UpstreamTable table;
