Repeat a silent upstream watch within the drain bound

What callers saw: requests reached an upstream later than drainMs after the store had acknowledged that it was draining (DRAIN), at entries whose path to the store had been disturbed shortly before.

Now the watch's length follows from the drain bound of the settings, connecting is limited to 1.2 s, and a follower without a watch inside the bound vouches for nothing.

--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -195,6 +195,7 @@
 {
     static const boost::json::value empty = boost::json::object{};
     constexpr std::int64_t defaultRevokeMs = 5000;
+    constexpr std::int64_t defaultDrainMs = 2000;
     constexpr double defaultGraceSeconds = 8;
     constexpr double defaultQuotaSeconds = 8;
     settings.caller = readListener(reader, "caller", faults);
@@ -205,6 +206,8 @@
     JsonObjectReader bounds(value ? *value : empty, "bounds", faults);
     settings.direct.revokeBound =
         milliseconds(bounds.integer("revokeMs", defaultRevokeMs, {100, hourMs}));
+    settings.direct.drainBound =
+        milliseconds(bounds.integer("drainMs", defaultDrainMs, {1000, hourMs}));
     const double grace = bounds.number("stopGraceSeconds", defaultGraceSeconds, 1, 3600);
     settings.direct.stopGrace = milliseconds(static_cast<std::int64_t>(grace * 1000));
     settings.direct.retries = readRetryBounds(bounds);
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -98,6 +98,8 @@
     Endpoint store;
     /// A key that was taken away must not work for longer.
     milliseconds revokeBound{0};
+    /// An upstream that the store lists as leaving must not get new requests for longer.
+    milliseconds drainBound{2000};
     /// Time between the signal to stop and the kill.
     milliseconds stopGrace{0};
     RetryBounds retries;
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -24,8 +24,9 @@
 /// Maximum time the store holds a watch open. When the configuration's watch returns, it proves the
 /// configuration current; the other watches are bounded to detect a store that has lost a watch.
 constexpr milliseconds configWait{1300};
-constexpr milliseconds upstreamWait{4000};
 constexpr milliseconds entryWait{8000};
+/// Part of the drain bound reserved for detecting that an upstream watch has gone silent.
+constexpr milliseconds silenceReserve{800};
 /// Wait of a watch that requests only past changes; for the configuration, its response proves it
 /// current immediately.
 constexpr milliseconds noWait{1};
@@ -242,7 +243,7 @@
             const bool watches = watchPolicy.watchesStore(bootNow());
             readingUpstreams = true;
             const auto changes = co_await store.watch(platform::upstreamKind(), position,
-                                                      watches ? upstreamWait : noWait);
+                                                      watches ? upstreamWait() : noWait);
             readingUpstreams = false;
             if (!recordResult(changes, "watch_upstreams")) {
                 if (changes.error().kind == ErrorKind::HistoryGone)
@@ -264,6 +265,10 @@
         }
     }
 
+    /// Maximum time the store holds an upstream watch open. A watch that has gone silent is
+    /// repeated within the drain bound.
+    milliseconds upstreamWait() const { return settings.direct.drainBound - silenceReserve; }
+
     UpstreamChange decodeChange(const platform::StoreEvent &event)
     {
         auto record = event.deleted ? std::nullopt : decode(event.object);
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -20,9 +20,8 @@
 constexpr milliseconds breakWindow{1000};
 /// Reports from other entries received within this time are applied as one batch.
 constexpr milliseconds peerRefresh{5};
-/// An upstream watch returns within 4 s. A follower whose last watch is older than this has lost
-/// the store.
-constexpr milliseconds maxWatchAge{6000};
+/// Upper bound on the pause between two upstream watches.
+constexpr milliseconds longestWatchPause{1000};
 /// A follower that reaches the store always has a proof more recent than this.
 constexpr milliseconds storeLostProofAge{1700};
 /// Time after start during which an entry may not have received reports from all others yet.
@@ -167,7 +166,10 @@
 
 std::optional<ProofResponse> TrafficState::makeProofResponse(const ProofRequest &request) const
 {
-    if (!config || draining || steadyNow() - m_upstreamsFollowedAt > maxWatchAge)
+    // A watch returns within the drain bound unless this entry has lost the store.
+    const Duration watchAge = steadyNow() - m_upstreamsFollowedAt;
+    const bool follows = watchAge <= settings.direct.drainBound + longestWatchPause;
+    if (!config || draining || !follows)
         return std::nullopt;
     return ProofRelay::makeResponse(request, config->version, freshness, m_upstreamLog, bootNow());
 }
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -4,6 +4,7 @@
 #include "http/HeaderCopy.h"
 #include "http/SocketOptions.h"
 
+#include <algorithm>
 #include <map>
 
 namespace tamarack {
@@ -19,6 +20,8 @@
 constexpr auto useTuple = asio::as_tuple(use_awaitable);
 /// A server that does not acknowledge for this long is gone, though a call may wait longer.
 constexpr milliseconds silenceBound{2000};
+/// Longer than the retransmission of a lost opening packet.
+constexpr milliseconds longestConnect{1200};
 constexpr std::size_t readBytes = 16 << 10;
 constexpr std::size_t idleConnectionsPerServer = 64;
 constexpr std::uint64_t largestAnswerBytes = 64ULL << 20;
@@ -98,7 +101,8 @@
     auto connection = m_private->takeIdle(name);
     if (!connection) {
         connection = std::make_unique<beast::tcp_stream>(m_private->executor);
-        if (auto connected = co_await connect(*connection, server, timeout); !connected)
+        const Duration connectTimeout = std::min<Duration>(timeout, longestConnect);
+        if (auto connected = co_await connect(*connection, server, connectTimeout); !connected)
             co_return tl::unexpected(connected.error());
     }
     const auto message = toMessage(server, std::move(request));
--- a/tests/support/DirectEntry.cpp
+++ b/tests/support/DirectEntry.cpp
@@ -44,6 +44,7 @@
     settings.direct.readiness.endpoint = {"127.0.0.1", freePort()};
     settings.direct.store = {"127.0.0.1", storePort};
     settings.direct.revokeBound = milliseconds(5000);
+    settings.direct.drainBound = milliseconds(2000);
     settings.direct.stopGrace = milliseconds(5000);
     settings.direct.quotaWindow = milliseconds(8000);
     settings.direct.retries = {0.2, seconds(10), 100};
