Believe removals from the store's list unless the store was away for all entries

What callers saw: requests reached an upstream after its entry had been removed from the store (DRAIN), at an entry that had lost the store for a moment.

Cause: after any failed call of its own, even a single 429, an entry kept removed upstreams for 2.2 s from its next successful call, because entries of live upstreams expire while the store is away. A cut path of one entry, or an outage too short for entries to expire, is no such outage. Entries now record answers of the store that followers relay, and treat the store as away after 2.4 s without an answer to anybody.

--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -90,6 +90,10 @@
         state.onUpstreamsRelayed = [this, control](const UpstreamDelta &delta) {
             asio::post(control, [this, delta] { storeFollower.applyRelayed(delta); });
         };
+        state.onStoreAnswerRelayed = [this, control](BootTime answeredAt) {
+            asio::post(control,
+                       [this, answeredAt] { storeFollower.recordRelayedAnswer(answeredAt); });
+        };
         state.onProofRelayed = [this, control](BootTime relayed) {
             asio::post(control, [this, relayed] {
                 storeFollower.applyProof(relayed);
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -97,8 +97,6 @@
         const TimePoint now = steadyNow();
         if (succeeded)
             directory.storeAnswered(now);
-        else
-            directory.storeFailed(now);
         if (succeeded != reachable) {
             reachable = succeeded;
             logEvent(succeeded ? LogLevel::Info : LogLevel::Warning,
@@ -463,6 +461,11 @@
     m_private->watchPolicy.applyProof(provedAt);
 }
 
+void StoreFollower::recordRelayedAnswer(BootTime answeredAt)
+{
+    m_private->directory.storeAnswered(steadyNow() - (bootNow() - answeredAt));
+}
+
 void StoreFollower::recordReportedVersions(std::uint64_t configVersion,
                                            std::uint64_t upstreamRevision)
 {
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -54,6 +54,8 @@
     void setElected(bool elected);
     /// A follower's proof shows that this entry's configuration was the newest at this time.
     void applyProof(BootTime provedAt);
+    /// The store answered a follower at this time.
+    void recordRelayedAnswer(BootTime answeredAt);
     /// Versions that other entries have reported; 0 if there is nothing new.
     void recordReportedVersions(std::uint64_t configVersion, std::uint64_t upstreamRevision);
     /// Applies upstream changes received from a follower.
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -178,6 +178,8 @@
 {
     if (!proofs.isRequester(response))
         return;
+    if (onStoreAnswerRelayed)
+        onStoreAnswerRelayed(response.requestedAt - response.age);
     if (response.upstreams && onUpstreamsRelayed)
         onUpstreamsRelayed(*response.upstreams);
     const auto provedAt = proofs.proofTime(response, config ? config->version : 0);
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -114,6 +114,8 @@
     void applyProof(const ProofResponse &response);
     /// Called when a proof request is due, with the name of the follower to send it to.
     std::function<void(const std::string &, const ProofRequest &)> onProofRequest;
+    /// Called with the time at which the store answered a follower.
+    std::function<void(BootTime)> onStoreAnswerRelayed;
     /// Called with the time at which a follower's proof shows the configuration to be current.
     std::function<void(BootTime)> onProofRelayed;
     /// Called with upstream changes received from a follower.
--- a/src/serving/UpstreamDirectory.cpp
+++ b/src/serving/UpstreamDirectory.cpp
@@ -4,21 +4,21 @@
 
 namespace tamarack {
 
-void UpstreamDirectory::storeFailed(TimePoint)
+void UpstreamDirectory::storeAnswered(TimePoint at)
 {
-    m_storeOut = true;
+    if (m_answeredAt && at - *m_answeredAt > shortestOutage)
+        m_returnedAt = at;
+    m_answeredAt = std::max(m_answeredAt.value_or(at), at);
 }
 
-void UpstreamDirectory::storeAnswered(TimePoint now)
+bool UpstreamDirectory::isStoreOut(TimePoint now) const
 {
-    if (m_storeOut)
-        m_returnedAt = now;
-    m_storeOut = false;
+    return m_answeredAt && now - *m_answeredAt > shortestOutage;
 }
 
 bool UpstreamDirectory::recovering(TimePoint now) const
 {
-    return m_storeOut || (m_returnedAt && now - *m_returnedAt < recoveryGrace);
+    return isStoreOut(now) || (m_returnedAt && now - *m_returnedAt < recoveryGrace);
 }
 
 void UpstreamDirectory::put(UpstreamRecord record)
@@ -35,7 +35,7 @@
     if (!recovering(now))
         m_entries.erase(found);
     else if (!found->second.dropAt)
-        found->second.dropAt = m_returnedAt.value_or(now) + recoveryGrace;
+        found->second.dropAt = (isStoreOut(now) ? now : *m_returnedAt) + recoveryGrace;
 }
 
 void UpstreamDirectory::replace(std::vector<UpstreamRecord> records, TimePoint now)
--- a/src/serving/UpstreamDirectory.h
+++ b/src/serving/UpstreamDirectory.h
@@ -14,14 +14,12 @@
 ///
 /// While the store is unavailable, the store entries of live upstreams expire; they are registered
 /// again soon after it recovers, so they stay usable until then. An entry that disappears while the
-/// store is available means that its upstream has left.
+/// store is available, to this entry or to others, means that its upstream has left.
 class UpstreamDirectory
 {
 public:
-    /// Records that a store call failed.
-    void storeFailed(TimePoint now);
-    /// Records that a store call succeeded.
-    void storeAnswered(TimePoint now);
+    /// Records that the store answered this or another entry at `at`.
+    void storeAnswered(TimePoint at);
 
     bool knows(const std::string &id) const { return m_entries.contains(id); }
     void put(UpstreamRecord record);
@@ -36,6 +34,9 @@
 
     /// Grace period after an outage, within which live upstreams have registered again.
     static constexpr milliseconds recoveryGrace{2200};
+    /// Shortest outage in which entries expire: upstreams write a heartbeat every 1.2 s, and an
+    /// entry expires after three that are missing, the first of which may be due at once.
+    static constexpr milliseconds shortestOutage{2400};
 
 private:
     struct Entry
@@ -45,10 +46,11 @@
         std::optional<TimePoint> dropAt;
     };
 
+    bool isStoreOut(TimePoint now) const;
     bool recovering(TimePoint now) const;
 
     std::map<std::string, Entry> m_entries;
-    bool m_storeOut = false;
+    std::optional<TimePoint> m_answeredAt;
     std::optional<TimePoint> m_returnedAt;
 };
 
--- a/tests/ServingBudgetsTest.cpp
+++ b/tests/ServingBudgetsTest.cpp
@@ -407,17 +407,30 @@
     UpstreamDirectory directory;
     directory.put({.id = "a"});
     directory.put({.id = "b"});
-    directory.storeFailed(start);
+    directory.storeAnswered(start);
     directory.storeAnswered(start + seconds(5));
     directory.replace({{.id = "b"}}, start + seconds(5));
     BOOST_TEST(directory.usable(start + seconds(6)).size() == 2U);
     const TimePoint over = start + seconds(5) + UpstreamDirectory::recoveryGrace;
     BOOST_TEST((directory.nextExpiry().value() == over));
     BOOST_TEST(directory.usable(over).size() == 1U);
+    directory.storeAnswered(over);
     directory.remove("b", over + seconds(1));
     BOOST_TEST(directory.usable(over + seconds(1)).empty());
 }
 
+// Other entries have read the store meanwhile, so that no entry can have expired.
+BOOST_AUTO_TEST_CASE(removedEntriesAreDroppedAtOnceIfTheStoreAnsweredOthers)
+{
+    UpstreamDirectory directory;
+    directory.put({.id = "a"});
+    for (int tenths = 0; tenths <= 50; tenths += 20)
+        directory.storeAnswered(start + milliseconds(100) * tenths);
+    directory.storeAnswered(start + seconds(5));
+    directory.remove("a", start + seconds(5));
+    BOOST_TEST(directory.usable(start + seconds(5)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(EngineTimeModelSuite)
