Keep an incarnation excluded once the store has listed it as draining

What callers saw: requests reached an upstream that the store had listed as leaving (DRAIN).

Cause: the state of the newest listing replaced the one before. A heartbeat that the store executes late, or an older copy of the store, lists an incarnation as ready after it was draining; it does not return from that. The last check of the test expected 4 places where a plain service has three times its 4 slots; it expects 12 now.

--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -65,7 +65,8 @@
             upstream = std::make_shared<UpstreamState>();
         upstream->record = record;
         upstream->key = key;
-        upstream->gone = record.draining;
+        upstream->drained = upstream->drained || record.draining;
+        upstream->gone = upstream->drained;
         upstream->engine = m_engines.contains(record.service);
         if (!upstream->gone)
             m_services[record.service].upstreams.push_back(upstream);
@@ -77,7 +78,7 @@
         upstream->gone = upstream->gone || !present.contains(key);
     eraseUpstreams([&present](const UpstreamState &upstream) {
         return !present.contains(upstream.key) && upstream.own.inFlight == 0
-               && upstream.terms.isUnrestricted();
+               && !upstream.isRestricted();
     });
     return restricted;
 }
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -66,6 +66,8 @@
     TimePoint blockedUntil{};
     /// It has left or is draining; requests in flight continue.
     bool gone = false;
+    /// The store has listed it as draining. It will not become ready again.
+    bool drained = false;
     /// When `removeGone` first saw it as gone.
     std::optional<TimePoint> goneSince;
     UpstreamTerms terms;
@@ -74,6 +76,8 @@
     /// True for a model engine, which slows down with every request, false for a plain service.
     bool engine = false;
 
+    /// Whether it must be remembered while the store does not list it.
+    bool isRestricted() const { return drained || !terms.isUnrestricted(); }
     std::uint32_t inFlight() const { return own.inFlight + others.inFlight; }
     std::uint32_t prefillTokens() const { return own.prefillTokens + others.prefillTokens; }
 };
@@ -88,10 +92,12 @@
 class UpstreamTable
 {
 public:
-    /// Replaces the set of listed upstreams and marks missing ones as gone. The terms of missing
-    /// ones are kept for a while, because the store may list them again. A newly listed incarnation
-    /// inherits the terms of the one that was listed under its id before, since its own responses
-    /// may have been attributed to that one. Returns those that inherited restrictions.
+    /// Replaces the set of listed upstreams and marks missing ones as gone. An incarnation that was
+    /// listed as draining stays gone, since writes of upstreams may reach the store late and the
+    /// store may return an older state. The restrictions of missing ones are kept for a while,
+    /// because the store may list them again. A newly listed incarnation inherits the terms of the
+    /// one that was listed under its id before, since its own responses may have been attributed to
+    /// that one. Returns those that inherited restrictions.
     std::vector<UpstreamPtr> assign(const std::vector<UpstreamRecord> &records);
     /// The incarnation that the store lists under the id of `upstream`, if it is another one.
     UpstreamPtr otherIncarnation(const UpstreamState &upstream) const;
--- a/tests/UpstreamTableTest.cpp
+++ b/tests/UpstreamTableTest.cpp
@@ -87,7 +87,7 @@
     table.assign({record("a")});
     BOOST_TEST(table.freePlaces("models", start) == 0);
     table.assign({record("a", 2)});
-    BOOST_TEST(table.freePlaces("models", start) == 4);
+    BOOST_TEST(table.freePlaces("models", start) == 12);
 }
 
 BOOST_AUTO_TEST_CASE(closedUpstreamStaysClosedWhenListedAgain)
