Charge retries to the budget when they are sent

Cause: a retry was counted when it was decided. Retries that wait in the queue are sent together with those decided later, so that one window got the budget of more than one. A decided retry now reserves a token, which is spent when it is sent and given back when it is not.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -65,6 +65,7 @@
     else
         co_await serve();
     refundQuota();
+    releaseRetry();
 }
 
 void RequestFlow::refundQuota()
@@ -273,9 +274,12 @@
     m_attempt.emplace(m_state, *m_assignment, m_relay,
                       AttemptRequest{m_exchange.request(), m_facts, m_admitted.workspace,
                                      m_deadlineAt, isStream(), m_sends == 0,
-                                     m_admitted.isTrial && m_sends == 0});
+                                     m_admitted.isTrial && m_sends == 0, m_admitted.service});
     const AttemptEnd end = co_await m_attempt->run();
-    m_sends += m_attempt->sent() ? 1 : 0;
+    if (m_attempt->sent()) {
+        ++m_sends;
+        m_retryReserved = false;
+    }
     if (!m_firstToken && m_attempt->firstTokenAt())
         m_firstToken = *m_attempt->firstTokenAt() - m_arrivedAt;
     if (m_attempt->clientGone())
@@ -356,10 +360,8 @@
     facts.sends = m_sends;
     facts.timeLeft = timeLeft() > minAttemptTime;
     const AttemptDecision verdict = decideNextStep(facts);
-    // An attempt that sent nothing put no load on an upstream, so its retry is not charged to the
-    // retry budget.
-    const bool unsent = end == AttemptEnd::NotSent;
-    const bool retried = verdict.step == NextStep::Retry && (unsent || spendRetry());
+    // A request that was never sent put no load on an upstream, so that sending it is no retry.
+    const bool retried = verdict.step == NextStep::Retry && (m_sends == 0 || reserveRetry());
     if (retried) {
         m_state.metrics.add("tamarack_retries_total", fmt::format("reason=\"{}\"", endName(end)));
         co_return true;
@@ -378,19 +380,27 @@
     co_return false;
 }
 
-bool RequestFlow::spendRetry()
+bool RequestFlow::reserveRetry()
 {
-    const TimePoint now = steadyNow();
-    const bool granted = m_state.retries.trySpend(m_admitted.service, now);
+    if (m_retryReserved)
+        return true;
+    m_retryReserved = m_state.retries.tryReserve(m_admitted.service, steadyNow());
     const RetryBudget::Usage usage = m_state.retries.usage(m_admitted.service);
     logEvent(LogLevel::Info, "retry_decided",
              {{"request", m_facts.id},
               {"service", m_admitted.service},
-              {"granted", granted},
+              {"granted", m_retryReserved},
               {"tokens", usage.tokens},
+              {"reserved", usage.reserved},
               {"requests", usage.requests},
               {"entries", m_state.retries.entries()}});
-    return granted;
+    return m_retryReserved;
+}
+
+void RequestFlow::releaseRetry()
+{
+    if (std::exchange(m_retryReserved, false))
+        m_state.retries.release(m_admitted.service);
 }
 
 asio::awaitable<void> RequestFlow::deliver()
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -59,8 +59,10 @@
 
     /// Retries, delivers or refuses after an attempt. Returns true when another attempt follows.
     boost::asio::awaitable<bool> handleAttemptEnd(AttemptEnd end);
-    /// Charges a retry to the service's budget; returns false if the budget is exhausted.
-    bool spendRetry();
+    /// Reserves a retry in the service's budget; returns false if the budget is exhausted.
+    bool reserveRetry();
+    /// Gives back the reservation of a retry that was not sent.
+    void releaseRetry();
     boost::asio::awaitable<void> respondStopped();
     boost::asio::awaitable<void> respondError(ErrorKind kind, Duration retryAfter);
     boost::asio::awaitable<void> deliver();
@@ -96,6 +98,8 @@
     bool m_mayHaveRun = false;
     int m_upstreamsRun = 0;
     int m_sends = 0;
+    /// The retry budget holds a token for the next send.
+    bool m_retryReserved = false;
 };
 
 } // namespace tamarack
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -66,6 +66,8 @@
         co_return AttemptEnd::NotSent;
     m_sentAt = steadyNow();
     m_sent = true;
+    if (!m_request.first)
+        m_state.retries.spend(m_request.service, m_sentAt);
     m_connection->send(outgoing());
     co_return co_await readResponse();
 }
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -25,6 +25,8 @@
     bool first = true;
     /// It may be sent although its prompt has a quarantined part.
     bool isTrial = false;
+    /// Service whose retry budget is charged unless this is the first attempt.
+    std::string service;
 };
 
 /// One attempt to serve a request at the upstream that the queue assigned: connects, sends the
--- a/src/serving/RetryBudget.cpp
+++ b/src/serving/RetryBudget.cpp
@@ -37,7 +37,7 @@
 {
     auto found = m_buckets.find(service);
     if (found == m_buckets.end())
-        found = m_buckets.emplace(std::string(service), Bucket{0, 0, now}).first;
+        found = m_buckets.emplace(std::string(service), Bucket{0, 0, 0, now}).first;
     Bucket &bucket = found->second;
     const double windows = std::max(0.0, std::chrono::duration<double>(now - bucket.updatedAt)
                                              / std::chrono::duration<double>(m_bounds.window));
@@ -54,19 +54,35 @@
     addTokens(bucket, receivedShare * m_bounds.ratio);
 }
 
-bool RetryBudget::trySpend(std::string_view service, TimePoint now)
+bool RetryBudget::tryReserve(std::string_view service, TimePoint now)
 {
     Bucket &bucket = bucketAt(service, now);
-    if (bucket.tokens < 1)
+    if (bucket.tokens < bucket.reserved + 1)
         return false;
-    bucket.tokens -= 1;
+    ++bucket.reserved;
     return true;
 }
 
+void RetryBudget::spend(std::string_view service, TimePoint now)
+{
+    Bucket &bucket = bucketAt(service, now);
+    bucket.reserved -= std::min(bucket.reserved, 1U);
+    bucket.tokens -= 1;
+}
+
+void RetryBudget::release(std::string_view service)
+{
+    if (const auto found = m_buckets.find(service); found != m_buckets.end())
+        found->second.reserved -= std::min(found->second.reserved, 1U);
+}
+
 RetryBudget::Usage RetryBudget::usage(std::string_view service) const
 {
     const auto found = m_buckets.find(service);
-    return found == m_buckets.end() ? Usage{} : Usage{found->second.tokens, found->second.requests};
+    if (found == m_buckets.end())
+        return {};
+    const Bucket &bucket = found->second;
+    return {bucket.tokens, bucket.reserved, bucket.requests};
 }
 
 } // namespace tamarack
--- a/src/serving/RetryBudget.h
+++ b/src/serving/RetryBudget.h
@@ -37,13 +37,20 @@
     /// count until then.
     void setEntries(std::size_t count, TimePoint now);
     void countRequest(std::string_view service, TimePoint now);
-    /// Counts the retry and returns true if the budget allows it.
-    bool trySpend(std::string_view service, TimePoint now);
+    /// Reserves a token for a retry if the budget allows it. The retry may wait; it counts when it
+    /// is sent.
+    bool tryReserve(std::string_view service, TimePoint now);
+    /// Spends the reserved token of a retry that is being sent.
+    void spend(std::string_view service, TimePoint now);
+    /// Returns the reserved token of a retry that will not be sent.
+    void release(std::string_view service);
 
-    /// Retries that the service's budget allows at once, and its requests of about one window.
+    /// Retries that the service's budget allows at once, those reserved, and the service's requests
+    /// of about one window.
     struct Usage
     {
         double tokens = 0;
+        std::uint32_t reserved = 0;
         double requests = 0;
     };
     Usage usage(std::string_view service) const;
@@ -52,7 +59,9 @@
 private:
     struct Bucket
     {
+        /// Including those reserved.
         double tokens = 0;
+        std::uint32_t reserved = 0;
         /// Requests, each of which decays exponentially over the window.
         double requests = 0;
         TimePoint updatedAt{};
--- a/tests/RetryBudgetFleetTest.cpp
+++ b/tests/RetryBudgetFleetTest.cpp
@@ -45,7 +45,8 @@
     }
 
     void setCut(bool cut) { m_cut = cut; }
-    void setQueueing(Duration delay) { m_delay = delay; }
+    /// Retries wait in the queue until this time.
+    void holdUntil(Duration delay) { m_heldUntil = m_now + delay; }
 
     void restart(std::size_t number) { m_entries.at(number) = Entry(nameOf(number)); }
 
@@ -91,11 +92,10 @@
 
         void update(TimePoint now) { budget.setEntries(peers.servingCount(now), now); }
 
-        bool tryRetry(TimePoint now, TimePoint) { return budget.trySpend(service, now); }
-
         std::string name;
         PeerRegistry peers;
         RetryBudget budget{bounds};
+        int waiting = 0;
     };
 
     static std::string nameOf(std::size_t number) { return "entry-" + std::to_string(number); }
@@ -120,8 +120,11 @@
         m_requests.push_back(m_now);
         entry.budget.countRequest(service, m_now);
         for (int i = 0; i < retries; ++i)
-            if (entry.tryRetry(m_now, m_now + m_delay))
-                m_arrivals.insert(m_now + m_delay);
+            entry.waiting += entry.budget.tryReserve(service, m_now) ? 1 : 0;
+        for (; m_now >= m_heldUntil && entry.waiting > 0; --entry.waiting) {
+            entry.budget.spend(service, m_now);
+            m_arrivals.push_back(m_now);
+        }
     }
 
     template <typename Times>
@@ -135,8 +138,8 @@
     TimePoint m_now{seconds(1000)};
     std::vector<Entry> m_entries;
     std::vector<TimePoint> m_requests;
-    std::multiset<TimePoint> m_arrivals;
-    Duration m_delay{};
+    std::vector<TimePoint> m_arrivals;
+    TimePoint m_heldUntil{};
     std::uint64_t m_sequence = 0;
     bool m_cut = false;
 };
@@ -172,17 +175,24 @@
     }
 }
 
-// Retries that wait in the queue arrive together with those decided later.
-BOOST_AUTO_TEST_CASE(retriesThatWaitedCountWhenTheyArrive)
+BOOST_AUTO_TEST_CASE(burstsOfRetriesAtBothEndsOfAWindowStayWithinTheBudget)
 {
     FleetSimulation fleet(1);
     fleet.run(seconds(12), 0);
-    fleet.setQueueing(seconds(4));
     fleet.run(milliseconds(900), 8);
     fleet.run(milliseconds(8200), 0);
-    fleet.setQueueing({});
     fleet.run(seconds(4), 8);
     BOOST_TEST(fleet.worstExcess() <= 0, "excess " << fleet.worstExcess());
 }
 
+// Retries that wait in the queue arrive together with those decided later.
+BOOST_AUTO_TEST_CASE(retriesThatWaitedCountWhenTheyArrive)
+{
+    FleetSimulation fleet(1);
+    fleet.run(seconds(12), 0);
+    fleet.holdUntil(seconds(6));
+    fleet.run(seconds(20), 8);
+    BOOST_TEST(fleet.worstExcess() <= 0, "excess " << fleet.worstExcess());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/ServingBudgetsTest.cpp
+++ b/tests/ServingBudgetsTest.cpp
@@ -254,6 +254,18 @@
 
 BOOST_AUTO_TEST_SUITE(RetryBudgetSuite)
 
+namespace {
+
+bool trySpend(RetryBudget &budget, TimePoint now)
+{
+    if (!budget.tryReserve("s", now))
+        return false;
+    budget.spend("s", now);
+    return true;
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_CASE(everyWindowKeepsTheBound)
 {
     RetryBudget budget({0.2, seconds(10), 50});
@@ -263,7 +275,7 @@
         const TimePoint now = start + milliseconds(ms);
         if (ms % 10 == 0)
             budget.countRequest("s", now);
-        spent[static_cast<std::size_t>(ms / 1000)] += budget.trySpend("s", now) ? 1 : 0;
+        spent[static_cast<std::size_t>(ms / 1000)] += trySpend(budget, now) ? 1 : 0;
     }
     for (std::size_t first = 0; first + 10 <= spent.size(); ++first) {
         const int sum = std::accumulate(spent.begin() + static_cast<long>(first),
@@ -279,12 +291,28 @@
         RetryBudget budget({0.2, seconds(10), 54});
         budget.setEntries(4, start);
         for (int i = 0; i < 100; ++i)
-            spent += budget.trySpend("s", start + milliseconds(100) * i) ? 1 : 0;
+            spent += trySpend(budget, start + milliseconds(100) * i) ? 1 : 0;
     }
     BOOST_TEST(spent <= 54);
     BOOST_TEST(spent > 20);
 }
 
+BOOST_AUTO_TEST_CASE(releasedRetriesCanBeReservedAgain)
+{
+    RetryBudget budget({0.2, seconds(10), 54});
+    budget.setEntries(1, start);
+    budget.countRequest("s", start);
+    const TimePoint now = start + seconds(10);
+    int reserved = 0;
+    while (budget.tryReserve("s", now))
+        ++reserved;
+    BOOST_TEST(reserved > 1);
+    BOOST_TEST(!budget.tryReserve("s", now));
+    budget.release("s");
+    BOOST_TEST(budget.tryReserve("s", now));
+    BOOST_TEST(!budget.tryReserve("s", now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(FreshnessGuardSuite)
