--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -285,6 +285,7 @@
         logEvent(LogLevel::Info, "upstream_changed",
                  {{"upstream", record.id},
                   {"born", record.born},
+                  {"version", record.version},
                   {"source", source},
                   {"position", position},
                   {"position_age_ms", toMs(steadyNow() - positionAt)},
--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -136,6 +136,7 @@
         rows[i].setDraining(record.draining);
         rows[i].setBorn(record.born);
         rows[i].setRemoved(changes[i].removed);
+        rows[i].setVersion(textOf(record.version));
     }
 }
 
@@ -156,6 +157,7 @@
     change.record.slots = static_cast<int>(from.getSlots());
     change.record.draining = from.getDraining();
     change.record.born = from.getBorn();
+    change.record.version = stringOf(from.getVersion());
     return change;
 }
 
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -208,6 +208,7 @@
     draining @5 :Bool;
     born @6 :UInt64;
     removed @7 :Bool;
+    version @8 :Text;
 }
 
 struct StoreAsk {
--- a/src/serving/RequestFacts.h
+++ b/src/serving/RequestFacts.h
@@ -34,6 +34,8 @@
     std::vector<PromptPart> promptParts;
     /// Id of the last event that the client received of the stream that it resumes.
     std::optional<std::uint64_t> resumeAfter;
+    /// Id of the client's attempt that brought the first event of that stream; empty if not stated.
+    std::string resumedRequest;
     /// Headers that are forwarded unchanged, in order.
     HttpHeaders forwarded;
 };
--- a/src/serving/UpstreamRecord.h
+++ b/src/serving/UpstreamRecord.h
@@ -19,6 +19,8 @@
     bool draining = false;
     /// Unix time of its start in milliseconds; 0 if unknown.
     std::uint64_t born = 0;
+    /// Version of its software; empty if unknown. Versions have no order.
+    std::string version;
 
     bool operator==(const UpstreamRecord &) const = default;
 };
--- a/tests/EntryMessageCodecTest.cpp
+++ b/tests/EntryMessageCodecTest.cpp
@@ -47,7 +47,7 @@
     ProofResponse answer{7, BootTime(8'000'000'001), 9, milliseconds(1300), std::nullopt};
     BOOST_TEST((std::get<ProofResponse>(*openMessage(sealMessage(answer, key), key)) == answer));
     UpstreamChange change;
-    change.record = {"id", "models", {"10.0.0.9", 80}, "north", 6, true, 5};
+    change.record = {"id", "models", {"10.0.0.9", 80}, "north", 6, true, 5, "v1"};
     UpstreamChange removal;
     removal.record.id = "gone";
     removal.removed = true;
