--- /dev/null
+++ b/tests/support/SmallFleet.cpp
@@ -0,0 +1,114 @@
+#include "support/SmallFleet.h"
+
+#include "base/Log.h"
+#include "model/LoopbackListener.h"
+#include "support/Eventually.h"
+
+#include <algorithm>
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace tamarack::harness {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace tamarack::standin;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr int okStatus = 200;
+/// Within this time, entries that are ready have received reports from each other.
+constexpr std::chrono::seconds settlingTime{2};
+
+json::object route(const std::string &name, std::string_view kind)
+{
+    return {{"name", name},          {"host", "h.example"}, {"pathPrefix", "/" + name + "/"},
+            {"kind", kind},          {"timeoutMs", 3000},   {"targetLatencyMs", 500},
+            {"priority", 0},         {"service", "models"}, {"maxAttempts", 2},
+            {"resumeStreams", true}, {"public", true}};
+}
+
+json::object configuration()
+{
+    return {{"version", 1},
+            {"routes", json::array{route("read", "idempotent"), route("stream", "streaming")}},
+            {"services", json::array{json::object{{"name", "models"}}}}};
+}
+
+} // namespace
+
+SmallFleet::SmallFleet(std::size_t entryCount, std::size_t upstreamCount)
+    : m_store(m_context, freePort())
+{
+    setLogLevel("off");
+    m_store.with([](PlatformStore &store) { store.create("config", "main", configuration()); });
+    for (std::size_t i = 0; i < upstreamCount; ++i) {
+        m_upstreams.push_back(
+            std::make_unique<UpstreamServer>(m_context, freePort(), upstreamName(i)));
+        list(i, {});
+    }
+    m_thread = std::jthread([this] { m_context.run(); });
+    for (std::size_t i = 0; i < entryCount; ++i)
+        startEntry();
+    std::this_thread::sleep_for(settlingTime);
+}
+
+SmallFleet::~SmallFleet()
+{
+    for (const auto &entry : m_entries)
+        entry->stop();
+    m_context.stop();
+    m_thread.join();
+}
+
+std::size_t SmallFleet::startEntry()
+{
+    const std::size_t number = m_entries.size();
+    m_links.push_back(std::make_unique<LinkRelay>(
+        m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
+        tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_store.port())));
+    m_entries.push_back(std::make_unique<DirectEntry>());
+    m_entries.back()->startOnUnusedPorts("entry-" + std::to_string(number), "dc",
+                                         m_links.back()->port());
+    BOOST_REQUIRE(eventually([&] { return m_entries.back()->readiness() == okStatus; }));
+    return number;
+}
+
+void SmallFleet::list(std::size_t upstream, const Listed &listed)
+{
+    const std::string address = "127.0.0.1:" + std::to_string(m_upstreams.at(upstream)->port());
+    const json::object entry{{"service", "models"},   {"address", address},
+                             {"zone", "dc"},          {"slots", listed.slots},
+                             {"state", listed.state}, {"version", listed.version},
+                             {"born", listed.born}};
+    m_store.with([&](PlatformStore &store) {
+        const std::string name = upstreamName(upstream);
+        if (store.get("servers", name).status == okStatus)
+            store.replace("servers", name, entry, 0);
+        else
+            store.create("servers", name, entry);
+    });
+}
+
+void SmallFleet::unlist(std::size_t upstream)
+{
+    m_store.with([&](PlatformStore &store) { store.remove("servers", upstreamName(upstream)); });
+}
+
+void SmallFleet::silenceStoreConnections(std::size_t entry)
+{
+    asio::post(m_context, [this, entry] { m_links.at(entry)->swallow(); });
+}
+
+std::string SmallFleet::get(std::size_t entry, std::string_view path, std::string_view requestId,
+                            std::string_view headers) const
+{
+    std::string request = "GET ";
+    request.append(path).append(" HTTP/1.1\r\nHost: h.example\r\nRequest-Id: ").append(requestId);
+    request.append("\r\nDeadline-Ms: 2000\r\n").append(headers).append("Connection: close\r\n\r\n");
+    return exchangeBytes(m_entries.at(entry)->callerPort(), request);
+}
+
+} // namespace tamarack::harness
--- /dev/null
+++ b/tests/support/SmallFleet.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/Time.h"
+#include "model/LinkRelay.h"
+#include "model/StoreServer.h"
+#include "model/UpstreamServer.h"
+#include "support/DirectEntry.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
+
+namespace tamarack::harness {
+
+/// Direct entries of one data centre, each with a link of its own to the store, in front of the
+/// upstreams of one service. Its routes are `/read/` (idempotent) and `/stream/` (resumable).
+class SmallFleet
+{
+public:
+    SmallFleet(std::size_t entryCount, std::size_t upstreamCount);
+    ~SmallFleet();
+    SmallFleet(const SmallFleet &) = delete;
+    SmallFleet &operator=(const SmallFleet &) = delete;
+
+    static std::string upstreamName(std::size_t number) { return "up-" + std::to_string(number); }
+    standin::UpstreamServer &upstream(std::size_t number) { return *m_upstreams.at(number); }
+    const DirectEntry &entry(std::size_t number) const { return *m_entries.at(number); }
+
+    /// What the store lists about an upstream besides its address.
+    struct Listed
+    {
+        std::string state = "ready";
+        std::string version = "v1";
+        int slots = 4;
+        std::uint64_t born = 1;
+    };
+    /// Lists the upstream, or changes how it is listed.
+    void list(std::size_t upstream, const Listed &listed);
+    void unlist(std::size_t upstream);
+
+    /// Makes the open connections of the entry to the store swallow bytes; new ones work.
+    void silenceStoreConnections(std::size_t entry);
+    /// Starts one more entry and returns its number.
+    std::size_t startEntry();
+    void stopEntry(std::size_t number) { m_entries.at(number)->stop(); }
+    /// Sends a GET with the additional header lines to the entry and returns the whole response.
+    std::string get(std::size_t entry, std::string_view path, std::string_view requestId,
+                    std::string_view headers = "") const;
+
+private:
+    boost::asio::io_context m_context;
+    standin::StoreServer m_store;
+    std::vector<std::unique_ptr<standin::UpstreamServer>> m_upstreams;
+    std::vector<std::unique_ptr<standin::LinkRelay>> m_links;
+    std::vector<std::unique_ptr<DirectEntry>> m_entries;
+    std::jthread m_thread;
+    /// Ends the server thread also when the constructor throws.
+    struct ContextStopper
+    {
+        ~ContextStopper() { context.stop(); }
+        boost::asio::io_context &context;
+    };
+    ContextStopper m_stopper{m_context};
+};
+
+} // namespace tamarack::harness
