Red tests: an odd entry in the store's list stops the entries from following it

One entry of another writer, nested too deeply or holding a number or bytes that the parser rejects, makes the whole page unreadable: a running entry stops following the list, a starting one never becomes ready. A port out of range and wrong types are skipped already. No process ended.

--- /dev/null
+++ b/tests/OddEntryTest.cpp
@@ -0,0 +1,81 @@
+#include "support/Eventually.h"
+#include "support/SmallFleet.h"
+
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using tamarack::harness::eventually;
+using tamarack::harness::SmallFleet;
+
+namespace {
+
+/// An entry with this field beside those of a sound one.
+std::string withField(const std::string &field)
+{
+    return R"({"service":"models","address":"127.0.0.1:9","state":"ready","slots":4,)" + field
+           + "}";
+}
+
+std::string nested(std::size_t depth)
+{
+    return withField(R"("odd":)" + std::string(depth, '[') + std::string(depth, ']'));
+}
+
+/// What other writers may leave among the entries of the upstreams.
+std::vector<std::string> oddEntries()
+{
+    return {
+        nested(40),
+        nested(100'000),
+        withField(R"("slots":1e999)"),
+        withField(R"("born":)" + std::string(400, '9')),
+        withField("\"zone\":\"\xff\xfe\x80\""),
+        R"({"service":"models","address":"127.0.0.1:99999","state":"ready","slots":4})",
+        R"({"service":7,"address":[],"state":{},"slots":"four"})",
+        "nonsense",
+        R"("text")",
+        "null",
+    };
+}
+
+/// Lists the upstream `next` in place of `former`. Returns whether the entry follows.
+bool followsTheList(SmallFleet &fleet, std::size_t entry, std::size_t former, std::size_t next)
+{
+    fleet.list(next, {});
+    fleet.unlist(former);
+    int number = 0;
+    return eventually([&] {
+        const std::string id = std::to_string(entry) + "-" + std::to_string(++number);
+        const std::string answer = fleet.get(entry, "/read/x", id);
+        return answer.find("signed-by-" + SmallFleet::upstreamName(next)) != std::string::npos;
+    });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OddEntrySuite)
+
+BOOST_AUTO_TEST_CASE(runningEntryFollowsTheListDespiteOddEntries)
+{
+    SmallFleet fleet(1, 2);
+    std::size_t next = 0;
+    for (const std::string &odd : oddEntries()) {
+        next = 1 - next;
+        fleet.listOdd(odd);
+        BOOST_TEST(followsTheList(fleet, 0, 1 - next, next), odd.substr(0, 100));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(startingEntryFollowsTheListDespiteOddEntries)
+{
+    SmallFleet fleet(0, 2);
+    for (const std::string &odd : oddEntries())
+        fleet.listOdd(odd);
+    const std::size_t entry = fleet.startEntry();
+    BOOST_TEST(followsTheList(fleet, entry, 0, 1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/SmallFleet.cpp
+++ b/tests/support/SmallFleet.cpp
@@ -97,6 +97,15 @@
     m_store.with([&](PlatformStore &store) { store.remove("servers", upstreamName(upstream)); });
 }
 
+void SmallFleet::listOdd(const std::string &text)
+{
+    const std::string name = "odd-" + std::to_string(m_oddEntries++);
+    m_store.substitute("content of " + name, text);
+    m_store.with([&](PlatformStore &store) {
+        store.create("servers", name, json::string("content of " + name));
+    });
+}
+
 void SmallFleet::silenceStoreConnections(std::size_t entry)
 {
     asio::post(m_context, [this, entry] { m_links.at(entry)->swallow(); });
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -44,6 +44,8 @@
     /// Lists the upstream, or changes how it is listed.
     void list(std::size_t upstream, const Listed &listed);
     void unlist(std::size_t upstream);
+    /// Lists one more entry of another writer, whose content is `text`.
+    void listOdd(const std::string &text);
 
     /// Makes the open connections of the entry to the store swallow bytes; new ones work.
     void silenceStoreConnections(std::size_t entry);
@@ -60,6 +62,7 @@
     std::vector<std::unique_ptr<standin::UpstreamServer>> m_upstreams;
     std::vector<std::unique_ptr<standin::LinkRelay>> m_links;
     std::vector<std::unique_ptr<DirectEntry>> m_entries;
+    std::size_t m_oddEntries = 0;
     std::jthread m_thread;
     /// Ends the server thread also when the constructor throws.
     struct ContextStopper
--- a/tools/model/StoreServer.cpp
+++ b/tools/model/StoreServer.cpp
@@ -64,8 +64,7 @@
         co_return;
     }
     const auto answer = handle(exchange.request());
-    HttpResponse response{answer.status, {}, json::serialize(answer.body)};
-    co_await exchange.respond(std::move(response));
+    co_await exchange.respond(encode(answer));
 }
 
 asio::awaitable<void> StoreServer::watch(HttpExchange &exchange, std::string kind)
@@ -87,8 +86,25 @@
         if (!answer)
             answer = store.noChanges();
     });
-    HttpResponse response{answer->status, {}, json::serialize(answer->body)};
-    co_await exchange.respond(std::move(response));
+    co_await exchange.respond(encode(*answer));
+}
+
+void StoreServer::substitute(const std::string &placeholder, std::string text)
+{
+    const std::lock_guard lock(m_mutex);
+    m_substitutes[json::serialize(json::string(placeholder))] = std::move(text);
+}
+
+HttpResponse StoreServer::encode(const PlatformStore::Answer &answer)
+{
+    HttpResponse response{answer.status, {}, json::serialize(answer.body)};
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[placeholder, text] : m_substitutes) {
+        for (auto at = response.body.find(placeholder); at != std::string::npos;
+             at = response.body.find(placeholder, at + text.size()))
+            response.body.replace(at, placeholder.size(), text);
+    }
+    return response;
 }
 
 PlatformStore::Answer StoreServer::handle(const HttpRequest &request)
--- a/tools/model/StoreServer.h
+++ b/tools/model/StoreServer.h
@@ -4,8 +4,10 @@
 #include "model/PlatformStore.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <string>
 
 namespace tamarack::standin {
 
@@ -30,6 +32,10 @@
         change(m_store);
     }
 
+    /// From now on, `text` stands in responses wherever an object holds the string `placeholder`;
+    /// the text need not be valid JSON.
+    void substitute(const std::string &placeholder, std::string text);
+
     std::atomic<StoreMode> mode{StoreMode::Normal};
     std::atomic<int> calls{0};
     /// Those of `calls` that accept stale data; this store serves them the latest data all the
@@ -40,9 +46,12 @@
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
     boost::asio::awaitable<void> watch(HttpExchange &exchange, std::string kind);
     PlatformStore::Answer handle(const HttpRequest &request);
+    HttpResponse encode(const PlatformStore::Answer &answer);
 
     std::mutex m_mutex;
     PlatformStore m_store{2};
+    /// Texts by the quoted placeholders that they replace.
+    std::map<std::string, std::string> m_substitutes;
     std::unique_ptr<HttpServer> m_server;
 };
 
