Read the store's entries one by one, so that an odd one does not spoil the others

What operators saw: entries stopped following the list of upstreams, or never became ready, after another writer had left one odd entry in it.

Cause: a page of the list is one JSON document, and the parser rejects all of it for one value that is nested too deeply, too large a number, or bytes that are no text. The text is now split into its objects and their fields first, without recursion and without reading values; each is then parsed by itself. An entry that cannot be read is logged once for each of its revisions.

--- a/fuzz/PlatformFuzz.cpp
+++ b/fuzz/PlatformFuzz.cpp
@@ -28,6 +28,8 @@
 /// Decodes the text as store objects, which other software may write with any content.
 void fuzzStoreObjects(std::string_view text)
 {
+    platform::decodeChanges(text);
+    platform::decodeObject(text);
     boost::system::error_code error;
     const boost::json::value value = boost::json::parse(text, error);
     if (error)
@@ -41,8 +43,6 @@
     }
     if (const auto upstream = platform::decodeUpstream("i", value))
         check(upstream->slots > 0 && upstream->endpoint.port != 0);
-    platform::decodeChanges(value);
-    platform::decodeObject(value);
 }
 
 /// Decodes the lines of the text as headers of a client's request and of an upstream's response.
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -212,6 +212,7 @@
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
+            forgetIgnoredEntries(*listing);
             std::vector<UpstreamRecord> records;
             for (const auto &object : listing->objects)
                 if (auto record = decode(object))
@@ -269,6 +270,8 @@
 
     UpstreamChange decodeChange(const platform::StoreEvent &event)
     {
+        if (event.deleted)
+            ignoredEntries.erase(event.object.name);
         auto record = event.deleted ? std::nullopt : decode(event.object);
         if (record)
             return {std::move(*record), false};
@@ -320,13 +323,28 @@
     std::optional<UpstreamRecord> decode(const platform::StoredObject &object)
     {
         auto record = platform::decodeUpstream(object.name, object.spec);
-        if (record)
+        if (record) {
+            ignoredEntries.erase(object.name);
             return *record;
-        logEvent(LogLevel::Warning, "upstream_entry_ignored",
-                 {{"upstream", object.name}, {"reason", record.error().message}});
+        }
+        platform::Revision &logged = ignoredEntries[object.name];
+        if (logged != object.revision)
+            logEvent(LogLevel::Warning, "upstream_entry_ignored",
+                     {{"upstream", object.name},
+                      {"revision", object.revision},
+                      {"reason", record.error().message}});
+        logged = object.revision;
         return std::nullopt;
     }
 
+    void forgetIgnoredEntries(const platform::StoreListing &listing)
+    {
+        std::erase_if(ignoredEntries, [&](const auto &ignored) {
+            return std::ranges::find(listing.objects, ignored.first, &platform::StoredObject::name)
+                   == listing.objects.end();
+        });
+    }
+
     void publishUpstreams()
     {
         listener.upstreamsChanged(directory.usable(steadyNow()));
@@ -423,6 +441,8 @@
     /// Start of this entry's last store call that proved its configuration current, or proved that
     /// there is no configuration.
     std::optional<BootTime> provedAt;
+    /// Revisions of the listed entries that describe no usable upstream.
+    std::map<std::string, platform::Revision> ignoredEntries;
     bool reachable = true;
     /// When the store last answered this entry.
     std::optional<TimePoint> answeredAt;
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -1,4 +1,5 @@
 #include "platform/HeaderCodec.h"
+#include "platform/JsonText.h"
 #include "platform/StoreClient.h"
 #include "platform/UpstreamDecoder.h"
 
@@ -195,15 +196,36 @@
 
 BOOST_AUTO_TEST_CASE(decodesStoreChanges)
 {
-    const auto changes = platform::decodeChanges(json::parse(
+    const auto changes = platform::decodeChanges(
         R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":4},"spec":null}},
-            {"deleted":false,"object":{"metadata":{},"spec":1}}, 7],"currentRev":9})"));
+            {"deleted":false,"object":{"metadata":{},"spec":1}}, 7],"currentRev":9})");
     BOOST_REQUIRE(changes);
     BOOST_TEST(changes->revision == 9U);
     BOOST_REQUIRE(changes->events.size() == 1U);
     BOOST_TEST(changes->events[0].deleted);
     BOOST_TEST(changes->events[0].object.revision == 4U);
-    BOOST_TEST(!platform::decodeChanges(json::parse(R"({"events":[]})")));
+    BOOST_TEST(!platform::decodeChanges(R"({"events":[]})"));
+}
+
+BOOST_AUTO_TEST_CASE(splitsJsonTextWithoutReadingValues)
+{
+    const auto members =
+        platform::splitObject(R"( {"a" : [1, {"b":"]}\""}] , "c":1e999, "d":nonsense,"e":""} )");
+    BOOST_REQUIRE(members);
+    BOOST_REQUIRE(members->size() == 4U);
+    BOOST_TEST(platform::memberValue(*members, "a") == R"([1, {"b":"]}\""}])");
+    BOOST_TEST(platform::memberValue(*members, "c") == "1e999");
+    BOOST_TEST(platform::memberValue(*members, "d") == "nonsense");
+    BOOST_TEST(platform::memberValue(*members, "e") == R"("")");
+    BOOST_TEST(platform::memberValue(*members, "f").empty());
+    BOOST_TEST(platform::splitObject("{}")->empty());
+    BOOST_TEST(platform::splitArray("[ ]")->empty());
+    BOOST_TEST(platform::splitArray(R"([1,"x",[[]]])")->size() == 3U);
+    for (const char *bad : {"", "{", "[]", "{\"a\"}", "{\"a\":}", "{\"a\":1", "{\"a\":1,}",
+                            "{\"a\":[}", "{\"a\":1}x", "{\"a\":\"", "{a:1}"})
+        BOOST_TEST(!platform::splitObject(bad), bad);
+    for (const char *bad : {"", "[", "{}", "[1", "[1,]", "[1 2]", "[]]", "[\"]"})
+        BOOST_TEST(!platform::splitArray(bad), bad);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
