Keep the origins of streams in the store across a kill of all entries

Cause: origins were in the memory of the entries only. Each entry now writes those of its streams of the last 16 s to one object of its own, every 0.5 s while upstreams differ in version and every 2 s else, more rarely in larger fleets; a starting entry reads all of them once.

Evidence: clientsTakeStreamsUpAfterAllEntriesWereKilled.

--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -69,6 +69,11 @@
             asio::post(traffic,
                        [this, delta, source] { state.applyUpstreamsFollowed(delta, source); });
         };
+        listener.originsRead = [this](std::vector<StreamOrigin> saved, bool own) {
+            asio::post(traffic, [this, saved = std::move(saved), own] {
+                state.applySavedOrigins(saved, own);
+            });
+        };
         listener.entriesChanged = [this](std::map<std::string, Endpoint> entries) {
             asio::post(traffic, [this, entries = std::move(entries)] { applyEntries(entries); });
         };
@@ -90,6 +95,11 @@
         state.onUpstreamsRelayed = [this, control](const UpstreamDelta &delta) {
             asio::post(control, [this, delta] { storeFollower.applyRelayed(delta); });
         };
+        state.onOriginsDue = [this, control](std::vector<StreamOrigin> origins) {
+            asio::post(control, [this, origins = std::move(origins)] {
+                storeFollower.saveOrigins(origins);
+            });
+        };
         state.onStoreAnswerRelayed = [this, control](BootTime answeredAt) {
             asio::post(control,
                        [this, answeredAt] { storeFollower.recordRelayedAnswer(answeredAt); });
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -3,6 +3,7 @@
 #include "base/AsioPch.h"
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "fleet/OriginRecords.h"
 #include "fleet/StoreWatchPolicy.h"
 #include "platform/ConfigDecoder.h"
 #include "platform/StoreClient.h"
@@ -50,14 +51,17 @@
 constexpr auto maxEntryAge = platform::StoreClient::Freshness::MaybeStale;
 /// Kind of the registration objects in the store; one object per entry.
 const std::string entryKind = "tamarack-entries";
+/// Kind of the objects that hold the origins of streams; one object per entry.
+const std::string originKind = "tamarack-streams";
 
 } // namespace
 
 struct StoreFollower::Private : std::enable_shared_from_this<StoreFollower::Private>
 {
-    Private(const asio::any_io_executor &executor, const Settings &processSettings,
+    Private(const asio::any_io_executor &processExecutor, const Settings &processSettings,
             StoreListener storeListener)
-        : settings(processSettings)
+        : executor(processExecutor)
+        , settings(processSettings)
         , listener(std::move(storeListener))
         , store(executor, settings.direct.store)
         , expiryTimer(executor)
@@ -358,6 +362,37 @@
         });
     }
 
+    asio::awaitable<void> originLoop()
+    {
+        while (!originsRead) {
+            const auto listing = co_await store.list(originKind);
+            originsRead = recordResult(listing, "list_origins");
+            if (!originsRead) {
+                co_await pauseAfterFailure(upstreamRetry);
+                continue;
+            }
+            std::size_t streams = 0;
+            for (const auto &object : listing->objects) {
+                std::vector<StreamOrigin> origins = decodeOrigins(object.spec);
+                streams += origins.size();
+                listener.originsRead(std::move(origins), object.name == settings.name);
+            }
+            logEvent(LogLevel::Info, "stream_origins_read",
+                     {{"entries", listing->objects.size()}, {"streams", streams}});
+        }
+        // A supervised loop must not return.
+        while (true)
+            co_await pause(std::chrono::hours(1));
+    }
+
+    asio::awaitable<void> saveOrigins(json::value content)
+    {
+        savingOrigins = true;
+        const auto saved = co_await store.put(originKind, settings.name, content);
+        savingOrigins = false;
+        recordResult(saved, "save_origins");
+    }
+
     asio::awaitable<void> entryLoop()
     {
         co_await registerEntry();
@@ -420,6 +455,7 @@
             entries[event.object.name] = *peer;
     }
 
+    asio::any_io_executor executor;
     Settings settings;
     StoreListener listener;
     platform::StoreClient store;
@@ -443,6 +479,10 @@
     std::optional<BootTime> provedAt;
     /// Revisions of the listed entries that describe no usable upstream.
     std::map<std::string, platform::Revision> ignoredEntries;
+    /// The origins in the store have been read since the start.
+    bool originsRead = false;
+    /// A call that writes this entry's origins is in progress.
+    bool savingOrigins = false;
     bool reachable = true;
     /// When the store last answered this entry.
     std::optional<TimePoint> answeredAt;
@@ -461,14 +501,18 @@
     supervisor.start("config", [self] { return self->configLoop(); });
     supervisor.start("upstreams", [self] { return self->upstreamLoop(); });
     supervisor.start("entries", [self] { return self->entryLoop(); });
+    supervisor.start("origins", [self] { return self->originLoop(); });
 }
 
 asio::awaitable<void> StoreFollower::leave()
 {
     const auto self = m_private;
-    const auto removed = co_await self->store.remove(entryKind, self->settings.name);
-    if (!removed)
-        logEvent(LogLevel::Warning, "unregister_failed", {{"reason", removed.error().message}});
+    for (const std::string &kind : {entryKind, originKind}) {
+        const auto removed = co_await self->store.remove(kind, self->settings.name);
+        if (!removed)
+            logEvent(LogLevel::Warning, "unregister_failed",
+                     {{"kind", kind}, {"reason", removed.error().message}});
+    }
 }
 
 void StoreFollower::setElected(bool elected)
@@ -487,6 +531,17 @@
     m_private->directory.storeAnswered(steadyNow() - (bootNow() - answeredAt));
 }
 
+void StoreFollower::saveOrigins(const std::vector<StreamOrigin> &origins)
+{
+    const auto self = m_private;
+    if (!self->originsRead || self->savingOrigins)
+        return;
+    asio::co_spawn(
+        self->executor,
+        [self, content = encodeOrigins(origins)] { return self->saveOrigins(content); },
+        asio::detached);
+}
+
 void StoreFollower::recordReportedVersions(std::uint64_t configVersion,
                                            std::uint64_t upstreamRevision)
 {
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -4,6 +4,7 @@
 #include "fleet/UpstreamLog.h"
 #include "serving/FreshnessGuard.h"
 #include "serving/ServingConfig.h"
+#include "serving/StreamOrigin.h"
 #include "serving/UpstreamDirectory.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -28,6 +29,9 @@
     std::function<void(std::vector<UpstreamRecord>)> upstreamsChanged;
     /// The upstream list is current as of the delta's revision.
     std::function<void(const UpstreamDelta &, UpstreamSource)> upstreamsFollowed;
+    /// Origins of streams that an entry wrote to the store, read once after the start; `own`: it
+    /// was this entry, before it restarted.
+    std::function<void(std::vector<StreamOrigin>, bool own)> originsRead;
     /// All entries by name, including this one.
     std::function<void(std::map<std::string, Endpoint>)> entriesChanged;
 };
@@ -56,6 +60,9 @@
     void applyProof(BootTime provedAt);
     /// The store answered a follower at this time.
     void recordRelayedAnswer(BootTime answeredAt);
+    /// Replaces the origins that this entry keeps in the store. Does nothing while an earlier call
+    /// is in progress, or the origins have not been read yet.
+    void saveOrigins(const std::vector<StreamOrigin> &origins);
     /// Versions that other entries have reported; 0 if there is nothing new.
     void recordReportedVersions(std::uint64_t configVersion, std::uint64_t upstreamRevision);
     /// Applies upstream changes received from a follower.
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -380,9 +380,20 @@
         logEvent(LogLevel::Warning, "stream_origin_ambiguous",
                  {{"upstream", origin.upstreamId}, {"born", origin.born}});
     origins.record(origin, peers.reachableNames(now), now);
+    m_originSaving.add(origin, now);
     metrics.set("tamarack_stream_origins", "", origins.size());
 }
 
+void TrafficState::applySavedOrigins(const std::vector<StreamOrigin> &saved, bool own)
+{
+    const TimePoint now = steadyNow();
+    for (const StreamOrigin &origin : saved) {
+        origins.handleReport(origin, now);
+        if (own)
+            m_originSaving.add(origin, now);
+    }
+}
+
 void TrafficState::recordAnswer(std::span<const PromptPart> prompt, TimePoint now)
 {
     partQuarantine.addAnswer(prompt, now);
@@ -500,6 +511,10 @@
     upstreams.removeGone(now);
     checkUnconfirmed(now);
     updateFollowers(now);
+    auto dueOrigins =
+        m_originSaving.takeDue(upstreams.hasSeveralVersions(), peers.servingCount(now), now);
+    if (!dueOrigins.empty() && onOriginsDue)
+        onOriginsDue(std::move(dueOrigins));
     pool.dropExpired(now);
     std::erase_if(m_brokenAttempts,
                   [now](const auto &item) { return now - item.second.firstAt > breakWindow; });
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -5,6 +5,7 @@
 #include "direct/HealthChecker.h"
 #include "direct/OriginExchange.h"
 #include "direct/UpstreamPool.h"
+#include "fleet/OriginSaving.h"
 #include "fleet/ProofRelay.h"
 #include "fleet/UpstreamLog.h"
 #include "serving/Admission.h"
@@ -87,6 +88,9 @@
                              std::span<const PromptPart> prompt, TimePoint now);
     /// Records that the upstream has written the first event of the stream.
     void recordStreamBegin(StreamKey stream, const UpstreamState &upstream);
+    /// Applies the origins of streams that an entry wrote to the store before this process started;
+    /// `own`: it was this entry.
+    void applySavedOrigins(const std::vector<StreamOrigin> &saved, bool own);
     /// Records a complete, successful response to a request with this prompt.
     void recordAnswer(std::span<const PromptPart> prompt, TimePoint now);
     /// Records that no connection to the upstream could be made. Attempts that broke off shortly
@@ -123,6 +127,8 @@
     std::function<void(BootTime)> onProofRelayed;
     /// Called with upstream changes received from a follower.
     std::function<void(const UpstreamDelta &)> onUpstreamsRelayed;
+    /// Called when origins of this entry's streams should be written to the store.
+    std::function<void(std::vector<StreamOrigin>)> onOriginsDue;
     /// Called when this entry starts or stops watching the store on behalf of others.
     std::function<void(bool)> onElected;
     /// Called when another entry reports a newer configuration or newer upstream changes.
@@ -201,6 +207,7 @@
     std::uint64_t m_reportedConfig = 0;
     std::uint64_t m_reportedUpstreams = 0;
     UpstreamLog m_upstreamLog;
+    OriginSaving m_originSaving;
     /// Revision of the last change received from this entry's own watch.
     std::uint64_t m_upstreamRevision = 0;
     TimePoint m_upstreamsFollowedAt{};
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -104,6 +104,16 @@
     return !origin.ambiguous && !isReplaced;
 }
 
+bool UpstreamTable::hasSeveralVersions() const
+{
+    return std::ranges::any_of(m_services, [](const auto &service) {
+        const auto &upstreams = service.second.upstreams;
+        return std::ranges::any_of(upstreams, [&](const UpstreamPtr &upstream) {
+            return upstream->record.version != upstreams.front()->record.version;
+        });
+    });
+}
+
 bool UpstreamTable::offersVersion(std::string_view service, std::string_view version) const
 {
     return std::ranges::any_of(ofService(service), [version](const UpstreamPtr &upstream) {
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -108,6 +108,8 @@
     /// Whether it is certain which version began the stream. The store may list a restart of an
     /// upstream late, so that streams of the incarnation listed before may be the new one's.
     bool isCertain(const StreamOrigin &origin) const;
+    /// Whether the upstreams of any service have different versions.
+    bool hasSeveralVersions() const;
     /// Whether the service has an upstream of the software version.
     bool offersVersion(std::string_view service, std::string_view version) const;
     /// Listed upstreams that count as leaving until a health check shows that they are not.
--- /dev/null
+++ b/tests/OriginSavingTest.cpp
@@ -0,0 +1,59 @@
+#include "fleet/OriginSaving.h"
+#include "fleet/OriginRecords.h"
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint start{seconds(100)};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OriginSavingSuite)
+
+BOOST_AUTO_TEST_CASE(writesOfTheFleetDoNotGrowWithTheNumberOfEntries)
+{
+    for (const std::size_t entries : {4U, 30U, 330U}) {
+        OriginSaving saving;
+        std::size_t writes = 0;
+        for (TimePoint now = start; now < start + seconds(60); now += milliseconds(100)) {
+            saving.add({1, "up", 1, "v1", false}, now);
+            writes += saving.takeDue(true, entries, now).empty() ? 0 : 1;
+        }
+        const std::size_t longest = 60 * OriginSaving::entriesPerInterval * 2 + 2 * entries;
+        BOOST_TEST(writes * entries <= longest);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(originsAreWrittenWhileTheirStreamsMayBeTakenUp)
+{
+    OriginSaving saving;
+    BOOST_TEST(saving.takeDue(true, 1, start).empty());
+    saving.add({1, "up", 1, "v1", false}, start);
+    BOOST_TEST(saving.takeDue(true, 1, start).size() == 1U);
+    BOOST_TEST(saving.takeDue(true, 1, start + seconds(5)).empty());
+    saving.add({2, "up", 1, "v1", false}, start + seconds(10));
+    BOOST_TEST(saving.takeDue(true, 1, start + seconds(10)).size() == 2U);
+    saving.add({3, "up", 1, "v1", false}, start + OriginSaving::retention);
+    BOOST_TEST(saving.takeDue(true, 1, start + OriginSaving::retention).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(recordsRoundTripWithoutAmbiguousOrigins)
+{
+    const std::vector<StreamOrigin> origins{
+        {7, "a", 1, "v1", false}, {8, "a", 1, "v1", false}, {9, "b", 2, "v2", false}};
+    std::vector<StreamOrigin> all = origins;
+    all.push_back({10, "c", 3, "v2", true});
+    BOOST_TEST((decodeOrigins(encodeOrigins(all)) == origins));
+    for (const char *odd :
+         {"null", "{}", "[3]", "[{}]", R"([{"upstream":1,"born":1,"version":"v","streams":["7"]}])",
+          R"([{"upstream":"a","born":-1,"version":"v","streams":["7"]}])",
+          R"([{"upstream":"a","born":1,"version":"v","streams":[7,"x","",null]}])"})
+        BOOST_TEST(decodeOrigins(boost::json::parse(odd)).empty(), odd);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -155,6 +155,18 @@
     BOOST_TEST(responseStatus(get(entry, "/stream/new", "new")) == okStatus);
 }
 
+// All entries are killed; those that start then have the origins from the store.
+BOOST_AUTO_TEST_CASE(clientsTakeStreamsUpAfterAllEntriesWereKilled)
+{
+    beginStreams(1, "a");
+    for (std::size_t i = 0; i < 3; ++i)
+        stopEntry(i);
+    const std::size_t entry = startEntry();
+    std::this_thread::sleep_for(listDelay);
+    BOOST_TEST(takeUp(entry, "a") == streams);
+    BOOST_TEST(continuations(0) + continuations(2) == 0U);
+}
+
 // The upstream is back under its id with another version; which of the two wrote the events is not
 // known, as the store may list it late.
 BOOST_AUTO_TEST_CASE(takeUpIsRefusedWhenTheUpstreamIsBackAsAnotherIncarnation)
