--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -41,7 +41,7 @@
     , freshness(settings.direct.revokeBound, proofMargin)
     , queue(upstreams, settings.dataCentre)
     , quotas(settings.direct.quotaWindow)
-    , retries(settings.direct.retries)
+    , retries(settings.direct.retries, steadyNow())
     , admission(freshness, crashes, partQuarantine, quotas)
     , peers(settings.name)
     , proofs(incarnation)
