Confirm the end of responses that only the end of their connection ends

Cause: the kernel closes the connections of a killed process in order, like those of one that has finished. A response without length and chunks then looks complete. The entry now opens a connection to the upstream before it ends such a response; if that is refused and the upstream is not leaving, the response counts as broken off.

--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -196,7 +196,8 @@
     if (events.hasPartial())
         co_return AttemptEnd::Broken;
     recordPace(EngineTimeModel::minPaceEvents);
-    co_return m_cancelled ? AttemptEnd::Broken : AttemptEnd::Whole;
+    const bool complete = co_await confirmEnd();
+    co_return m_cancelled || !complete ? AttemptEnd::Broken : AttemptEnd::Whole;
 }
 
 asio::awaitable<AttemptEnd> UpstreamAttempt::bufferResponse(AttemptEnd headOutcome)
@@ -211,7 +212,28 @@
         body.append(*piece);
     }
     recordFirstToken();
-    co_return headOutcome;
+    const bool complete = co_await confirmEnd();
+    co_return complete || headOutcome == AttemptEnd::NotExecuted ? headOutcome : AttemptEnd::Broken;
+}
+
+asio::awaitable<bool> UpstreamAttempt::confirmEnd()
+{
+    const UpstreamState &upstream = *m_assignment.upstream;
+    const bool leaving = upstream.gone || upstream.terms.isLeaving();
+    if (!m_connection->endsWithConnection() || leaving)
+        co_return true;
+    const auto made =
+        co_await UpstreamConnection::makeConnection(m_state.executor, upstream.record.endpoint);
+    m_state.metrics.add("tamarack_connection_checks_total",
+                        made ? "outcome=\"accepted\"" : "outcome=\"refused\"");
+    if (made)
+        (*made)->close();
+    else
+        logEvent(LogLevel::Warning, "response_end_unconfirmed",
+                 {{"request", m_request.facts.id},
+                  {"upstream", upstream.record.id},
+                  {"events", m_relay.events().events()}});
+    co_return made.has_value();
 }
 
 void UpstreamAttempt::recordFirstToken()
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -69,6 +69,9 @@
     AttemptEnd classifyHead() const;
     boost::asio::awaitable<AttemptEnd> relayStream();
     boost::asio::awaitable<AttemptEnd> bufferResponse(AttemptEnd headOutcome);
+    /// Whether the received response is complete. If only the end of the connection shows that, the
+    /// upstream must still accept connections: a process that is killed closes them, too.
+    boost::asio::awaitable<bool> confirmEnd();
     void recordFirstToken();
     /// Measures the engine's pace if the stream has made at least `minEvents` new events.
     void recordPace(std::uint64_t minEvents);
--- a/src/direct/UpstreamConnection.cpp
+++ b/src/direct/UpstreamConnection.cpp
@@ -40,6 +40,7 @@
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, bodyReadBytes> piece{};
     bool headRequest = false;
+    bool endsWithConnection = false;
     bool writing = false;
     bool failed = false;
 };
@@ -106,6 +107,7 @@
         const int status = static_cast<int>(p.parser->get().result_int());
         if (status < firstFinalStatus)
             continue;
+        p.endsWithConnection = p.parser->need_eof();
         co_return UpstreamHead{status, toHeaders(p.parser->get())};
     }
 }
@@ -130,6 +132,11 @@
     co_return std::string_view();
 }
 
+bool UpstreamConnection::endsWithConnection() const
+{
+    return m_private->endsWithConnection;
+}
+
 bool UpstreamConnection::reusable() const
 {
     const auto &p = *m_private;
--- a/src/direct/UpstreamConnection.h
+++ b/src/direct/UpstreamConnection.h
@@ -44,6 +44,8 @@
     /// body.
     boost::asio::awaitable<Result<std::string_view>> readBody();
 
+    /// Whether only the end of the connection ends the current response.
+    bool endsWithConnection() const;
     /// Whether the response was complete and the connection can serve another request.
     bool reusable() const;
     /// Whether the upstream has closed the idle connection or sent unsolicited bytes on it.
--- a/tests/support/SmallFleet.cpp
+++ b/tests/support/SmallFleet.cpp
@@ -78,13 +78,17 @@
 
 void SmallFleet::list(std::size_t upstream, const Listed &listed)
 {
-    const std::string address = "127.0.0.1:" + std::to_string(m_upstreams.at(upstream)->port());
-    const json::object entry{{"service", "models"},   {"address", address},
-                             {"zone", "dc"},          {"slots", listed.slots},
-                             {"state", listed.state}, {"version", listed.version},
-                             {"born", listed.born}};
+    listAt(upstreamName(upstream), m_upstreams.at(upstream)->port(), listed);
+}
+
+void SmallFleet::listAt(const std::string &name, unsigned short port, const Listed &listed)
+{
+    const json::object entry{
+        {"service", "models"},   {"address", "127.0.0.1:" + std::to_string(port)},
+        {"zone", "dc"},          {"slots", listed.slots},
+        {"state", listed.state}, {"version", listed.version},
+        {"born", listed.born}};
     m_store.with([&](PlatformStore &store) {
-        const std::string name = upstreamName(upstream);
         if (store.get("servers", name).status == okStatus)
             store.replace("servers", name, entry, 0);
         else
@@ -111,13 +115,30 @@
     asio::post(m_context, [this, entry] { m_links.at(entry)->swallow(); });
 }
 
-std::string SmallFleet::get(std::size_t entry, std::string_view path, std::string_view requestId,
-                            std::string_view headers) const
+std::string SmallFleet::requestText(std::string_view path, std::string_view requestId,
+                                    std::string_view headers)
 {
     std::string request = "GET ";
     request.append(path).append(" HTTP/1.1\r\nHost: h.example\r\nRequest-Id: ").append(requestId);
-    request.append("\r\nDeadline-Ms: 2000\r\n").append(headers).append("Connection: close\r\n\r\n");
-    return exchangeBytes(m_entries.at(entry)->callerPort(), request);
+    request.append("\r\nDeadline-Ms: 2000\r\n").append(headers);
+    return request.append("Connection: close\r\n\r\n");
+}
+
+std::string SmallFleet::get(std::size_t entry, std::string_view path, std::string_view requestId,
+                            std::string_view headers) const
+{
+    return exchangeBytes(m_entries.at(entry)->callerPort(), requestText(path, requestId, headers));
+}
+
+void SmallFleet::leaveAfter(std::size_t entry, std::string_view path, std::string_view requestId,
+                            std::string_view text) const
+{
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), m_entries.at(entry)->callerPort()});
+    asio::write(socket, asio::buffer(requestText(path, requestId, "")));
+    std::string received;
+    asio::read_until(socket, asio::dynamic_buffer(received), text);
 }
 
 } // namespace tamarack::harness
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -32,6 +32,8 @@
     static std::string upstreamName(std::size_t number) { return "up-" + std::to_string(number); }
     standin::UpstreamServer &upstream(std::size_t number) { return *m_upstreams.at(number); }
     const DirectEntry &entry(std::size_t number) const { return *m_entries.at(number); }
+    /// Context on which the fleet's stand-ins run.
+    boost::asio::io_context &context() { return m_context; }
 
     /// What the store lists about an upstream besides its address.
     struct Listed
@@ -43,6 +45,7 @@
     };
     /// Lists the upstream, or changes how it is listed.
     void list(std::size_t upstream, const Listed &listed);
+    void listAt(const std::string &name, unsigned short port, const Listed &listed);
     void unlist(std::size_t upstream);
     /// Lists one more entry of another writer, whose content is `text`.
     void listOdd(const std::string &text);
@@ -56,7 +59,14 @@
     std::string get(std::size_t entry, std::string_view path, std::string_view requestId,
                     std::string_view headers = "") const;
 
+    /// Sends a GET and closes the connection as soon as the response contains `text`.
+    void leaveAfter(std::size_t entry, std::string_view path, std::string_view requestId,
+                    std::string_view text) const;
+
 private:
+    static std::string requestText(std::string_view path, std::string_view requestId,
+                                   std::string_view headers);
+
     boost::asio::io_context m_context;
     standin::StoreServer m_store;
     std::vector<std::unique_ptr<standin::UpstreamServer>> m_upstreams;
--- /dev/null
+++ b/tools/model/UnframedServer.cpp
@@ -0,0 +1,70 @@
+#include "model/UnframedServer.h"
+
+#include "base/AsioPch.h"
+
+#include <string>
+#include <utility>
+
+namespace tamarack::standin {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Value of a header in the request's head; empty when it is not there.
+std::string headerOf(const std::string &request, const std::string &name)
+{
+    const auto at = request.find(name + ": ");
+    if (at == std::string::npos)
+        return "";
+    const auto begin = at + name.size() + 2;
+    return request.substr(begin, request.find('\r', begin) - begin);
+}
+
+} // namespace
+
+UnframedServer::UnframedServer(asio::io_context &context, unsigned short port)
+    : m_acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), port))
+{
+    asio::co_spawn(context, acceptLoop(), asio::detached);
+}
+
+unsigned short UnframedServer::port() const
+{
+    return m_acceptor.local_endpoint().port();
+}
+
+asio::awaitable<void> UnframedServer::acceptLoop()
+{
+    while (true) {
+        auto [error, socket] = co_await m_acceptor.async_accept(useTuple);
+        if (error)
+            co_return;
+        asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> UnframedServer::serve(tcp::socket socket)
+{
+    std::string request;
+    const auto [readError, size] = co_await asio::async_read_until(
+        socket, asio::dynamic_buffer(request), "\r\n\r\n", useTuple);
+    if (readError)
+        co_return;
+    std::string response = "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(request, "Request-Id")
+                           + "\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n";
+    const int crashAfter = eventsBeforeCrash;
+    const int events = crashAfter > 0 ? crashAfter : streamEvents;
+    for (int id = 1; id <= events; ++id)
+        response += "id: " + std::to_string(id) + "\ndata: piece\n\n";
+    co_await asio::async_write(socket, asio::buffer(response), useTuple);
+    boost::system::error_code error;
+    if (crashAfter > 0)
+        m_acceptor.close(error);
+    socket.shutdown(tcp::socket::shutdown_both, error);
+}
+
+} // namespace tamarack::standin
--- /dev/null
+++ b/tools/model/UnframedServer.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+
+namespace tamarack::standin {
+
+/// Responds to every request with a stream that has neither a length nor chunks and ends with its
+/// connection.
+class UnframedServer
+{
+public:
+    /// Port 0 selects any free port.
+    UnframedServer(boost::asio::io_context &context, unsigned short port);
+
+    unsigned short port() const;
+
+    static constexpr int streamEvents = 5;
+    /// The process ends after this many events of a stream: its kernel
+    /// closes the connections in order, and new ones are refused. 0: never.
+    std::atomic<int> eventsBeforeCrash{0};
+
+private:
+    boost::asio::awaitable<void> acceptLoop();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
+} // namespace tamarack::standin
