Soak: two software versions and clients that resume streams

Upstreams change their version when they restart, events name the version that wrote them, and clients resume broken streams at any entry. The check of stream bodies is as strict as before and checks the version too.

--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -13,10 +13,10 @@
 constexpr milliseconds hangPollInterval{5};
 constexpr int eventsBeforeBreak = 2;
 
-std::string eventText(int id, const std::string &requestId)
+std::string eventText(int id, const std::string &writer)
 {
     const std::string number = std::to_string(id);
-    return "id: " + number + "\ndata: piece-" + number + " of " + requestId + "\n\n";
+    return "id: " + number + "\ndata: piece-" + number + " of " + writer + "\n\n";
 }
 
 } // namespace
@@ -115,21 +115,23 @@
 asio::awaitable<void> UpstreamServer::stream(HttpExchange &exchange, HttpHeaders headers)
 {
     const auto after = findHeader(exchange.request().headers, "Last-Event-Id");
-    const std::string requestId(findHeader(exchange.request().headers, "Request-Id").value_or(""));
+    std::string writer(findHeader(exchange.request().headers, "Request-Id").value_or(""));
+    if (!softwareVersion.empty())
+        writer += " at " + softwareVersion;
     headers.emplace_back("Content-Type", "text/event-stream");
     co_await exchange.startStream(200, std::move(headers));
     const int first = after ? std::stoi(std::string(*after)) + 1 : 1;
     for (int id = first; id <= streamEvents; ++id) {
         if (mode == UpstreamMode::AbortsConnection && id > eventsBeforeBreak) {
-            co_await exchange.write(eventText(id, requestId).substr(0, 9));
+            co_await exchange.write(eventText(id, writer).substr(0, 9));
             exchange.abort();
             co_return;
         }
         if (mode == UpstreamMode::EndsMidEvent && id > eventsBeforeBreak) {
-            co_await exchange.write(eventText(id, requestId).substr(0, 9));
+            co_await exchange.write(eventText(id, writer).substr(0, 9));
             break;
         }
-        const std::string event = eventText(id, requestId);
+        const std::string event = eventText(id, writer);
         co_await exchange.write(event);
         co_await pause(milliseconds(eventPauseMs));
     }
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -52,6 +52,9 @@
     std::atomic<int> eventPauseMs{0};
     /// Delay before a response that is not a stream.
     std::atomic<int> workMs{0};
+    /// Version of its software, which the events of its streams name; empty: they do not. Set on
+    /// the server's thread.
+    std::string softwareVersion;
     /// Called on the server's thread for each request that the server runs.
     std::function<void(const HttpRequest &)> onRun;
     /// Called for each request received, before it is run or refused.
--- a/tools/soak/Promises.cpp
+++ b/tools/soak/Promises.cpp
@@ -1,6 +1,7 @@
 #include "soak/Promises.h"
 
 #include "model/UpstreamServer.h"
+#include "soak/StreamEvents.h"
 
 #include <algorithm>
 #include <array>
@@ -27,21 +28,6 @@
            || std::ranges::find(promises, answer.status) != promises.end();
 }
 
-std::string event(int number, const std::string &id)
-{
-    const std::string text = std::to_string(number);
-    return "id: " + text + "\ndata: piece-" + text + " of " + id + "\n\n";
-}
-
-/// Whether the body is the beginning of the stream that answers `id`, or all of it.
-bool isStreamOf(const std::string &body, const std::string &id, bool whole)
-{
-    std::string expected;
-    for (int number = 1; number <= standin::UpstreamServer::streamEvents; ++number)
-        expected += event(number, id);
-    return whole ? body == expected : expected.starts_with(body);
-}
-
 std::string describe(const SentCall &call)
 {
     constexpr std::array kinds{"read", "book", "stream"};
@@ -123,6 +109,8 @@
 {
     Call &call = m_calls.at(id);
     checkWord(call, answer);
+    if (!call.sent.resumes.empty())
+        ++m_resumed;
     checkBody(call, answer);
     checkKey(call, answer, now);
     if (answer.status == okStatus && call.runs > 0)
@@ -147,13 +135,28 @@
     if (answer.status != okStatus)
         return;
     const std::string &id = call.sent.id;
-    const bool good = call.sent.kind == CallKind::Stream
-                          ? isStreamOf(answer.body, id, answer.whole)
-                          : !answer.whole || answer.body.ends_with(" body of " + id);
-    if (!good)
+    if (call.sent.kind == CallKind::Stream)
+        checkStream(call, answer);
+    else if (answer.whole && !answer.body.ends_with(" body of " + id))
         broken(call, "got a wrong answer: " + answer.body);
 }
 
+void Promises::checkStream(const Call &call, const CallAnswer &answer)
+{
+    const SentCall &sent = call.sent;
+    const StreamEvents events = readStreamEvents(answer.body, sent.id, sent.resumeAfter);
+    const bool complete = events.last == standin::UpstreamServer::streamEvents && !events.partial;
+    if (!events.sound || (answer.whole && !complete))
+        return broken(call, "got a wrong answer: " + answer.body);
+    m_wentOn += sent.resumes.empty() ? 0 : 1;
+    if (events.last == sent.resumeAfter)
+        return;
+    const std::string &root = sent.resumes.empty() ? sent.id : sent.resumes;
+    const auto [known, isNew] = m_streamVersions.try_emplace(root, events.version);
+    if (!isNew && known->second != events.version)
+        broken(call, "began at version " + known->second + " and went on at " + events.version);
+}
+
 void Promises::checkEnd(const Call &call, const CallAnswer &answer, TimePoint now)
 {
     const std::size_t entry = call.sent.entry;
--- a/tools/soak/Promises.h
+++ b/tools/soak/Promises.h
@@ -21,6 +21,9 @@
     std::string key;
     /// The connection had served another request before.
     bool reusedConnection = false;
+    /// The call whose stream this one resumes, after the event `resumeAfter`; empty: it is new.
+    std::string resumes;
+    int resumeAfter = 0;
 };
 
 /// Timeout of every route of a run.
@@ -72,6 +75,9 @@
     const std::vector<std::string> &violations() const { return m_violations; }
     std::size_t calls() const { return m_calls.size(); }
     std::size_t served() const { return m_served; }
+    /// Number of streams that clients resumed, and of those that went on.
+    std::size_t resumed() const { return m_resumed; }
+    std::size_t wentOn() const { return m_wentOn; }
 
 private:
     struct Call
@@ -89,12 +95,15 @@
     void broken(const Call &call, const std::string &what);
     void checkWord(Call &call, const CallAnswer &answer);
     void checkBody(const Call &call, const CallAnswer &answer);
+    void checkStream(const Call &call, const CallAnswer &answer);
     void checkEnd(const Call &call, const CallAnswer &answer, TimePoint now);
     void checkKey(const Call &call, const CallAnswer &answer, TimePoint now);
 
     const Disturbances &m_disturbances;
     StatementChecks m_statements;
     std::map<std::string, Call> m_calls;
+    /// Software versions that wrote the first events of streams, by the call that brought them.
+    std::map<std::string, std::string> m_streamVersions;
     std::map<std::string, TimePoint> m_validSince;
     std::map<std::string, TimePoint> m_revokedAt;
     /// By entry and key: when the entry first was seen to take it, and to refuse it after that.
@@ -104,6 +113,8 @@
     std::map<std::size_t, TimePoint> m_stopsAt;
     std::vector<std::string> m_violations;
     std::size_t m_served = 0;
+    std::size_t m_resumed = 0;
+    std::size_t m_wentOn = 0;
 };
 
 } // namespace tamarack::soak
--- a/tools/soak/SoakClient.cpp
+++ b/tools/soak/SoakClient.cpp
@@ -2,6 +2,7 @@
 
 #include "base/AsioPch.h"
 #include "process/Timers.h"
+#include "soak/StreamEvents.h"
 
 #include <boost/beast/http.hpp>
 
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr int okStatus = 200;
 constexpr milliseconds deadline{2000};
 /// An answer is missed when it has not come so long after the deadline.
 constexpr milliseconds missedAfter{1500};
@@ -45,7 +47,11 @@
     request.set("Request-Id", call.id);
     request.set("Deadline-Ms", std::to_string(deadline.count()));
     request.set("Api-Key", call.key);
-    request.body() = "body of " + call.id;
+    if (!call.resumes.empty()) {
+        request.set("Resumes", call.resumes);
+        request.set("Last-Event-Id", std::to_string(call.resumeAfter));
+    }
+    request.body() = "body of " + (call.resumes.empty() ? call.id : call.resumes);
     request.prepare_payload();
     return request;
 }
@@ -65,17 +71,45 @@
     while (!m_view.over) {
         co_await pause(milliseconds(1 + below(longestPauseMs)));
         SentCall sent = drawCall();
-        const bool connected = co_await connect(sent.entry);
-        if (!connected)
-            continue;
-        sent.reusedConnection = m_reused;
-        m_promises.sent(sent, steadyNow());
-        m_openCall = sent.id;
-        if (below(callsPerLeaving) == 0)
-            leaveSoon(sent.id);
-        const CallAnswer answer = co_await call(sent);
-        m_promises.answered(sent.id, answer, steadyNow());
-        m_openCall.clear();
+        auto answer = co_await perform(sent);
+        if (answer && sent.kind == CallKind::Stream)
+            co_await resume(std::move(sent), std::move(*answer));
+    }
+}
+
+asio::awaitable<std::optional<CallAnswer>> SoakClient::perform(SentCall &sent)
+{
+    const bool connected = co_await connect(sent.entry);
+    if (!connected)
+        co_return std::nullopt;
+    sent.reusedConnection = m_reused;
+    m_promises.sent(sent, steadyNow());
+    m_openCall = sent.id;
+    if (below(callsPerLeaving) == 0)
+        leaveSoon(sent.id);
+    CallAnswer answer = co_await call(sent);
+    m_promises.answered(sent.id, answer, steadyNow());
+    m_openCall.clear();
+    co_return answer;
+}
+
+asio::awaitable<void> SoakClient::resume(SentCall broken, CallAnswer answer)
+{
+    constexpr int mostTries = 3;
+    const std::string root = broken.id;
+    int received = 0;
+    for (int i = 0; i < mostTries && !m_view.over && !answer.whole; ++i) {
+        if (answer.status == okStatus)
+            received = readStreamEvents(answer.body, broken.id, broken.resumeAfter).last;
+        if (received == 0)
+            co_return;
+        co_await pause(milliseconds(1 + below(longestPauseMs)));
+        broken.id = m_name + "-" + std::to_string(++m_number);
+        broken.resumes = root;
+        broken.resumeAfter = received;
+        broken.entry = below(m_view.entries.size());
+        auto next = co_await perform(broken);
+        answer = next ? std::move(*next) : CallAnswer{};
     }
 }
 
--- a/tools/soak/SoakClient.h
+++ b/tools/soak/SoakClient.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace tamarack::soak {
@@ -39,6 +40,11 @@
 
     std::size_t below(std::size_t bound) { return m_random() % bound; }
     SentCall drawCall();
+    /// Sends the call, after connecting if needed, and has the answer checked. None if no
+    /// connection could be made.
+    boost::asio::awaitable<std::optional<CallAnswer>> perform(SentCall &call);
+    /// Resumes the stream at any entry, as long as it breaks off again.
+    boost::asio::awaitable<void> resume(SentCall broken, CallAnswer answer);
     /// False when no connection could be made.
     boost::asio::awaitable<bool> connect(std::size_t entry);
     boost::asio::awaitable<CallAnswer> call(const SentCall &call);
--- a/tools/soak/SoakRun.cpp
+++ b/tools/soak/SoakRun.cpp
@@ -119,6 +119,19 @@
     {
         server.eventPauseMs = eventPauseMs;
         server.workMs = workMs;
+        server.softwareVersion = version();
+    }
+
+    /// Every second incarnation of an upstream, and every second upstream, has the other version.
+    std::string version() const { return restarts % 2 == index % 2 ? "v1" : "v2"; }
+
+    /// The process ends and another version starts.
+    void restart(std::size_t upstreams)
+    {
+        ++restarts;
+        born += upstreams;
+        server.softwareVersion = version();
+        link.cut();
     }
 
     std::string name() const { return "up-" + std::to_string(index); }
@@ -126,7 +139,8 @@
     {
         return {{"service", "models"}, {"address", addressOf(link.port())},
                 {"zone", "dc"},        {"slots", slotsOfUpstream},
-                {"state", state},      {"born", born}};
+                {"state", state},      {"version", version()},
+                {"born", born}};
     }
 
     std::size_t index;
@@ -135,6 +149,7 @@
     bool leaving = false;
     /// Start of its incarnation.
     std::size_t born = index + 1;
+    std::size_t restarts = 0;
 };
 
 /// One entry with its own link to the store.
@@ -217,6 +232,8 @@
         m_context.run();
         m_report.calls = m_promises.calls();
         m_report.served = m_promises.served();
+        m_report.resumed = m_promises.resumed();
+        m_report.wentOn = m_promises.wentOn();
         m_report.violations = m_promises.violations();
         return m_report;
     }
@@ -509,6 +526,7 @@
         });
         co_await pause(fault.lasts);
         m_promises.upstreamBack(upstream.index);
+        restart(upstream);
         m_store.with([&upstream](standin::PlatformStore &store) {
             store.create("servers", upstream.name(), upstream.record("ready"));
         });
@@ -555,9 +573,16 @@
         upstream.leaving = false;
     }
 
+    void restart(Upstream &upstream)
+    {
+        const auto handle = beginLink(upstream.link);
+        upstream.restart(m_upstreams.size());
+        m_disturbances.end(handle, steadyNow());
+    }
+
     void listNextIncarnation(Upstream &upstream)
     {
-        upstream.born += m_upstreams.size();
+        restart(upstream);
         m_store.with([&upstream](standin::PlatformStore &store) {
             store.replace("servers", upstream.name(), upstream.record("ready"), 0);
         });
--- a/tools/soak/SoakRun.h
+++ b/tools/soak/SoakRun.h
@@ -26,6 +26,9 @@
     std::vector<Fault> faults;
     std::size_t calls = 0;
     std::size_t served = 0;
+    /// Streams that clients resumed, and those of them that went on.
+    std::size_t resumed = 0;
+    std::size_t wentOn = 0;
     std::vector<std::string> violations;
     /// A signal ended the run before its time.
     bool interrupted = false;
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -59,7 +59,8 @@
     if (report.interrupted)
         return Outcome::Interrupted;
     std::cout << "seed " << seed << ": " << report.faults.size() << " faults, " << report.calls
-              << " calls, " << report.served << " served, " << report.violations.size()
+              << " calls, " << report.served << " served, " << report.resumed
+              << " streams resumed, " << report.wentOn << " went on, " << report.violations.size()
               << " promises broken" << std::endl;
     if (report.violations.empty()) {
         std::filesystem::remove_all(options.directory);
