--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -375,7 +375,7 @@
 StreamOrigin TrafficState::beginStream(StreamKey stream, const UpstreamState &upstream)
 {
     const TimePoint now = steadyNow();
-    const StreamOrigin origin = upstreams.originAt(upstream, stream, now);
+    StreamOrigin origin = upstreams.originAt(upstream, stream, now);
     if (origin.ambiguous)
         logEvent(LogLevel::Warning, "stream_origin_ambiguous",
                  {{"upstream", origin.upstreamId}, {"born", origin.born}});
