Stand-ins: a port is free only if it is for datagrams too; more ports for each process

Cause: entries of the test program are never destroyed and keep their sockets, the new suites use more than the 400 ports of a process, and the search that begins again from the first port tried TCP only, while the address of peers takes datagrams.

--- a/tools/model/LoopbackListener.cpp
+++ b/tools/model/LoopbackListener.cpp
@@ -25,8 +25,8 @@
 unsigned short freePort()
 {
     constexpr int lowest = 12000;
-    constexpr int processes = 45;
-    constexpr int portsPerProcess = 400;
+    constexpr int processes = 22;
+    constexpr int portsPerProcess = 900;
     static std::atomic<int> next{0};
     asio::io_context context;
     while (true) {
@@ -36,7 +36,11 @@
         boost::system::error_code error;
         acceptor.open(tcp::v4());
         acceptor.set_option(asio::socket_base::reuse_address(true));
-        acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, error);
+        const auto address = asio::ip::make_address("127.0.0.1");
+        acceptor.bind({address, port}, error);
+        asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
+        if (!error)
+            datagrams.bind({address, port}, error);
         if (!error)
             return port;
     }
