--- a/tools/model/EndlessServer.cpp
+++ b/tools/model/EndlessServer.cpp
@@ -1,6 +1,7 @@
 #include "model/EndlessServer.h"
 
 #include "base/AsioPch.h"
+#include "model/RawRequest.h"
 
 #include <utility>
 
@@ -11,16 +12,6 @@
 
 namespace {
 
-/// Value of a header in the request's head; empty when it is not there.
-std::string headerOf(const std::string &request, const std::string &name)
-{
-    const auto at = request.find(name + ": ");
-    if (at == std::string::npos)
-        return "";
-    const auto begin = at + name.size() + 2;
-    return request.substr(begin, request.find('\r', begin) - begin);
-}
-
 /// What comes before the part that does not end.
 std::string beginning(EndlessPart part, const std::string &requestId)
 {
--- a/tools/model/UnframedServer.cpp
+++ b/tools/model/UnframedServer.cpp
@@ -1,6 +1,7 @@
 #include "model/UnframedServer.h"
 
 #include "base/AsioPch.h"
+#include "model/RawRequest.h"
 
 #include <string>
 #include <utility>
@@ -14,16 +15,6 @@
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Value of a header in the request's head; empty when it is not there.
-std::string headerOf(const std::string &request, const std::string &name)
-{
-    const auto at = request.find(name + ": ");
-    if (at == std::string::npos)
-        return "";
-    const auto begin = at + name.size() + 2;
-    return request.substr(begin, request.find('\r', begin) - begin);
-}
-
 } // namespace
 
 UnframedServer::UnframedServer(asio::io_context &context, unsigned short port)
