--- a/review/standins/Net.h
+++ b/review/standins/Net.h
@@ -46,6 +46,7 @@
 inline void openRecord(const std::string &path)
 {
     caseStart();
+    setvbuf(stdout, nullptr, _IONBF, 0);
     recordFile() = open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0644);
 }
 
--- a/review/standins/Replica.h
+++ b/review/standins/Replica.h
@@ -44,6 +44,8 @@
             {"warmupLeftMs", 0},    {"sequence", 1},
             {"born", m_born}};
     }
+    /// Call before `start`. 0: never.
+    void closeIdleAfter(int ms) { m_idleMs = ms; }
     void signal(int number) const { kill(m_process, number); }
     void end()
     {
@@ -75,6 +77,8 @@
 
     void serveChannel(int file)
     {
+        if (m_idleMs > 0)
+            setReadTimeout(file, m_idleMs);
         Reader reader(file);
         Message request;
         bool open = true;
@@ -108,6 +112,7 @@
     std::int64_t m_born;
     int m_listener;
     unsigned short m_port;
+    int m_idleMs = 0;
     pid_t m_process = 0;
 };
 
