Review case 5: streams of two versions are joined after a drill of the store

A script: three entry hosts in one zone. After the store comes back from a copy, the host that isn't a follower misses that a replica came back with another version, and joins its streams with those of the former version (ORDER).

--- a/review/standins/Replica.h
+++ b/review/standins/Replica.h
@@ -7,6 +7,9 @@
 
 namespace review {
 
+/// Exit code of a case: the rule was broken, it held, or the case couldn't run.
+enum Verdict { Held = 0, Broken = 1, NotRun = 2 };
+
 /// A replica in a process of its own, so that the case can kill it as an operator's platform would.
 /// SIGUSR1 tells it that it leaves: from then on it says so in all its answers.
 class Replica
@@ -20,9 +23,7 @@
         , m_service(std::move(service))
         , m_version(std::move(version))
         , m_handler(std::move(handler))
-        , m_born(std::chrono::duration_cast<milliseconds>(
-                     std::chrono::system_clock::now().time_since_epoch())
-                     .count())
+        , m_born(now())
         , m_listener(listenOn(0))
         , m_port(portOf(m_listener))
     {}
@@ -44,6 +45,17 @@
             {"warmupLeftMs", 0},    {"sequence", 1},
             {"born", m_born}};
     }
+    void setHandler(Handler handler) { m_handler = std::move(handler); }
+    /// Starts again under its id, with another software version.
+    void startAgain(const std::string &version)
+    {
+        m_version = version;
+        m_born = now();
+        m_listener = listenOn(m_port);
+        if (m_listener < 0)
+            _exit(NotRun);
+        start();
+    }
     /// Call before `start`. 0: never.
     void closeIdleAfter(int ms) { m_idleMs = ms; }
     void signal(int number) const { kill(m_process, number); }
@@ -53,6 +65,7 @@
         waitpid(m_process, nullptr, 0);
     }
     const std::string &id() const { return m_id; }
+    const std::string &version() const { return m_version; }
 
 private:
     static std::atomic<bool> &leaving()
@@ -61,8 +74,19 @@
         return flag;
     }
 
+    static std::int64_t now()
+    {
+        return std::chrono::duration_cast<milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
+
     void serve()
     {
+        constexpr int mostFiles = 1024;
+        for (int file = 3; file < mostFiles; ++file)
+            if (file != m_listener && file != recordFile())
+                close(file);
         ::signal(SIGUSR1, [](int) { leaving() = true; });
         ::signal(SIGPIPE, SIG_IGN);
         while (true) {
@@ -119,7 +143,7 @@
 /// A replica's stream: `events` events, `pauseMs` apart, from the one after `Last-Event-Id`. It has
 /// neither a length nor chunks if `framed` is false.
 inline bool sendStream(int file, const Message &request, const std::string &head, int events,
-                       int pauseMs, bool framed)
+                       int pauseMs, bool framed, const std::string &text = "piece")
 {
     const int from = atoi(request.header("Last-Event-Id").c_str()) + 1;
     const std::string framing = framed ? "Transfer-Encoding: chunked" : "Connection: close";
@@ -128,7 +152,7 @@
         return false;
     for (int id = from; id <= events; ++id) {
         const std::string event =
-            "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n";
+            "id: " + std::to_string(id) + "\ndata: " + text + " " + std::to_string(id) + "\n\n";
         char size[16];
         snprintf(size, sizeof size, "%zx\r\n", event.size());
         if (!sendAll(file, framed ? size + event + "\r\n" : event))
@@ -139,9 +163,6 @@
     return framed && sendAll(file, "0\r\n\r\n");
 }
 
-/// Exit code of a case: the rule was broken, it held, or the case couldn't run.
-enum Verdict { Held = 0, Broken = 1, NotRun = 2 };
-
 inline bool hasTrouble()
 {
     const char *trouble = getenv("TROUBLE");
