Review: case 4 without a drill, cases by gravity

Case 4 now needs no drill of the store: the store loses its answer to the deletion of an entry's registration and carries it out late.

--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -1,6 +1,6 @@
-// One entry host of two is restarted as planned work. Seconds later the store comes back in a drill
-// from a copy that is older than the new registration. Later some requesters' channels break, and
-// they take their streams up at the other entry host.
+// Three entry hosts in one zone; replicas of two software versions serve side by side. After a
+// drill of the store one host misses that a replica has crashed and come back with the other
+// version. It joins that replica's streams with those of the former version.
 
 #include "../standins/Replica.h"
 
@@ -10,14 +10,11 @@
 
 namespace {
 
-constexpr int replicas = 6;
-constexpr int streamEvents = 20;
-constexpr int pauseMs = 200;
-constexpr int streams = 30;
-/// Every second stream of edge-1 loses its channel after this event.
-constexpr int lastEventBefore = 5;
-constexpr unsigned drillMicroseconds = 1'000'000;
-constexpr unsigned stableMicroseconds = 3'000'000;
+constexpr int streamEvents = 10;
+constexpr int pauseMs = 100;
+constexpr int usualPerSecond = 15;
+constexpr int judgedStreams = 16;
+constexpr unsigned drillMicroseconds = 500'000;
 
 const char *const manifest = R"({"version": 3, "routes": [
     {"name": "guide", "host": "small.example", "pathPrefix": "/guide/", "kind": "streaming",
@@ -28,58 +25,21 @@
   "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
      "idleTimeoutMs": 15000}, "tenants": []})";
 
-struct Stream
+void sleepSeconds(double seconds)
 {
-    Outcome begun;
-    /// The take-up at the other host; none if the channel held.
-    std::optional<Outcome> takenUp;
-};
+    usleep(static_cast<useconds_t>(seconds * 1e6));
+}
 
-Stream runStream(const std::string &id, unsigned short front, unsigned short other, bool breaks)
+Outcome askStream(const Entry &entry, const std::string &id)
 {
-    const std::string body = "body " + id;
-    Stream stream;
-    stream.begun =
-        ask(front, "POST /guide/x", {{"Request-Id", id}, {"Deadline-Ms", "15000"}, {"Model", "m"}},
-            body, 16000, breaks ? lastEventBefore : 0);
-    record("%s: status %d, last event %d, %s", id.c_str(), stream.begun.status,
-           stream.begun.lastEvent, stream.begun.complete ? "complete" : "channel broken");
-    if (!breaks || stream.begun.lastEvent == 0)
-        return stream;
-    const std::string last = std::to_string(stream.begun.lastEvent);
-    stream.takenUp = ask(other, "POST /guide/x",
-                         {{"Request-Id", id + "-again"},
-                          {"Resumes", id},
-                          {"Last-Event-Id", last},
-                          {"Deadline-Ms", "13000"},
-                          {"Model", "m"}},
-                         body, 14000);
-    record("%s-again: resumes after %s at the other host: status %d, %d events, last %d",
-           id.c_str(), last.c_str(), stream.takenUp->status, stream.takenUp->events,
-           stream.takenUp->lastEvent);
-    return stream;
+    return ask(entry.front(), "POST /guide/x",
+               {{"Request-Id", id}, {"Deadline-Ms", "15000"}, {"Model", "m"}}, "body " + id, 16000);
 }
 
-/// LOST: of 12 or more streams taken up, the share that goes on is under half of the share of new
-/// streams that begin.
-int judge(const std::vector<Stream> &all)
+bool isJoined(const Outcome &outcome)
 {
-    int begun = 0;
-    int takenUp = 0;
-    int goneOn = 0;
-    for (const Stream &stream : all) {
-        begun += stream.begun.events > 0;
-        takenUp += stream.takenUp.has_value();
-        goneOn += stream.takenUp && stream.takenUp->events > 0;
-    }
-    record("new streams %zu, begun %d; taken up %d, gone on %d", all.size(), begun, takenUp,
-           goneOn);
-    printf("new streams %zu, begun %d; taken up %d, gone on %d\n", all.size(), begun, takenUp,
-           goneOn);
-    if (takenUp < 12 || begun == 0)
-        return NotRun;
-    const double shareBegun = static_cast<double>(begun) / static_cast<double>(all.size());
-    return static_cast<double>(goneOn) / takenUp < shareBegun / 2 ? Broken : Held;
+    return outcome.body.find("data: v1 ") != std::string::npos
+           && outcome.body.find("data: v2 ") != std::string::npos;
 }
 
 } // namespace
@@ -88,59 +48,57 @@
 {
     const std::string folder = arguments[1];
     openRecord(arguments[2]);
+    const auto handlerOf = [](const std::string &version) -> Replica::Handler {
+        return [version](int file, const Message &request, const std::string &head) {
+            return sendStream(file, request, head, streamEvents, pauseMs, true, version);
+        };
+    };
     std::vector<std::unique_ptr<Replica>> models;
-    for (int i = 0; i < replicas; ++i) {
-        models.push_back(std::make_unique<Replica>(
-            "i-0000000" + std::to_string(i), "models", "v1",
-            [](int file, const Message &request, const std::string &head) {
-                return sendStream(file, request, head, streamEvents, pauseMs, true);
-            }));
-        models.back()->start();
-    }
+    for (const auto &[id, version] :
+         std::vector<std::pair<std::string, std::string>>{{"i-0000000a", "v1"},
+                                                          {"i-0000000b", "v1"},
+                                                          {"i-0000000c", "v1"},
+                                                          {"i-0000000d", "v2"}})
+        models.push_back(std::make_unique<Replica>(id, "models", version, handlerOf(version)));
+    for (const auto &model : models)
+        model->start();
+    Replica &upgraded = *models[2];
 
     Store store;
-    Entry first("edge-1", "z1", store.port(), folder);
-    Entry second("edge-2", "z1", store.port(), folder);
+    std::vector<std::unique_ptr<Entry>> entries;
+    for (const char *name : {"edge-1", "edge-2", "edge-3"})
+        entries.push_back(std::make_unique<Entry>(name, "z1", store.port(), folder));
     const auto writeAll = [&] {
         store.put("config", "main", json::parse(manifest));
         for (const auto &model : models)
             store.put("servers", model->id(), model->entry());
     };
     writeAll();
-    first.start();
-    second.start();
-    if (!first.waitUntilReady(8000) || !second.waitUntilReady(8000))
-        return NotRun;
-    usleep(1'500'000);
+    for (const auto &entry : entries)
+        entry->start();
+    for (const auto &entry : entries)
+        if (!entry->waitUntilReady(8000))
+            return NotRun;
+    sleepSeconds(2);
 
-    // Some traffic all the while, so that the hosts write to the store as they usually do.
     std::atomic<bool> over{false};
+    std::atomic<int> joinedUsual{0};
     std::thread usual([&] {
         std::vector<std::thread> requesters;
         for (int i = 0; !over; ++i) {
             requesters.emplace_back([&, i] {
-                ask(i % 4 == 0 ? second.front() : first.front(), "POST /guide/x",
-                    {{"Request-Id", "u-" + std::to_string(i)}, {"Deadline-Ms", "15000"}},
-                    "usual " + std::to_string(i), 16000);
+                joinedUsual += isJoined(askStream(*entries[i % 3], "u-" + std::to_string(i)));
             });
-            usleep(1'000'000);
+            usleep(1'000'000 / usualPerSecond);
         }
         for (std::thread &requester : requesters)
             requester.join();
     });
 
-    record("edge-2: SIGTERM, planned restart");
-    second.signal(SIGTERM);
-    while (!second.hasEnded())
-        usleep(20'000);
+    sleepSeconds(2);
     store.copy();
-    record("edge-2: ended; the store keeps a copy at revision %lu",
-           static_cast<unsigned long>(store.revision()));
-    second.start();
-    if (!second.waitUntilReady(8000))
-        return NotRun;
-    usleep(4'000'000);
-    record("entry hosts in the store: %s", store.names("tamarack-entries").c_str());
+    record("store: keeps a copy at revision %lu", static_cast<unsigned long>(store.revision()));
+    sleepSeconds(8);
     if (hasTrouble()) {
         record("store: away at revision %lu", static_cast<unsigned long>(store.revision()));
         store.goAway();
@@ -149,27 +107,44 @@
         record("store: back from the copy, revision %lu",
                static_cast<unsigned long>(store.revision()));
     }
-    usleep(2 * stableMicroseconds);
-    record("entry hosts in the store: %s", store.names("tamarack-entries").c_str());
+    sleepSeconds(1.5);
+    upgraded.end();
+    record("%s: crashed", upgraded.id().c_str());
+    sleepSeconds(2);
+    upgraded.setHandler(handlerOf("v2"));
+    upgraded.startAgain("v2");
+    store.put("servers", upgraded.id(), upgraded.entry());
+    record("%s: back with version v2, registered at revision %lu", upgraded.id().c_str(),
+           static_cast<unsigned long>(store.revision()));
+    sleepSeconds(25);
 
-    std::vector<Stream> all(streams);
+    std::vector<Outcome> outcomes(judgedStreams);
     std::vector<std::thread> requesters;
-    for (int i = 0; i < streams; ++i) {
+    for (int i = 0; i < judgedStreams; ++i) {
         requesters.emplace_back([&, i] {
-            all[static_cast<std::size_t>(i)] =
-                runStream("q-" + std::to_string(i), first.front(), second.front(), i % 2 == 0);
+            outcomes[static_cast<std::size_t>(i)] =
+                askStream(*entries[0], "q-" + std::to_string(i));
         });
-        usleep(250'000);
+        usleep(20'000);
     }
+    sleepSeconds(0.3);
+    upgraded.end();
+    record("%s: crashed", upgraded.id().c_str());
     for (std::thread &requester : requesters)
         requester.join();
     over = true;
     usual.join();
-    record("entry hosts in the store: %s", store.names("tamarack-entries").c_str());
-    const int verdict = judge(all);
-    first.end();
-    second.end();
+    int joined = joinedUsual;
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+        joined += isJoined(outcomes[i]);
+        record("q-%zu: status %d, %d events%s", i, outcomes[i].status, outcomes[i].events,
+               isJoined(outcomes[i]) ? " of two versions" : "");
+    }
+    record("streams with events of two versions in one answer: %d", joined);
+    printf("streams with events of two versions in one answer: %d\n", joined);
+    for (const auto &entry : entries)
+        entry->end();
     for (const auto &model : models)
         model->end();
-    _exit(verdict);
+    _exit(joined > 2 ? Broken : Held);
 }
--- a/review/4/Case.cpp
+++ b/review/4/Case.cpp
@@ -1,25 +1,24 @@
-// Replicas close idle channels after 0.4 s, which has no whole seconds to state in `Keep-Alive`.
-// Some requesters' channels break, and they take their streams up at the other entry host.
+// One entry host of two is restarted as planned work. The store loses its answer to the deletion of
+// the host's registration and carries it out seconds later, after the new process has registered.
+// Later some requesters' channels break, and they take their streams up at the other entry host.
 
 #include "../standins/Replica.h"
 
 #include <memory>
-#include <random>
 
 using namespace review;
 
 namespace {
 
-constexpr int replicas = 4;
-constexpr int streamEvents = 10;
-constexpr int pauseMs = 30;
-constexpr int streams = 240;
-/// Requesters arrive independently of each other.
-constexpr double streamsPerSecond = 10;
-/// The channels of every fifth stream at edge-1 break after this event.
-constexpr int lastEventBefore = 3;
-constexpr int idleMs = 400;
-constexpr int statedIdleSeconds = 5;
+constexpr int replicas = 6;
+constexpr int streamEvents = 20;
+constexpr int pauseMs = 200;
+constexpr int streams = 30;
+/// Every second stream of edge-1 loses its channel after this event.
+constexpr int lastEventBefore = 5;
+constexpr int lateMs = 5800;
+constexpr int usualEvents = 4;
+constexpr unsigned stableMicroseconds = 3'000'000;
 
 const char *const manifest = R"({"version": 3, "routes": [
     {"name": "guide", "host": "small.example", "pathPrefix": "/guide/", "kind": "streaming",
@@ -90,18 +89,15 @@
 {
     const std::string folder = arguments[1];
     openRecord(arguments[2]);
-    const bool trouble = hasTrouble();
     std::vector<std::unique_ptr<Replica>> models;
     for (int i = 0; i < replicas; ++i) {
         models.push_back(std::make_unique<Replica>(
             "i-0000000" + std::to_string(i), "models", "v1",
-            [trouble](int file, const Message &request, const std::string &head) {
-                const std::string stated =
-                    trouble ? ""
-                            : "Keep-Alive: timeout=" + std::to_string(statedIdleSeconds) + "\r\n";
-                return sendStream(file, request, head + stated, streamEvents, pauseMs, true);
+            [](int file, const Message &request, const std::string &head) {
+                const bool usual = request.header("Request-Id").starts_with("u-");
+                return sendStream(file, request, head, usual ? usualEvents : streamEvents, pauseMs,
+                                  true);
             }));
-        models.back()->closeIdleAfter(trouble ? idleMs : statedIdleSeconds * 1000);
         models.back()->start();
     }
 
@@ -115,23 +111,53 @@
     second.start();
     if (!first.waitUntilReady(8000) || !second.waitUntilReady(8000))
         return NotRun;
-    usleep(4'000'000);
+    usleep(1'500'000);
+
+    // Some traffic all the while, so that the hosts write to the store as they usually do.
+    std::atomic<bool> over{false};
+    std::thread usual([&] {
+        std::vector<std::thread> requesters;
+        for (int i = 0; !over; ++i) {
+            requesters.emplace_back([&, i] {
+                ask(i % 4 == 0 ? second.front() : first.front(), "POST /guide/x",
+                    {{"Request-Id", "u-" + std::to_string(i)}, {"Deadline-Ms", "15000"}},
+                    "usual " + std::to_string(i), 16000);
+            });
+            usleep(1'000'000);
+        }
+        for (std::thread &requester : requesters)
+            requester.join();
+    });
+
+    record("edge-2: SIGTERM, planned restart");
+    if (hasTrouble())
+        store.loseNextDelete("tamarack-entries", "edge-2", lateMs);
+    second.signal(SIGTERM);
+    while (!second.hasEnded())
+        usleep(20'000);
+    record("edge-2: ended");
+    second.start();
+    if (!second.waitUntilReady(8000))
+        return NotRun;
+    record("entry hosts in the store: %s", store.names("tamarack-entries").c_str());
+    usleep(lateMs * 1000);
+    usleep(2 * stableMicroseconds);
+    record("entry hosts in the store: %s", store.names("tamarack-entries").c_str());
 
     std::vector<Stream> all(streams);
     std::vector<std::thread> requesters;
-    std::mt19937 random(1);
-    std::exponential_distribution<double> pause(streamsPerSecond);
     for (int i = 0; i < streams; ++i) {
-        const Entry &own = i % 2 == 0 ? first : second;
-        const Entry &other = i % 2 == 0 ? second : first;
         requesters.emplace_back([&, i] {
             all[static_cast<std::size_t>(i)] =
-                runStream("q-" + std::to_string(i), own.front(), other.front(), i % 10 == 0);
+                runStream("q-" + std::to_string(i), first.front(), second.front(), i % 2 == 0);
         });
-        std::this_thread::sleep_for(std::chrono::duration<double>(pause(random)));
+        usleep(250'000);
     }
     for (std::thread &requester : requesters)
         requester.join();
+    over = true;
+    usual.join();
+    record("entry hosts in the store: %s", store.names("tamarack-entries").c_str());
     const int verdict = judge(all);
     first.end();
     second.end();
--- a/review/standins/Store.h
+++ b/review/standins/Store.h
@@ -7,6 +7,7 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -69,6 +70,14 @@
             shutdown(file, SHUT_RDWR);
         m_changed.notify_all();
     }
+    /// The answer to the next deletion of this object is lost, and the call is carried out only
+    /// after `lateMs`, if its condition still holds.
+    void loseNextDelete(const std::string &kind, const std::string &name, int lateMs)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lostDelete = Key{kind, name};
+        m_lateMs = lateMs;
+    }
     /// Back from the copy; what the operator and the replicas wrote since is written again by
     /// `rewrite` before the first call is answered.
     template <typename Rewrite>
@@ -85,6 +94,8 @@
 
 private:
     using Key = std::pair<std::string, std::string>;
+    /// No status: nothing further comes on the channel.
+    static constexpr int lost = -1;
     struct Object
     {
         std::uint64_t created = 0;
@@ -179,6 +190,8 @@
         Message request;
         while (reader.readRequest(request)) {
             const auto [status, body] = answer(request);
+            if (status == lost)
+                continue;
             if (status == 0)
                 break;
             const std::string text = json::serialize(body);
@@ -216,6 +229,18 @@
                 return {404, nullptr};
             return {200, toJson(name, found->second)};
         }
+        if (method == "DELETE" && m_lostDelete == Key{kind, name}) {
+            m_lostDelete.reset();
+            record("store: answer to DELETE %s/%s lost", kind.c_str(), name.c_str());
+            std::thread([this, kind, name, late = milliseconds(m_lateMs)] {
+                std::this_thread::sleep_for(late);
+                const std::lock_guard later(m_mutex);
+                const bool removed = erase(kind, name);
+                record("store: DELETE %s/%s carried out now: %s", kind.c_str(), name.c_str(),
+                       removed ? "removed" : "nothing there");
+            }).detach();
+            return {lost, nullptr};
+        }
         if (method == "DELETE")
             return {erase(kind, name) ? 200 : 404, nullptr};
         json::value body = json::parse(request.body);
@@ -281,6 +306,8 @@
     State m_copy;
     std::uint64_t m_era = 1;
     bool m_away = false;
+    std::optional<Key> m_lostDelete;
+    int m_lateMs = 0;
     int m_listener = -1;
     std::set<int> m_connections;
 };
