Tests: followers that lose the store as an upstream leaves

Two entries follow the store for three others and are cut off from it; then an upstream is listed as draining, or removed.

--- a/tests/support/SmallFleet.cpp
+++ b/tests/support/SmallFleet.cpp
@@ -33,7 +33,8 @@
 json::object configuration()
 {
     return {{"version", 1},
-            {"routes", json::array{route("read", "idempotent"), route("stream", "streaming")}},
+            {"routes", json::array{route("read", "idempotent"), route("write", "non_idempotent"),
+                                   route("stream", "streaming")}},
             {"services", json::array{json::object{{"name", "models"}}}}};
 }
 
@@ -70,8 +71,7 @@
         m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
         tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_store.port())));
     m_entries.push_back(std::make_unique<DirectEntry>());
-    m_entries.back()->startOnUnusedPorts("entry-" + std::to_string(number), "dc",
-                                         m_links.back()->port());
+    m_entries.back()->startOnUnusedPorts(entryName(number), "dc", m_links.back()->port());
     BOOST_REQUIRE(eventually([&] { return m_entries.back()->readiness() == okStatus; }));
     return number;
 }
@@ -115,6 +115,11 @@
     asio::post(m_context, [this, entry] { m_links.at(entry)->swallow(); });
 }
 
+void SmallFleet::cutFromStore(std::size_t entry)
+{
+    asio::post(m_context, [this, entry] { m_links.at(entry)->setFault(LinkFault::Silent); });
+}
+
 std::string SmallFleet::requestText(std::string_view path, std::string_view requestId,
                                     std::string_view headers)
 {
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -20,7 +20,8 @@
 namespace tamarack::harness {
 
 /// Direct entries of one data centre, each with a link of its own to the store, in front of the
-/// upstreams of one service. Its routes are `/read/` (idempotent) and `/stream/` (resumable).
+/// upstreams of one service. Its routes are `/read/` (idempotent), `/write/` (not idempotent) and
+/// `/stream/` (resumable).
 class SmallFleet
 {
 public:
@@ -29,6 +30,7 @@
     SmallFleet(const SmallFleet &) = delete;
     SmallFleet &operator=(const SmallFleet &) = delete;
 
+    static std::string entryName(std::size_t number) { return "entry-" + std::to_string(number); }
     static std::string upstreamName(std::size_t number) { return "up-" + std::to_string(number); }
     standin::UpstreamServer &upstream(std::size_t number) { return *m_upstreams.at(number); }
     const DirectEntry &entry(std::size_t number) const { return *m_entries.at(number); }
@@ -52,6 +54,8 @@
 
     /// Makes the open connections of the entry to the store swallow bytes; new ones work.
     void silenceStoreConnections(std::size_t entry);
+    /// Cuts the entry off from the store: connections, new ones too, get no answer.
+    void cutFromStore(std::size_t entry);
     /// Starts one more entry and returns its number.
     std::size_t startEntry();
     void stopEntry(std::size_t number) { m_entries.at(number)->stop(); }
