--- a/tools/model/EndlessServer.cpp
+++ b/tools/model/EndlessServer.cpp
@@ -44,15 +44,10 @@
 EndlessServer::EndlessServer(asio::io_context &context, unsigned short port)
     : m_acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), port))
 {
-    asio::co_spawn(context, acceptLoop(), asio::detached);
-}
-
-asio::awaitable<void> EndlessServer::acceptLoop()
-{
-    while (true) {
-        tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
-        asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
-    }
+    asio::co_spawn(
+        context,
+        acceptEach(m_acceptor, [this](tcp::socket socket) { return serve(std::move(socket)); }),
+        asio::detached);
 }
 
 asio::awaitable<void> EndlessServer::serve(tcp::socket socket)
--- a/tools/model/EndlessServer.h
+++ b/tools/model/EndlessServer.h
@@ -36,7 +36,6 @@
     std::atomic<bool> closed{false};
 
 private:
-    boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/tools/model/UnframedServer.cpp
+++ b/tools/model/UnframedServer.cpp
@@ -20,7 +20,10 @@
 UnframedServer::UnframedServer(asio::io_context &context, unsigned short port)
     : m_acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), port))
 {
-    asio::co_spawn(context, acceptLoop(), asio::detached);
+    asio::co_spawn(
+        context,
+        acceptEach(m_acceptor, [this](tcp::socket socket) { return serve(std::move(socket)); }),
+        asio::detached);
 }
 
 unsigned short UnframedServer::port() const
@@ -28,16 +31,6 @@
     return m_acceptor.local_endpoint().port();
 }
 
-asio::awaitable<void> UnframedServer::acceptLoop()
-{
-    while (true) {
-        auto [error, socket] = co_await m_acceptor.async_accept(useTuple);
-        if (error)
-            co_return;
-        asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
-    }
-}
-
 asio::awaitable<void> UnframedServer::serve(tcp::socket socket)
 {
     std::string request;
--- a/tools/model/UnframedServer.h
+++ b/tools/model/UnframedServer.h
@@ -24,7 +24,6 @@
     std::atomic<int> eventsBeforeCrash{0};
 
 private:
-    boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
