A response without an id on a reused connection is not this request's

Report of another operator: a faulty upstream wrote an earlier refusal once more on a kept connection; clients were told "not run" for requests that had run (REFUSED), or such a request ran at a second upstream (TWICE). Cause: readResponse took a head without a Request-Id for the answer. On a reused connection nothing ties it to this request. Class: a belief without the proof it rests on; the proof is the id, or that the connection has carried no other request.

--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -123,8 +123,7 @@
         }
         m_response.status = head->status;
         m_response.facts = platform::decodeAnswer(head->status, head->headers);
-        const std::string &answered = m_response.facts.requestId;
-        if (answered.empty() || answered == m_request.facts.id) {
+        if (isOwnResponse()) {
             if (!m_response.facts.misdirected)
                 m_state.applyStatement(*m_assignment.upstream, m_response.facts.statement,
                                        m_sentAt);
@@ -135,7 +134,9 @@
             co_return co_await bufferResponse(headOutcome);
         }
         logEvent(LogLevel::Warning, "answer_of_another_request",
-                 {{"request", m_request.facts.id}, {"answers", answered}});
+                 {{"request", m_request.facts.id},
+                  {"answers", m_response.facts.requestId},
+                  {"reused", m_reusedConnection}});
         const bool skippable = co_await skipResponse();
         if (!skippable)
             co_return AttemptEnd::Spoiled;
@@ -143,6 +144,13 @@
     co_return AttemptEnd::Spoiled;
 }
 
+bool UpstreamAttempt::isOwnResponse() const
+{
+    const std::string &answered = m_response.facts.requestId;
+    // On a reused connection, a response without an id may belong to an earlier request.
+    return answered == m_request.facts.id || (answered.empty() && !m_reusedConnection);
+}
+
 asio::awaitable<bool> UpstreamAttempt::skipResponse()
 {
     std::size_t size = 0;
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -65,8 +65,10 @@
     boost::asio::awaitable<AttemptEnd> sendAndRead();
     boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> connect();
     HttpRequest outgoing() const;
-    /// Reads response heads until one carries the id of this request.
+    /// Reads response heads until one belongs to this request.
     boost::asio::awaitable<AttemptEnd> readResponse();
+    /// Whether the head read last belongs to this request.
+    bool isOwnResponse() const;
     boost::asio::awaitable<bool> skipResponse();
     AttemptEnd classifyHead() const;
     boost::asio::awaitable<AttemptEnd> relayStream();
