The end of a connection is confirmed for upstreams that leave, too

Cause: a response without length and chunks ends with its connection, and a killed process closes its connections in order. confirmEnd asks the upstream for another connection, but trusted one that is draining, unlisted or has stated that it leaves: just those are reclaimed, and killed with streams in flight. Class: a belief (it leaves, so it ends in order) without the proof it rests on. Change: the upstream must accept a connection whatever it has stated. A cut stream goes on elsewhere or is seen as cut. Evidence: UnframedStreamSuite, three tests that failed before (a stream and a plain response of an upstream that has stated to leave, a stream of one that is listed as draining) and pass now; a leaving upstream that ends its stream in order still counts as whole.

--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -229,10 +229,9 @@
 
 asio::awaitable<bool> UpstreamAttempt::confirmEnd()
 {
-    const UpstreamState &upstream = *m_assignment.upstream;
-    const bool leaving = upstream.gone || upstream.terms.isLeaving();
-    if (!m_connection->endsWithConnection() || leaving)
+    if (!m_connection->endsWithConnection())
         co_return true;
+    const UpstreamState &upstream = *m_assignment.upstream;
     const auto made =
         co_await UpstreamConnection::makeConnection(m_state.executor, upstream.record.endpoint);
     m_state.metrics.add("tamarack_connection_checks_total",
--- a/tests/UnframedStreamTest.cpp
+++ b/tests/UnframedStreamTest.cpp
@@ -2,6 +2,7 @@
 #include "support/SmallFleet.h"
 
 #include <string>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 
@@ -50,4 +51,40 @@
     BOOST_TEST(!answer.ends_with(lastChunk));
 }
 
+BOOST_AUTO_TEST_CASE(streamOfALeavingUpstreamThatEndsWithItsConnectionIsComplete)
+{
+    server.leaving = true;
+    BOOST_TEST(get(0, "/stream/x", "q1").ends_with(lastChunk));
+}
+
+// An upstream that is reclaimed is killed soon after it has stated that it is leaving.
+BOOST_AUTO_TEST_CASE(streamCutByAKilledUpstreamThatStatedToLeaveIsNotComplete)
+{
+    server.leaving = true;
+    server.eventsBeforeCrash = 2;
+    const std::string answer = get(0, "/stream/x", "q1");
+    BOOST_TEST(answer.find("id: 2\n") != std::string::npos);
+    BOOST_TEST(!answer.ends_with(lastChunk));
+}
+
+BOOST_AUTO_TEST_CASE(streamCutByAKilledUpstreamThatIsListedAsDrainingIsNotComplete)
+{
+    server.eventsBeforeCrash = 2;
+    server.endDelayMs = 1500;
+    std::jthread store([this] {
+        std::this_thread::sleep_for(milliseconds(300));
+        listAt("unframed", server.port(), {.state = "draining"});
+    });
+    const std::string answer = get(0, "/stream/x", "q1");
+    BOOST_TEST(answer.find("id: 2\n") != std::string::npos);
+    BOOST_TEST(!answer.ends_with(lastChunk));
+}
+
+BOOST_AUTO_TEST_CASE(responseCutByAKilledUpstreamThatStatedToLeaveIsNotComplete)
+{
+    server.leaving = true;
+    server.eventsBeforeCrash = 2;
+    BOOST_TEST(responseStatus(get(0, "/read/x", "q1")) != okStatus);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tools/model/UnframedServer.cpp
+++ b/tools/model/UnframedServer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/AsioPch.h"
 #include "model/RawRequest.h"
+#include "process/Timers.h"
 
 #include <string>
 #include <utility>
@@ -39,12 +40,14 @@
     if (readError)
         co_return;
     std::string response = "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(request, "Request-Id")
-                           + "\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n";
+                           + "\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n"
+                           + (leaving ? "Server-Leaving: 1\r\n\r\n" : "\r\n");
     const int crashAfter = eventsBeforeCrash;
     const int events = crashAfter > 0 ? crashAfter : streamEvents;
     for (int id = 1; id <= events; ++id)
         response += "id: " + std::to_string(id) + "\ndata: piece\n\n";
     co_await asio::async_write(socket, asio::buffer(response), useTuple);
+    co_await pause(milliseconds(endDelayMs));
     boost::system::error_code error;
     if (crashAfter > 0)
         m_acceptor.close(error);
--- a/tools/model/UnframedServer.h
+++ b/tools/model/UnframedServer.h
@@ -22,6 +22,10 @@
     /// The process ends after this many events of a stream: its kernel
     /// closes the connections in order, and new ones are refused. 0: never.
     std::atomic<int> eventsBeforeCrash{0};
+    /// Whether responses state that the upstream is shutting down.
+    std::atomic<bool> leaving{false};
+    /// From the events to the end of the connection.
+    std::atomic<int> endDelayMs{0};
 
 private:
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
