Streams go on only while the list of upstreams is known to be current

Cause: the list of upstreams had no age for those who read a version from it. Class: acting on a belief whose proof is old. Change: UpstreamListAge knows when the list was last confirmed, by this entry's own watch or by a follower's answer, on the boot clock; a process that stood still for a second needs a new confirmation. Without it a take-up gets a true "not run", a new stream's origin is ambiguous, and a follower does not vouch for the list.

--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -65,9 +65,11 @@
             asio::post(traffic,
                        [this, records = std::move(records)] { state.applyUpstreams(records); });
         };
-        listener.upstreamsFollowed = [this](const UpstreamDelta &delta, UpstreamSource source) {
-            asio::post(traffic,
-                       [this, delta, source] { state.applyUpstreamsFollowed(delta, source); });
+        listener.upstreamsFollowed = [this](const UpstreamDelta &delta, UpstreamSource source,
+                                            BootTime currentAt) {
+            asio::post(traffic, [this, delta, source, currentAt] {
+                state.applyUpstreamsFollowed(delta, source, currentAt);
+            });
         };
         listener.originsRead = [this](std::vector<StreamOrigin> saved, bool own) {
             asio::post(traffic, [this, saved = std::move(saved), own] {
@@ -92,8 +94,11 @@
                 storeFollower.recordReportedVersions(version, revision);
             });
         };
-        state.onUpstreamsRelayed = [this, control](const UpstreamDelta &delta) {
-            asio::post(control, [this, delta] { storeFollower.applyRelayed(delta); });
+        state.onUpstreamsRelayed = [this, control](const UpstreamDelta &delta,
+                                                   BootTime requestedAt) {
+            asio::post(control, [this, delta, requestedAt] {
+                storeFollower.applyRelayed(delta, requestedAt);
+            });
         };
         state.onOriginsDue = [this, control](std::vector<StreamOrigin> origins) {
             asio::post(control, [this, origins = std::move(origins)] {
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -168,6 +168,7 @@
         m_origin = co_await m_state.origins.find(streamKey(m_facts.resumedRequest),
                                                  m_state.peers.reachableNames(start));
     const bool certain = m_origin && m_state.upstreams.isCertain(*m_origin);
+    const bool listIsCurrent = m_state.upstreamListAge.isCurrent(bootNow());
     m_state.metrics.add("tamarack_stream_resumptions_total",
                         !m_origin ? "origin=\"unknown\""
                                   : (certain ? "origin=\"known\"" : "origin=\"ambiguous\""));
@@ -177,6 +178,7 @@
               {"resume_after", *m_facts.resumeAfter},
               {"known", m_origin.has_value()},
               {"certain", certain},
+              {"list_current", listIsCurrent},
               {"upstream", m_origin ? m_origin->upstreamId : ""},
               {"version", m_origin ? m_origin->version : ""},
               {"took_ms", toMs(steadyNow() - start)}});
@@ -194,7 +196,8 @@
     const bool isNew = !m_origin && !resumesStream();
     if (isNew)
         return std::nullopt;
-    if (!m_origin || !m_state.upstreams.isCertain(*m_origin))
+    const bool listIsCurrent = m_state.upstreamListAge.isCurrent(bootNow());
+    if (!m_origin || !m_state.upstreams.isCertain(*m_origin) || !listIsCurrent)
         return Denial{ErrorKind::StreamUnknown, unknownStreamRetryAfter};
     if (!m_state.upstreams.offersVersion(m_admitted.service, m_origin->version))
         return Denial{ErrorKind::VersionGone, {}};
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds entryWait{8000};
 /// Part of the drain bound reserved for detecting that an upstream watch has gone silent.
 constexpr milliseconds silenceReserve{800};
+/// Time beyond the requested wait in which a watch returns.
+constexpr milliseconds usualLatency{200};
 /// Wait of a watch that requests only past changes; for the configuration, its response proves it
 /// current immediately.
 constexpr milliseconds noWait{1};
@@ -212,6 +214,7 @@
     {
         while (true) {
             readingUpstreams = true;
+            const BootTime callStart = bootNow();
             const auto listing = co_await store.list(platform::upstreamKind());
             readingUpstreams = false;
             if (!recordResult(listing, "list_upstreams")) {
@@ -225,16 +228,16 @@
                     records.push_back(std::move(*record));
             directory.replace(std::move(records), steadyNow());
             publishUpstreams();
-            setPosition({position, listing->revision, {}}, UpstreamSource::Listing);
+            setPosition({position, listing->revision, {}}, UpstreamSource::Listing, callStart);
             co_await watchUpstreams();
         }
     }
 
-    void setPosition(const UpstreamDelta &delta, UpstreamSource source)
+    void setPosition(const UpstreamDelta &delta, UpstreamSource source, BootTime currentAt)
     {
         position = delta.revision;
         positionAt = steadyNow();
-        listener.upstreamsFollowed(delta, source);
+        listener.upstreamsFollowed(delta, source, currentAt);
     }
 
     asio::awaitable<void> watchUpstreams()
@@ -245,10 +248,10 @@
                 return watchPolicy.areUpstreamsBehind(position, now)
                        || now > positionAt + positionRefresh;
             });
-            const bool watches = watchPolicy.watchesStore(bootNow());
+            const BootTime callStart = bootNow();
+            const milliseconds wait = watchPolicy.watchesStore(callStart) ? upstreamWait() : noWait;
             readingUpstreams = true;
-            const auto changes = co_await store.watch(platform::upstreamKind(), position,
-                                                      watches ? upstreamWait() : noWait);
+            const auto changes = co_await store.watch(platform::upstreamKind(), position, wait);
             readingUpstreams = false;
             if (!recordResult(changes, "watch_upstreams")) {
                 if (changes.error().kind == ErrorKind::HistoryGone)
@@ -262,10 +265,14 @@
                 delta.changes.push_back(decodeChange(event));
                 onlyNew = applyChange(delta.changes.back(), "store") && onlyNew;
             }
-            setPosition(delta, UpstreamSource::OwnWatch);
+            if (!changes->events.empty())
+                publishUpstreams();
+            // A response that this process reads late shows an older state.
+            const BootTime currentAt =
+                std::min<BootTime>(bootNow(), callStart + wait + usualLatency);
+            setPosition(delta, UpstreamSource::OwnWatch, currentAt);
             if (changes->events.empty())
                 continue;
-            publishUpstreams();
             co_await pause(onlyNew ? newUpstreamPause : upstreamPause);
         }
     }
@@ -314,16 +321,16 @@
         return isNew;
     }
 
-    void applyRelayed(const UpstreamDelta &delta)
+    void applyRelayed(const UpstreamDelta &delta, BootTime requestedAt)
     {
         // A store call in progress would return changes older than the delta.
         if (readingUpstreams || delta.since > position || delta.revision < position)
             return;
         for (const UpstreamChange &change : delta.changes)
             applyChange(change, "relay");
-        setPosition(delta, UpstreamSource::Relay);
         if (!delta.changes.empty())
             publishUpstreams();
+        setPosition(delta, UpstreamSource::Relay, requestedAt);
     }
 
     std::optional<UpstreamRecord> decode(const platform::StoredObject &object)
@@ -553,9 +560,9 @@
     m_private->wakeLoops();
 }
 
-void StoreFollower::applyRelayed(const UpstreamDelta &delta)
+void StoreFollower::applyRelayed(const UpstreamDelta &delta, BootTime requestedAt)
 {
-    m_private->applyRelayed(delta);
+    m_private->applyRelayed(delta, requestedAt);
 }
 
 std::uint64_t StoreFollower::calls() const
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -27,8 +27,8 @@
     /// The current configuration was the newest in the store at this time, the start of a call.
     std::function<void(BootTime)> configProved;
     std::function<void(std::vector<UpstreamRecord>)> upstreamsChanged;
-    /// The upstream list is current as of the delta's revision.
-    std::function<void(const UpstreamDelta &, UpstreamSource)> upstreamsFollowed;
+    /// The upstream list is current as of the delta's revision, and was at the time given.
+    std::function<void(const UpstreamDelta &, UpstreamSource, BootTime)> upstreamsFollowed;
     /// Origins of streams that an entry wrote to the store, read once after the start; `own`: it
     /// was this entry, before it restarted.
     std::function<void(std::vector<StreamOrigin>, bool own)> originsRead;
@@ -65,8 +65,8 @@
     void saveOrigins(const std::vector<StreamOrigin> &origins);
     /// Versions that other entries have reported; 0 if there is nothing new.
     void recordReportedVersions(std::uint64_t configVersion, std::uint64_t upstreamRevision);
-    /// Applies upstream changes received from a follower.
-    void applyRelayed(const UpstreamDelta &delta);
+    /// Applies upstream changes received from a follower, which was asked at `requestedAt`.
+    void applyRelayed(const UpstreamDelta &delta, BootTime requestedAt);
 
 private:
     struct Private;
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -39,6 +39,7 @@
     , metrics(processMetrics)
     , incarnation(randomBits64())
     , freshness(settings.direct.revokeBound, proofMargin)
+    , upstreamListAge(settings.direct.drainBound + longestWatchPause)
     , queue(upstreams, settings.dataCentre)
     , quotas(settings.direct.quotaWindow)
     , retries(settings.direct.retries, steadyNow())
@@ -115,8 +116,10 @@
         requestProof(steadyNow());
 }
 
-void TrafficState::applyUpstreamsFollowed(const UpstreamDelta &delta, UpstreamSource source)
+void TrafficState::applyUpstreamsFollowed(const UpstreamDelta &delta, UpstreamSource source,
+                                          BootTime currentAt)
 {
+    upstreamListAge.recordConfirmed(currentAt);
     if (source == UpstreamSource::Listing)
         m_upstreamLog.restart(delta.revision);
     else
@@ -170,7 +173,7 @@
     // A watch returns within the drain bound unless this entry has lost the store.
     const Duration watchAge = steadyNow() - m_upstreamsFollowedAt;
     const bool follows = watchAge <= settings.direct.drainBound + longestWatchPause;
-    if (!config || draining || !follows)
+    if (!config || draining || !follows || !upstreamListAge.isCurrent(bootNow()))
         return std::nullopt;
     return ProofRelay::makeResponse(request, config->version, freshness, m_upstreamLog, bootNow());
 }
@@ -182,7 +185,7 @@
     if (onStoreAnswerRelayed)
         onStoreAnswerRelayed(response.requestedAt - response.age);
     if (response.upstreams && onUpstreamsRelayed)
-        onUpstreamsRelayed(*response.upstreams);
+        onUpstreamsRelayed(*response.upstreams, response.requestedAt);
     const auto provedAt = proofs.proofTime(response, config ? config->version : 0);
     metrics.add("tamarack_proofs_relayed_total",
                 provedAt ? "outcome=\"proved\"" : "outcome=\"not_mine\"");
@@ -376,6 +379,7 @@
 {
     const TimePoint now = steadyNow();
     StreamOrigin origin = upstreams.originAt(upstream, stream, now);
+    origin.ambiguous = origin.ambiguous || !upstreamListAge.isCurrent(bootNow());
     if (origin.ambiguous)
         logEvent(LogLevel::Warning, "stream_origin_ambiguous",
                  {{"upstream", origin.upstreamId}, {"born", origin.born}});
@@ -499,6 +503,7 @@
 
 void TrafficState::tick(TimePoint now)
 {
+    upstreamListAge.recordTick(bootNow());
     quotas.setReportingShare(peers.reachableShare(now), now);
     if (peers.isListKnown())
         retries.setEntries(peers.servingCount(now), now);
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -19,6 +19,7 @@
 #include "serving/ReadLag.h"
 #include "serving/RetryBudget.h"
 #include "serving/ServingConfig.h"
+#include "serving/UpstreamListAge.h"
 #include "serving/UpstreamTable.h"
 #include "serving/WaitPolicy.h"
 
@@ -67,8 +68,9 @@
     void applyConfig(ServingConfigPtr config);
     void applyUpstreams(const std::vector<UpstreamRecord> &records);
     void applyPeer(const EntryLoad &load);
-    /// The upstream list is current as of the delta's revision.
-    void applyUpstreamsFollowed(const UpstreamDelta &delta, UpstreamSource source);
+    /// The upstream list is current as of the delta's revision, and was at `currentAt`.
+    void applyUpstreamsFollowed(const UpstreamDelta &delta, UpstreamSource source,
+                                BootTime currentAt);
     void applyKnownEntries(const std::set<std::string> &names);
 
     /// Queues the request; `wait` is decided either immediately or later.
@@ -127,8 +129,8 @@
     std::function<void(BootTime)> onStoreAnswerRelayed;
     /// Called with the time at which a follower's proof shows the configuration to be current.
     std::function<void(BootTime)> onProofRelayed;
-    /// Called with upstream changes received from a follower.
-    std::function<void(const UpstreamDelta &)> onUpstreamsRelayed;
+    /// Called with upstream changes received from a follower and the time it was asked.
+    std::function<void(const UpstreamDelta &, BootTime)> onUpstreamsRelayed;
     /// Called when origins of this entry's streams should be written to the store.
     std::function<void(std::vector<StreamOrigin>)> onOriginsDue;
     /// Called when this entry starts or stops watching the store on behalf of others.
@@ -148,6 +150,7 @@
     ServingConfigPtr config;
     FreshnessGuard freshness;
     UpstreamTable upstreams;
+    UpstreamListAge upstreamListAge;
     DispatchQueue queue;
     QuotaLedger quotas;
     RetryBudget retries;
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -21,6 +22,8 @@
 constexpr std::size_t upstreamCount = 3;
 /// From a change of the store's list until it is in force at all entries.
 constexpr milliseconds listDelay{1200};
+/// An entry that has been cut off for this long knows that its list is old.
+constexpr seconds outOfStep{4};
 
 bool isFrom(const std::string &answer, std::size_t upstream)
 {
@@ -73,6 +76,34 @@
         std::this_thread::sleep_for(listDelay);
     }
 
+    /// Lets upstream 0 begin streams, and lists then only upstream 1, with the same version.
+    void beginOnOneOfTwo()
+    {
+        beginStreams(0, "a");
+        list(1, {.version = versionOf(0), .born = 2});
+        unlist(0);
+        unlist(2);
+        std::this_thread::sleep_for(listDelay);
+    }
+
+    /// Cuts the last entry off from the store and from the others.
+    void cutOffLastEntry()
+    {
+        cutFromStore(2);
+        stopEntry(0);
+        stopEntry(1);
+    }
+
+    /// Takes the streams up at the entry, all at the same time.
+    void takeUpTogether(std::size_t entry, const std::string &prefix) const
+    {
+        std::vector<std::jthread> clients;
+        for (int i = 0; i < streams; ++i)
+            clients.emplace_back([this, entry, id = prefix + std::to_string(i)] {
+                get(entry, "/stream/" + id, "again-" + id, takeUpHeaders(id));
+            });
+    }
+
     /// Takes the streams up at the entry. Returns how many go on.
     int takeUp(std::size_t entry, const std::string &prefix)
     {
@@ -155,6 +186,40 @@
     BOOST_TEST(responseStatus(get(entry, "/stream/new", "new")) == okStatus);
 }
 
+// An entry stands still while an upstream of a new version joins and begins streams.
+BOOST_AUTO_TEST_CASE(streamsOfANewUpstreamDoNotGoOnAtAnotherVersionByAnEntryThatStoodStill)
+{
+    unlist(1);
+    std::this_thread::sleep_for(listDelay);
+    freezeEntry(2, milliseconds(4000));
+    list(1, {.version = "v2", .born = 2});
+    beginStreams(1, "a");
+    takeUpTogether(2, "a");
+    BOOST_TEST(continuations(0) + continuations(2) == 0U);
+}
+
+// An entry is cut off while an upstream restarts under its id with a new version.
+BOOST_AUTO_TEST_CASE(streamsDoNotGoOnAtAnUpstreamThatRestartedUnseen)
+{
+    beginOnOneOfTwo();
+    cutOffLastEntry();
+    list(1, {.version = "v2", .born = 3});
+    takeUpTogether(2, "a");
+    BOOST_TEST(continuations(1) == 0U);
+}
+
+// As above, at upstreams that do not report when they were started.
+BOOST_AUTO_TEST_CASE(streamsDoNotGoOnByAnEntryWhoseListIsOld)
+{
+    reportsBorn = false;
+    beginOnOneOfTwo();
+    cutOffLastEntry();
+    list(1, {.version = "v2", .born = 3});
+    std::this_thread::sleep_for(outOfStep);
+    takeUpTogether(2, "a");
+    BOOST_TEST(continuations(1) == 0U);
+}
+
 // All entries are killed; those that start then have the origins from the store.
 BOOST_AUTO_TEST_CASE(clientsTakeStreamsUpAfterAllEntriesWereKilled)
 {
--- a/tests/support/DirectEntry.cpp
+++ b/tests/support/DirectEntry.cpp
@@ -29,6 +29,14 @@
     m_thread.join();
 }
 
+void DirectEntry::freeze(milliseconds duration)
+{
+    const auto sleep = [duration] { std::this_thread::sleep_for(duration); };
+    asio::post(m_contexts->control(), sleep);
+    for (asio::io_context *traffic : m_contexts->traffic())
+        asio::post(*traffic, sleep);
+}
+
 Settings DirectEntry::makeSettings(const std::string &name, const std::string &dataCentre,
                                    unsigned short storePort)
 {
--- a/tests/support/SmallFleet.cpp
+++ b/tests/support/SmallFleet.cpp
@@ -78,6 +78,7 @@
 
 void SmallFleet::list(std::size_t upstream, const Listed &listed)
 {
+    m_upstreams.at(upstream)->born = reportsBorn ? listed.born : 0;
     listAt(upstreamName(upstream), m_upstreams.at(upstream)->port(), listed);
 }
 
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -37,6 +37,9 @@
     /// Context on which the fleet's stand-ins run.
     boost::asio::io_context &context() { return m_context; }
 
+    /// Whether upstreams that are listed from now on report when they were started.
+    bool reportsBorn = true;
+
     /// What the store lists about an upstream besides its address.
     struct Listed
     {
@@ -58,6 +61,10 @@
     void cutFromStore(std::size_t entry);
     /// Starts one more entry and returns its number.
     std::size_t startEntry();
+    void freezeEntry(std::size_t number, milliseconds duration)
+    {
+        m_entries.at(number)->freeze(duration);
+    }
     void stopEntry(std::size_t number) { m_entries.at(number)->stop(); }
     /// Sends a GET with the additional header lines to the entry and returns the whole response.
     std::string get(std::size_t entry, std::string_view path, std::string_view requestId,
--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -45,6 +45,10 @@
         co_await respondHealth(exchange);
         co_return;
     }
+    if (request.path() == reportPath) {
+        co_await respondReport(exchange);
+        co_return;
+    }
     {
         const std::lock_guard lock(m_mutex);
         m_receivedRequests.push_back(request);
@@ -112,6 +116,16 @@
     co_await exchange.respond(std::move(response));
 }
 
+asio::awaitable<void> UpstreamServer::respondReport(HttpExchange &exchange)
+{
+    HttpResponse response{404, {}, ""};
+    if (born > 0)
+        response = {200,
+                    {{"Content-Type", "application/json"}},
+                    R"({"stage":"colocated","sequence":2,"born":)" + std::to_string(born) + "}"};
+    co_await exchange.respond(std::move(response));
+}
+
 asio::awaitable<void> UpstreamServer::stream(HttpExchange &exchange, HttpHeaders headers)
 {
     const auto after = findHeader(exchange.request().headers, "Last-Event-Id");
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -3,6 +3,7 @@
 #include "http/HttpServer.h"
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -48,6 +49,8 @@
     std::atomic<bool> leaving{false};
     /// If not 0, refuses all requests and states this time in `Retry-After`.
     std::atomic<double> closedForSeconds{0};
+    /// Start of its process, in its report on itself; 0: it has no report.
+    std::atomic<std::uint64_t> born{0};
     std::atomic<bool> clientGone{false};
     std::atomic<int> eventPauseMs{0};
     /// Delay before a response that is not a stream.
@@ -66,10 +69,13 @@
 
     /// Path of the health check, which is neither counted as received nor run.
     static constexpr std::string_view healthPath = "/healthz";
+    /// Path of the report, which is not counted either.
+    static constexpr std::string_view reportPath = "/report";
 
 private:
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
     boost::asio::awaitable<void> respondHealth(HttpExchange &exchange);
+    boost::asio::awaitable<void> respondReport(HttpExchange &exchange);
     boost::asio::awaitable<void> stream(HttpExchange &exchange, HttpHeaders headers);
 
     std::string m_id;
