Before a stream goes on, the upstream's process is asked what it is

Cause: Expect-Replica names an id, and an upstream may be back under its id with another version. Class: acting on a belief without the proof it rests on; what identifies an incarnation is its start (born). Change: on the connection that will carry the continuation, GET /report; another start than the listed one, or a 421, withholds the request (not sent, goes elsewhere). A connection ends with its process, so the answer holds for the request sent next. Cost: one more call of an engine for each take-up or continuation, none for other requests.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -334,7 +334,7 @@
                       AttemptRequest{m_exchange.request(), m_facts, m_admitted.workspace,
                                      m_deadlineAt, isStream(), m_sends == 0,
                                      m_admitted.isTrial && m_sends == 0, m_admitted.service,
-                                     newStream});
+                                     newStream, m_origin.has_value()});
     const AttemptEnd end = co_await m_attempt->run();
     if (m_attempt->sent()) {
         ++m_sends;
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include "base/AsioPch.h"
 #include "base/Log.h"
+#include "direct/UpstreamReport.h"
 #include "platform/HeaderCodec.h"
 #include "process/Timers.h"
 
@@ -59,12 +60,16 @@
 asio::awaitable<AttemptEnd> UpstreamAttempt::sendAndRead()
 {
     m_connection = co_await connect();
+    bool asListed = true;
+    if (m_connection && m_request.continuesStream)
+        asListed = co_await isListedIncarnation();
     const bool quarantined =
         !m_request.isTrial && m_state.partQuarantine.isQuarantined(m_request.facts.promptParts);
     const UpstreamState &upstream = *m_assignment.upstream;
     // The store may list another incarnation since the assignment, perhaps of another version.
     const bool replaced = m_state.upstreams.otherIncarnation(upstream) != nullptr;
-    m_withheld = m_connection && (quarantined || replaced || !upstream.terms.isOpen(steadyNow()));
+    m_withheld = m_connection
+                 && (quarantined || replaced || !asListed || !upstream.terms.isOpen(steadyNow()));
     if (!m_connection || m_cancelled || m_withheld)
         co_return AttemptEnd::NotSent;
     m_sentAt = steadyNow();
@@ -98,6 +103,34 @@
     co_return *made;
 }
 
+asio::awaitable<bool> UpstreamAttempt::isListedIncarnation()
+{
+    UpstreamState &upstream = *m_assignment.upstream;
+    const UpstreamRecord &record = upstream.record;
+    if (upstream.reportsNoStart || record.born == 0)
+        co_return true;
+    const UpstreamReport report = co_await readReport(m_state.executor, m_connection, record);
+    m_reusedConnection = true;
+    if (m_cancelled || report.lost)
+        co_return false;
+    const bool differs = report.startedAt && *report.startedAt != record.born;
+    if (report.misdirected || differs) {
+        m_state.upstreams.suspectRestart(upstream, steadyNow() + UpstreamTable::listingDelay);
+        logEvent(LogLevel::Warning, "upstream_not_as_listed",
+                 {{"request", m_request.facts.id},
+                  {"upstream", record.id},
+                  {"born", record.born},
+                  {"found", report.startedAt.value_or(0)}});
+        co_return false;
+    }
+    upstream.reportsNoStart = !report.startedAt;
+    if (!m_connection->reusable()) {
+        m_connection->close();
+        m_connection = co_await connect();
+    }
+    co_return m_connection != nullptr;
+}
+
 HttpRequest UpstreamAttempt::outgoing() const
 {
     const HttpRequest &incoming = m_request.incoming;
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -29,6 +29,8 @@
     std::string service;
     /// Identifies a new stream that clients may resume.
     std::optional<StreamKey> newStream;
+    /// It goes on with a stream, which only the software version that began it may do.
+    bool continuesStream = false;
 };
 
 /// One attempt to serve a request at the upstream that the queue assigned: connects, sends the
@@ -49,7 +51,7 @@
     /// The request was passed to a connection for sending.
     bool sent() const { return m_sent; }
     /// Not sent, because since the assignment the upstream has reported that it accepts no
-    /// requests, the store has listed another incarnation, or a part of the prompt has been
+    /// requests, another incarnation was listed or found, or a part of the prompt has been
     /// quarantined.
     bool withheld() const { return m_withheld; }
     bool reusedConnection() const { return m_reusedConnection; }
@@ -64,6 +66,9 @@
 private:
     boost::asio::awaitable<AttemptEnd> sendAndRead();
     boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> connect();
+    /// Whether the process at the other end of the connection is the incarnation that the store
+    /// lists, or does not report what it is. May replace the connection.
+    boost::asio::awaitable<bool> isListedIncarnation();
     HttpRequest outgoing() const;
     /// Reads response heads until one belongs to this request.
     boost::asio::awaitable<AttemptEnd> readResponse();
--- /dev/null
+++ b/src/direct/UpstreamReport.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "serving/UpstreamRecord.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace tamarack {
+
+class UpstreamConnection;
+
+/// What the process at the other end of a connection reports on itself.
+struct UpstreamReport
+{
+    /// The connection was lost before a response.
+    bool lost = false;
+    /// It answered for another upstream.
+    bool misdirected = false;
+    /// Start of the process, in milliseconds of Unix time; none if it does not report it.
+    std::optional<std::uint64_t> startedAt;
+};
+
+/// Asks the process for its report. The connection is closed if the report takes too long.
+boost::asio::awaitable<UpstreamReport> readReport(boost::asio::any_io_executor executor,
+                                                  std::shared_ptr<UpstreamConnection> connection,
+                                                  UpstreamRecord upstream);
+
+} // namespace tamarack
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -70,6 +70,8 @@
     /// The store has listed it as draining. It will not become ready again.
     bool drained = false;
     TimePoint restartSuspectedUntil{};
+    /// It has not reported when its process was started, although it was asked.
+    bool reportsNoStart = false;
     /// When `removeGone` first saw it as gone.
     std::optional<TimePoint> goneSince;
     UpstreamTerms terms;
