The end of a connection is confirmed by the process that was asked, not by its successor

Cause: a connection that is accepted proves that some process listens. Class: a belief attributed by address instead of incarnation. Change: the confirming connection also carries GET /report; another start than the listed one is no confirmation. Upstreams that do not report it are asked once and confirmed by the connection, as before. identify() serves continuations and ends alike. Evidence: streamCutByAKilledUpstreamThatIsBackAtOnceIsNotComplete failed before and passes; its first half (same process) holds.

--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -60,16 +60,18 @@
 asio::awaitable<AttemptEnd> UpstreamAttempt::sendAndRead()
 {
     m_connection = co_await connect();
-    bool asListed = true;
-    if (m_connection && m_request.continuesStream)
-        asListed = co_await isListedIncarnation();
+    bool otherFound = false;
+    if (m_connection && m_request.continuesStream) {
+        const bool mayContinue = co_await mayContinueThere();
+        otherFound = !mayContinue;
+    }
     const bool quarantined =
         !m_request.isTrial && m_state.partQuarantine.isQuarantined(m_request.facts.promptParts);
     const UpstreamState &upstream = *m_assignment.upstream;
     // The store may list another incarnation since the assignment, perhaps of another version.
     const bool replaced = m_state.upstreams.otherIncarnation(upstream) != nullptr;
     m_withheld = m_connection
-                 && (quarantined || replaced || !asListed || !upstream.terms.isOpen(steadyNow()));
+                 && (quarantined || replaced || otherFound || !upstream.terms.isOpen(steadyNow()));
     if (!m_connection || m_cancelled || m_withheld)
         co_return AttemptEnd::NotSent;
     m_sentAt = steadyNow();
@@ -103,16 +105,16 @@
     co_return *made;
 }
 
-asio::awaitable<bool> UpstreamAttempt::isListedIncarnation()
+asio::awaitable<UpstreamAttempt::Identity>
+UpstreamAttempt::identify(std::shared_ptr<UpstreamConnection> connection)
 {
     UpstreamState &upstream = *m_assignment.upstream;
     const UpstreamRecord &record = upstream.record;
-    if (upstream.reportsNoStart || record.born == 0)
-        co_return true;
-    const UpstreamReport report = co_await readReport(m_state.executor, m_connection, record);
-    m_reusedConnection = true;
+    if (!upstream.reportsStart())
+        co_return Identity::NotReported;
+    const UpstreamReport report = co_await readReport(m_state.executor, connection, record);
     if (m_cancelled || report.lost)
-        co_return false;
+        co_return Identity::Lost;
     const bool differs = report.startedAt && *report.startedAt != record.born;
     if (report.misdirected || differs) {
         m_state.upstreams.suspectRestart(upstream, steadyNow() + UpstreamTable::listingDelay);
@@ -121,9 +123,20 @@
                   {"upstream", record.id},
                   {"born", record.born},
                   {"found", report.startedAt.value_or(0)}});
-        co_return false;
+        co_return Identity::Other;
     }
     upstream.reportsNoStart = !report.startedAt;
+    co_return report.startedAt ? Identity::AsListed : Identity::NotReported;
+}
+
+asio::awaitable<bool> UpstreamAttempt::mayContinueThere()
+{
+    if (!m_assignment.upstream->reportsStart())
+        co_return true;
+    const Identity identity = co_await identify(m_connection);
+    m_reusedConnection = true;
+    if (identity == Identity::Lost || identity == Identity::Other)
+        co_return false;
     if (!m_connection->reusable()) {
         m_connection->close();
         m_connection = co_await connect();
@@ -264,19 +277,23 @@
 {
     if (!m_connection->endsWithConnection())
         co_return true;
-    const UpstreamState &upstream = *m_assignment.upstream;
+    UpstreamState &upstream = *m_assignment.upstream;
     const auto made =
         co_await UpstreamConnection::makeConnection(m_state.executor, upstream.record.endpoint);
     m_state.metrics.add("tamarack_connection_checks_total",
                         made ? "outcome=\"accepted\"" : "outcome=\"refused\"");
-    if (made)
+    bool running = made.has_value();
+    if (made) {
+        const Identity identity = co_await identify(*made);
+        running = identity == Identity::AsListed || identity == Identity::NotReported;
         (*made)->close();
-    else
+    }
+    if (!running)
         logEvent(LogLevel::Warning, "response_end_unconfirmed",
                  {{"request", m_request.facts.id},
                   {"upstream", upstream.record.id},
                   {"events", m_relay.events().events()}});
-    co_return made.has_value();
+    co_return running;
 }
 
 void UpstreamAttempt::recordFirstToken()
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,9 +67,11 @@
 private:
     boost::asio::awaitable<AttemptEnd> sendAndRead();
     boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> connect();
-    /// Whether the process at the other end of the connection is the incarnation that the store
-    /// lists, or does not report what it is. May replace the connection.
-    boost::asio::awaitable<bool> isListedIncarnation();
+    /// What the process at the other end of a connection is, compared with the assignment.
+    enum class Identity : std::uint8_t { AsListed, Other, NotReported, Lost };
+    boost::asio::awaitable<Identity> identify(std::shared_ptr<UpstreamConnection> connection);
+    /// Whether the connected process may go on with the stream. May replace the connection.
+    boost::asio::awaitable<bool> mayContinueThere();
     HttpRequest outgoing() const;
     /// Reads response heads until one belongs to this request.
     boost::asio::awaitable<AttemptEnd> readResponse();
@@ -79,7 +82,7 @@
     boost::asio::awaitable<AttemptEnd> relayStream();
     boost::asio::awaitable<AttemptEnd> bufferResponse(AttemptEnd headOutcome);
     /// Whether the received response is complete. If only the end of the connection shows that, the
-    /// upstream must still accept connections: a process that is killed closes them, too.
+    /// process must still run: one that is killed closes its connections, too.
     boost::asio::awaitable<bool> confirmEnd();
     void recordFirstToken();
     /// Measures the engine's pace if the stream has made at least `minEvents` new events.
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -70,7 +70,7 @@
     /// The store has listed it as draining. It will not become ready again.
     bool drained = false;
     TimePoint restartSuspectedUntil{};
-    /// It has not reported when its process was started, although it was asked.
+    /// It was asked when its process was started and did not say.
     bool reportsNoStart = false;
     /// When `removeGone` first saw it as gone.
     std::optional<TimePoint> goneSince;
@@ -82,6 +82,8 @@
 
     /// Whether it must be remembered while the store does not list it.
     bool isRestricted() const { return drained || !terms.isUnrestricted(); }
+    /// Whether its report may tell this incarnation from another.
+    bool reportsStart() const { return !reportsNoStart && record.born != 0; }
     std::uint32_t inFlight() const { return own.inFlight + others.inFlight; }
     std::uint32_t prefillTokens() const { return own.prefillTokens + others.prefillTokens; }
 };
--- a/tests/UnframedStreamTest.cpp
+++ b/tests/UnframedStreamTest.cpp
@@ -80,6 +80,15 @@
     BOOST_TEST(!answer.ends_with(lastChunk));
 }
 
+BOOST_AUTO_TEST_CASE(streamCutByAKilledUpstreamThatIsBackAtOnceIsNotComplete)
+{
+    server.born = 1;
+    BOOST_TEST(get(0, "/stream/x", "q1").ends_with(lastChunk));
+    server.restartsAtOnce = true;
+    server.eventsBeforeCrash = 2;
+    BOOST_TEST(!get(0, "/stream/x", "q2").ends_with(lastChunk));
+}
+
 BOOST_AUTO_TEST_CASE(responseCutByAKilledUpstreamThatStatedToLeaveIsNotComplete)
 {
     server.leaving = true;
--- a/tools/model/UnframedServer.cpp
+++ b/tools/model/UnframedServer.cpp
@@ -39,6 +39,14 @@
         socket, asio::dynamic_buffer(request), "\r\n\r\n", useTuple);
     if (readError)
         co_return;
+    if (born > 0 && request.starts_with("GET /report")) {
+        const std::string report = R"({"born":)" + std::to_string(born) + "}";
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+        co_await asio::async_write(
+            socket, asio::buffer(head + std::to_string(report.size()) + "\r\n\r\n" + report),
+            useTuple);
+        co_return;
+    }
     std::string response = "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(request, "Request-Id")
                            + "\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n"
                            + (leaving ? "Server-Leaving: 1\r\n\r\n" : "\r\n");
@@ -49,7 +57,9 @@
     co_await asio::async_write(socket, asio::buffer(response), useTuple);
     co_await pause(milliseconds(endDelayMs));
     boost::system::error_code error;
-    if (crashAfter > 0)
+    if (crashAfter > 0 && restartsAtOnce)
+        ++born;
+    else if (crashAfter > 0)
         m_acceptor.close(error);
     socket.shutdown(tcp::socket::shutdown_both, error);
 }
--- a/tools/model/UnframedServer.h
+++ b/tools/model/UnframedServer.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <cstdint>
 
 namespace tamarack::standin {
 
@@ -22,6 +23,10 @@
     /// The process ends after this many events of a stream: its kernel
     /// closes the connections in order, and new ones are refused. 0: never.
     std::atomic<int> eventsBeforeCrash{0};
+    /// A process that has ended is back at once, as another incarnation.
+    std::atomic<bool> restartsAtOnce{false};
+    /// Start of its process, in its report on itself; 0: it has no report.
+    std::atomic<std::uint64_t> born{0};
     /// Whether responses state that the upstream is shutting down.
     std::atomic<bool> leaving{false};
     /// From the events to the end of the connection.
