Count what upstreams report on themselves

identify() counts its outcomes (tamarack_upstream_reports_total), so that on-call sees whether upstreams report their start at all; the comparison is a function of its own.

--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -9,12 +9,16 @@
 #include <algorithm>
 #include <array>
 
+#include <spdlog/fmt/fmt.h>
+
 namespace tamarack {
 
 namespace asio = boost::asio;
 
 namespace {
 
+using Identity = UpstreamAttempt::Identity;
+
 constexpr int okStatus = 200;
 constexpr int firstServerError = 500;
 /// Size limit of a response that is buffered completely before it is delivered.
@@ -33,6 +37,29 @@
     return std::ranges::find(promises, status) != promises.end();
 }
 
+/// The process that reported, compared with the incarnation that the store lists.
+Identity compare(const UpstreamReport &report, const UpstreamRecord &listed)
+{
+    if (report.misdirected || (report.startedAt && *report.startedAt != listed.born))
+        return Identity::Other;
+    return report.startedAt ? Identity::AsListed : Identity::NotReported;
+}
+
+std::string_view identityName(Identity identity)
+{
+    switch (identity) {
+    case Identity::AsListed:
+        return "as_listed";
+    case Identity::Other:
+        return "other";
+    case Identity::NotReported:
+        return "not_reported";
+    case Identity::Lost:
+        return "lost";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 UpstreamAttempt::UpstreamAttempt(TrafficState &state, const Assignment &assignment,
@@ -115,18 +142,19 @@
     const UpstreamReport report = co_await readReport(m_state.executor, connection, record);
     if (m_cancelled || report.lost)
         co_return Identity::Lost;
-    const bool differs = report.startedAt && *report.startedAt != record.born;
-    if (report.misdirected || differs) {
+    upstream.reportsNoStart = !report.startedAt && !report.misdirected;
+    const Identity identity = compare(report, record);
+    m_state.metrics.add("tamarack_upstream_reports_total",
+                        fmt::format("outcome=\"{}\"", identityName(identity)));
+    if (identity == Identity::Other) {
         m_state.upstreams.suspectRestart(upstream, steadyNow() + UpstreamTable::listingDelay);
         logEvent(LogLevel::Warning, "upstream_not_as_listed",
                  {{"request", m_request.facts.id},
                   {"upstream", record.id},
                   {"born", record.born},
                   {"found", report.startedAt.value_or(0)}});
-        co_return Identity::Other;
     }
-    upstream.reportsNoStart = !report.startedAt;
-    co_return report.startedAt ? Identity::AsListed : Identity::NotReported;
+    co_return identity;
 }
 
 asio::awaitable<bool> UpstreamAttempt::mayContinueThere()
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -41,6 +41,9 @@
 class UpstreamAttempt
 {
 public:
+    /// What the process at the other end of a connection is, compared with the assignment.
+    enum class Identity : std::uint8_t { AsListed, Other, NotReported, Lost };
+
     UpstreamAttempt(TrafficState &state, const Assignment &assignment, ResponseRelay &relay,
                     AttemptRequest request);
 
@@ -67,8 +70,6 @@
 private:
     boost::asio::awaitable<AttemptEnd> sendAndRead();
     boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> connect();
-    /// What the process at the other end of a connection is, compared with the assignment.
-    enum class Identity : std::uint8_t { AsListed, Other, NotReported, Lost };
     boost::asio::awaitable<Identity> identify(std::shared_ptr<UpstreamConnection> connection);
     /// Whether the connected process may go on with the stream. May replace the connection.
     boost::asio::awaitable<bool> mayContinueThere();
--- a/tests/LeavingUpstreamTest.cpp
+++ b/tests/LeavingUpstreamTest.cpp
@@ -108,13 +108,15 @@
     BOOST_TEST(requestsAtLeavingUpstream() == 0U);
 }
 
-BOOST_FIXTURE_TEST_CASE(drainingUpstreamGetsNoRequestsAfterTheFollowersLostTheStore, FleetWithoutFollowers)
+BOOST_FIXTURE_TEST_CASE(drainingUpstreamGetsNoRequestsAfterTheFollowersLostTheStore,
+                        FleetWithoutFollowers)
 {
     list(0, {.state = "draining"});
     BOOST_TEST(requestsAtLeavingUpstream() == 0U);
 }
 
-BOOST_FIXTURE_TEST_CASE(removedUpstreamGetsNoRequestsAfterTheFollowersLostTheStore, FleetWithoutFollowers)
+BOOST_FIXTURE_TEST_CASE(removedUpstreamGetsNoRequestsAfterTheFollowersLostTheStore,
+                        FleetWithoutFollowers)
 {
     unlist(0);
     BOOST_TEST(requestsAtLeavingUpstream() == 0U);
