A report that arrives as its time ends does not close the connection in use

Found on reading the diff: the timer of readReport referred to the coroutine's frame, and a handler that was already queued would have closed the connection under the request that followed. A late report was also taken for none at all, for good. Change: the handler owns what it needs and does nothing once the report is read; a late report leaves the upstream to be asked again. streamsGoOnAtAnUpstreamWhoseReportIsLate covers the late case (the race itself was not played).

--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -142,7 +142,7 @@
     const UpstreamReport report = co_await readReport(m_state.executor, connection, record);
     if (m_cancelled || report.lost)
         co_return Identity::Lost;
-    upstream.reportsNoStart = !report.startedAt && !report.misdirected;
+    upstream.reportsNoStart = !report.startedAt && !report.misdirected && !report.late;
     const Identity identity = compare(report, record);
     m_state.metrics.add("tamarack_upstream_reports_total",
                         fmt::format("outcome=\"{}\"", identityName(identity)));
--- a/src/direct/UpstreamReport.cpp
+++ b/src/direct/UpstreamReport.cpp
@@ -17,19 +17,25 @@
 constexpr std::size_t maxReportBytes = 256 << 10;
 constexpr int okStatus = 200;
 
+struct Reading
+{
+    bool done = false;
+    bool late = false;
+};
+
 } // namespace
 
 asio::awaitable<UpstreamReport> readReport(asio::any_io_executor executor,
                                            std::shared_ptr<UpstreamConnection> connection,
                                            UpstreamRecord upstream)
 {
-    UpstreamReport report;
-    bool late = false;
+    // The timer's handler may already be queued when the report arrives.
+    const auto reading = std::make_shared<Reading>();
     asio::steady_timer timer(executor, responseTimeout);
-    timer.async_wait([connection, &late](boost::system::error_code error) {
-        if (error)
+    timer.async_wait([connection, reading](boost::system::error_code error) {
+        if (error || reading->done)
             return;
-        late = true;
+        reading->late = true;
         connection->close();
     });
     connection->send(platform::encodeReportRequest(upstream));
@@ -43,8 +49,11 @@
         whole = piece->empty();
         body.append(*piece);
     }
+    reading->done = true;
     timer.cancel();
-    report.lost = !head && !late;
+    UpstreamReport report;
+    report.late = reading->late;
+    report.lost = !head && !report.late;
     report.misdirected = head && platform::decodeAnswer(head->status, head->headers).misdirected;
     if (whole && head->status == okStatus)
         report.startedAt = platform::decodeReportedStart(body);
--- a/src/direct/UpstreamReport.h
+++ b/src/direct/UpstreamReport.h
@@ -18,13 +18,15 @@
 {
     /// The connection was lost before a response.
     bool lost = false;
+    /// The report took too long, and the connection was closed.
+    bool late = false;
     /// It answered for another upstream.
     bool misdirected = false;
     /// Start of the process, in milliseconds of Unix time; none if it does not report it.
     std::optional<std::uint64_t> startedAt;
 };
 
-/// Asks the process for its report. The connection is closed if the report takes too long.
+/// Asks the process for its report, for at most 400 ms.
 boost::asio::awaitable<UpstreamReport> readReport(boost::asio::any_io_executor executor,
                                                   std::shared_ptr<UpstreamConnection> connection,
                                                   UpstreamRecord upstream);
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -198,6 +198,14 @@
     BOOST_TEST(continuations(0) + continuations(2) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(streamsGoOnAtAnUpstreamWhoseReportIsLate)
+{
+    beginStreams(1, "a");
+    upstream(1).reportDelayMs = 600;
+    takeUpTogether(1, "a");
+    BOOST_TEST(continuations(1) == static_cast<std::size_t>(streams));
+}
+
 // An entry is cut off while an upstream restarts under its id with a new version.
 BOOST_AUTO_TEST_CASE(streamsDoNotGoOnAtAnUpstreamThatRestartedUnseen)
 {
--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -118,6 +118,7 @@
 
 asio::awaitable<void> UpstreamServer::respondReport(HttpExchange &exchange)
 {
+    co_await pause(milliseconds(reportDelayMs));
     HttpResponse response{404, {}, ""};
     if (born > 0)
         response = {200,
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -51,6 +51,7 @@
     std::atomic<double> closedForSeconds{0};
     /// Start of its process, in its report on itself; 0: it has no report.
     std::atomic<std::uint64_t> born{0};
+    std::atomic<int> reportDelayMs{0};
     std::atomic<bool> clientGone{false};
     std::atomic<int> eventPauseMs{0};
     /// Delay before a response that is not a stream.
