Take-ups go on while the store is away if the upstream reports what it is

Cause: the age of the list stood in for evidence that the upstream itself can give. Change: the age decides only for upstreams that do not report their start. A new stream is preceded by the report, too, while the list is old, so that its origin is certain.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -196,8 +196,7 @@
     const bool isNew = !m_origin && !resumesStream();
     if (isNew)
         return std::nullopt;
-    const bool listIsCurrent = m_state.upstreamListAge.isCurrent(bootNow());
-    if (!m_origin || !m_state.upstreams.isCertain(*m_origin) || !listIsCurrent)
+    if (!m_origin || !m_state.upstreams.isCertain(*m_origin))
         return Denial{ErrorKind::StreamUnknown, unknownStreamRetryAfter};
     if (!m_state.upstreams.offersVersion(m_admitted.service, m_origin->version))
         return Denial{ErrorKind::VersionGone, {}};
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -375,11 +375,12 @@
         broken.parts.push_back({part.id, upstream->key, position++});
 }
 
-StreamOrigin TrafficState::beginStream(StreamKey stream, const UpstreamState &upstream)
+StreamOrigin TrafficState::beginStream(StreamKey stream, const UpstreamState &upstream,
+                                       bool identified)
 {
     const TimePoint now = steadyNow();
     StreamOrigin origin = upstreams.originAt(upstream, stream, now);
-    origin.ambiguous = origin.ambiguous || !upstreamListAge.isCurrent(bootNow());
+    origin.ambiguous = origin.ambiguous || (!identified && !upstreamListAge.isCurrent(bootNow()));
     if (origin.ambiguous)
         logEvent(LogLevel::Warning, "stream_origin_ambiguous",
                  {{"upstream", origin.upstreamId}, {"born", origin.born}});
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -89,7 +89,8 @@
     void recordBrokenAttempt(const UpstreamPtr &upstream, RequestFingerprint fingerprint,
                              std::span<const PromptPart> prompt, TimePoint now);
     /// Records that the upstream has written the first event of the stream.
-    StreamOrigin beginStream(StreamKey stream, const UpstreamState &upstream);
+    /// `identified`: the upstream's process has reported to be the listed incarnation.
+    StreamOrigin beginStream(StreamKey stream, const UpstreamState &upstream, bool identified);
     /// Records that the client has received the whole stream.
     void endStream(StreamKey stream) { m_originSaving.remove(stream); }
     /// Applies the origins of streams that an entry wrote to the store before this process started;
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -87,18 +87,16 @@
 asio::awaitable<AttemptEnd> UpstreamAttempt::sendAndRead()
 {
     m_connection = co_await connect();
-    bool otherFound = false;
-    if (m_connection && m_request.continuesStream) {
-        const bool mayContinue = co_await mayContinueThere();
-        otherFound = !mayContinue;
-    }
+    bool admitted = true;
+    if (m_connection && needsIdentity())
+        admitted = co_await admitsProcess();
     const bool quarantined =
         !m_request.isTrial && m_state.partQuarantine.isQuarantined(m_request.facts.promptParts);
     const UpstreamState &upstream = *m_assignment.upstream;
     // The store may list another incarnation since the assignment, perhaps of another version.
     const bool replaced = m_state.upstreams.otherIncarnation(upstream) != nullptr;
     m_withheld = m_connection
-                 && (quarantined || replaced || otherFound || !upstream.terms.isOpen(steadyNow()));
+                 && (quarantined || replaced || !admitted || !upstream.terms.isOpen(steadyNow()));
     if (!m_connection || m_cancelled || m_withheld)
         co_return AttemptEnd::NotSent;
     m_sentAt = steadyNow();
@@ -157,15 +155,29 @@
     co_return identity;
 }
 
-asio::awaitable<bool> UpstreamAttempt::mayContinueThere()
+bool UpstreamAttempt::needsIdentity() const
 {
-    if (!m_assignment.upstream->reportsStart())
-        co_return true;
+    const bool listIsCurrent = m_state.upstreamListAge.isCurrent(bootNow());
+    return m_request.continuesStream || (m_request.newStream && !listIsCurrent);
+}
+
+asio::awaitable<bool> UpstreamAttempt::admitsProcess()
+{
+    const bool asked = m_assignment.upstream->reportsStart();
     const Identity identity = co_await identify(m_connection);
-    m_reusedConnection = true;
+    logEvent(LogLevel::Info, "upstream_identified",
+             {{"request", m_request.facts.id},
+              {"upstream", m_assignment.upstream->record.id},
+              {"identity", identityName(identity)},
+              {"continues", m_request.continuesStream}});
+    m_identified = identity == Identity::AsListed;
+    m_reusedConnection = m_reusedConnection || asked;
     if (identity == Identity::Lost || identity == Identity::Other)
         co_return false;
-    if (!m_connection->reusable()) {
+    const bool listIsCurrent = m_state.upstreamListAge.isCurrent(bootNow());
+    if (m_request.continuesStream && !m_identified && !listIsCurrent)
+        co_return false;
+    if (asked && !m_connection->reusable()) {
         m_connection->close();
         m_connection = co_await connect();
     }
@@ -270,7 +282,8 @@
         recordFirstToken();
         recordPace(paceSampleEvents);
         if (m_request.newStream && !m_relay.started())
-            m_origin = m_state.beginStream(*m_request.newStream, *m_assignment.upstream);
+            m_origin =
+                m_state.beginStream(*m_request.newStream, *m_assignment.upstream, m_identified);
         const bool forwarded = co_await m_relay.forward(events, m_response);
         if (!forwarded) {
             m_clientGone = true;
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -71,8 +71,11 @@
     boost::asio::awaitable<AttemptEnd> sendAndRead();
     boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> connect();
     boost::asio::awaitable<Identity> identify(std::shared_ptr<UpstreamConnection> connection);
-    /// Whether the connected process may go on with the stream. May replace the connection.
-    boost::asio::awaitable<bool> mayContinueThere();
+    /// Whether the request depends on what the connected process is: it goes on with a stream, or
+    /// begins one while the list of upstreams is not known to be current.
+    bool needsIdentity() const;
+    /// Whether the connected process may get the request. May replace the connection.
+    boost::asio::awaitable<bool> admitsProcess();
     HttpRequest outgoing() const;
     /// Reads response heads until one belongs to this request.
     boost::asio::awaitable<AttemptEnd> readResponse();
@@ -104,6 +107,8 @@
     std::uint64_t m_paceSampledEvents = 0;
     bool m_sent = false;
     bool m_withheld = false;
+    /// The process reported to be the listed incarnation.
+    bool m_identified = false;
     bool m_reusedConnection = false;
     bool m_cancelled = false;
     bool m_clientGone = false;
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -194,6 +194,18 @@
         BOOST_TEST(!platform::decodeUpstream("i-1", json::parse(bad)), bad);
 }
 
+BOOST_AUTO_TEST_CASE(readsTheStartFromReportsAndIgnoresOddOnes)
+{
+    BOOST_TEST(platform::decodeReportedStart(R"({"stage":"colocated","born":1785})").value_or(0)
+               == 1785U);
+    const std::string deep = std::string(100'000, '[');
+    for (const std::string &odd :
+         {std::string(), std::string("{"), std::string("[1785]"),
+          std::string(R"({"stage":"colocated"})"), std::string(R"({"born":"1785"})"),
+          std::string(R"({"born":-1})"), std::string(R"({"born":1e999})"), deep})
+        BOOST_TEST(!platform::decodeReportedStart(odd), odd.substr(0, 40));
+}
+
 BOOST_AUTO_TEST_CASE(decodesStoreChanges)
 {
     const auto changes = platform::decodeChanges(
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -198,6 +198,23 @@
     BOOST_TEST(continuations(0) + continuations(2) == 0U);
 }
 
+// The lists are old, but the upstreams report what they are.
+BOOST_AUTO_TEST_CASE(clientsTakeStreamsUpWhileTheStoreIsAway)
+{
+    beginStreams(1, "a");
+    for (std::size_t entry = 0; entry < 3; ++entry)
+        cutFromStore(entry);
+    // Meanwhile the entries vouch for each other's lists.
+    constexpr seconds vouching{2};
+    std::this_thread::sleep_for(outOfStep + vouching);
+    for (int i = 0; i < streams; ++i) {
+        const std::string id = "b" + std::to_string(i);
+        BOOST_TEST(responseStatus(get(0, "/stream/" + id, id)) == okStatus);
+    }
+    BOOST_TEST(takeUp(1, "a") == streams);
+    BOOST_TEST(takeUp(1, "b") == streams);
+}
+
 BOOST_AUTO_TEST_CASE(streamsGoOnAtAnUpstreamWhoseReportIsLate)
 {
     beginStreams(1, "a");
