Positions in the store are of one era; a restored store is listed afresh

Cause: revisions of two eras were compared. Relayed changes of the new era were below the entry's old position and were dropped; a watch from an old position that the store has passed again succeeds and leaves changes out.

Change: StorePosition (era, revision), unordered across eras, replaces bare revisions in the store client, the log of changes, the messages between entries and the watch policy. A watch answered in another era gives HistoryGone, so that every loop lists afresh. Followers that have not noticed a restore prove nothing. Upstreams that the copy lacks have time to register again; an older configuration in the copy is not proved current while another entry reports a newer one; origins are written again.

--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -76,6 +76,10 @@
                 state.applySavedOrigins(saved, own);
             });
         };
+        listener.storeRestored = [this] {
+            metrics.add("tamarack_store_restores_total", "");
+            asio::post(traffic, [this] { state.saveOriginsAgain(); });
+        };
         listener.entriesChanged = [this](std::map<std::string, Endpoint> entries) {
             asio::post(traffic, [this, entries = std::move(entries)] { applyEntries(entries); });
         };
@@ -89,9 +93,9 @@
         state.onElected = [this, control](bool elected) {
             asio::post(control, [this, elected] { storeFollower.setElected(elected); });
         };
-        state.onPeerUpdate = [this, control](std::uint64_t version, std::uint64_t revision) {
-            asio::post(control, [this, version, revision] {
-                storeFollower.recordReportedVersions(version, revision);
+        state.onPeerUpdate = [this, control](std::uint64_t version, StorePosition upstreams) {
+            asio::post(control, [this, version, upstreams] {
+                storeFollower.recordReportedVersions(version, upstreams);
             });
         };
         state.onUpstreamsRelayed = [this, control](const UpstreamDelta &delta,
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -48,6 +48,9 @@
 constexpr milliseconds configRetry{120};
 constexpr milliseconds upstreamRetry{400};
 constexpr milliseconds entryRetry{1000};
+/// After a restore of the store, entries that rely on followers list the upstreams within this
+/// time.
+constexpr milliseconds relistSpread{700};
 /// A listing that is seconds old suffices to discover entries; state changes are exchanged directly
 /// between entries in datagrams.
 constexpr auto maxEntryAge = platform::StoreClient::Freshness::MaybeStale;
@@ -115,8 +118,41 @@
         }
         if (succeeded)
             answeredAt = now;
+        noteEra(store.era(), "store");
     }
 
+    /// Records the era of the store that a response of the store or another entry states.
+    void noteEra(std::uint64_t stated, std::string_view source)
+    {
+        if (stated <= era)
+            return;
+        const std::uint64_t former = std::exchange(era, stated);
+        if (former == 0)
+            return;
+        const TimePoint now = steadyNow();
+        const bool waits = !watchPolicy.watchesStore(bootNow());
+        relistAt = now + (waits ? randomDuration(relistSpread) : Duration::zero());
+        logEvent(LogLevel::Warning, "store_restored",
+                 {{"era", era},
+                  {"former_era", former},
+                  {"source", source},
+                  {"position", position.revision},
+                  {"position_age_ms", toMs(now - positionAt)},
+                  {"relist_ms", toMs(relistAt - now)}});
+        directory.storeRestored(now);
+        ignoredEntries.clear();
+        listener.storeRestored();
+        wakeLoops();
+    }
+
+    static Duration randomDuration(milliseconds below)
+    {
+        return milliseconds(static_cast<std::int64_t>(randomBits64() % below.count()));
+    }
+
+    /// Whether the upstreams are to be listed, because the store has been restored.
+    bool isRelistDue(TimePoint now) const { return era > listedEra && now >= relistAt; }
+
     template <typename T>
     bool recordResult(const Result<T> &result, std::string_view what)
     {
@@ -129,8 +165,7 @@
 
     static asio::awaitable<void> pauseAfterFailure(milliseconds shortest)
     {
-        const auto spread = static_cast<std::int64_t>(randomBits64() % shortest.count());
-        co_await pause(shortest + milliseconds(spread));
+        co_await pause(shortest + randomDuration(shortest));
     }
 
     asio::awaitable<void> configLoop()
@@ -146,12 +181,12 @@
                 applyConfig(object);
             watchPolicy.configRead(version.value_or(0));
             proveConfig(callStart);
-            co_await watchConfig(listing->revision);
+            co_await watchConfig(listing->position);
         }
     }
 
     /// Returns when a listing is needed: the watch failed or others reported a newer version.
-    asio::awaitable<void> watchConfig(platform::Revision revision)
+    asio::awaitable<void> watchConfig(StorePosition from)
     {
         while (true) {
             co_await waitUntilNeeded(
@@ -160,7 +195,7 @@
                 co_return;
             const BootTime callStart = bootNow();
             const bool recentlyProved = provedAt && callStart - *provedAt < configWait;
-            const auto changes = co_await store.watch(platform::configKind(), revision,
+            const auto changes = co_await store.watch(platform::configKind(), from,
                                                       recentlyProved ? configWait : noWait);
             if (!recordResult(changes, "watch_config")) {
                 if (changes.error().kind != ErrorKind::HistoryGone)
@@ -172,7 +207,7 @@
                 if (!event.deleted)
                     applyConfig(event.object);
             proveConfig(callStart);
-            revision = changes->revision;
+            from = changes->position;
         }
     }
 
@@ -206,7 +241,8 @@
     void proveConfig(BootTime callStart)
     {
         provedAt = callStart;
-        if (version)
+        // A restored store may hold an older configuration than the one in force.
+        if (version && !watchPolicy.isNewerConfigReported(*version))
             listener.configProved(callStart);
     }
 
@@ -215,6 +251,7 @@
         while (true) {
             readingUpstreams = true;
             const BootTime callStart = bootNow();
+            const std::uint64_t knownEra = era;
             const auto listing = co_await store.list(platform::upstreamKind());
             readingUpstreams = false;
             if (!recordResult(listing, "list_upstreams")) {
@@ -228,14 +265,15 @@
                     records.push_back(std::move(*record));
             directory.replace(std::move(records), steadyNow());
             publishUpstreams();
-            setPosition({position, listing->revision, {}}, UpstreamSource::Listing, callStart);
+            listedEra = std::max(knownEra, listing->position.era);
+            setPosition({position, listing->position, {}}, UpstreamSource::Listing, callStart);
             co_await watchUpstreams();
         }
     }
 
     void setPosition(const UpstreamDelta &delta, UpstreamSource source, BootTime currentAt)
     {
-        position = delta.revision;
+        position = delta.position;
         positionAt = steadyNow();
         listener.upstreamsFollowed(delta, source, currentAt);
     }
@@ -245,9 +283,11 @@
         while (true) {
             co_await waitUntilNeeded(upstreamTimer, [this] {
                 const TimePoint now = steadyNow();
-                return watchPolicy.areUpstreamsBehind(position, now)
+                return watchPolicy.areUpstreamsBehind(position, now) || isRelistDue(now)
                        || now > positionAt + positionRefresh;
             });
+            if (isRelistDue(steadyNow()))
+                co_return;
             const BootTime callStart = bootNow();
             const milliseconds wait = watchPolicy.watchesStore(callStart) ? upstreamWait() : noWait;
             readingUpstreams = true;
@@ -260,7 +300,7 @@
                 continue;
             }
             bool onlyNew = true;
-            UpstreamDelta delta{position, changes->revision, {}};
+            UpstreamDelta delta{position, changes->position, {}};
             for (const auto &event : changes->events) {
                 delta.changes.push_back(decodeChange(event));
                 onlyNew = applyChange(delta.changes.back(), "store") && onlyNew;
@@ -303,7 +343,8 @@
                   {"born", record.born},
                   {"version", record.version},
                   {"source", source},
-                  {"position", position},
+                  {"era", position.era},
+                  {"position", position.revision},
                   {"position_age_ms", toMs(steadyNow() - positionAt)},
                   {"listed", !change.removed},
                   {"draining", record.draining}});
@@ -323,8 +364,9 @@
 
     void applyRelayed(const UpstreamDelta &delta, BootTime requestedAt)
     {
+        const bool continuesList = delta.since <= position && position <= delta.position;
         // A store call in progress would return changes older than the delta.
-        if (readingUpstreams || delta.since > position || delta.revision < position)
+        if (readingUpstreams || !continuesList)
             return;
         for (const UpstreamChange &change : delta.changes)
             applyChange(change, "relay");
@@ -415,7 +457,7 @@
             for (const auto &object : listing->objects)
                 applyEntry({object, false});
             listener.entriesChanged(entries);
-            co_await watchEntries(listing->revision);
+            co_await watchEntries(listing->position);
         }
     }
 
@@ -430,10 +472,10 @@
         }
     }
 
-    asio::awaitable<void> watchEntries(platform::Revision revision)
+    asio::awaitable<void> watchEntries(StorePosition from)
     {
         while (true) {
-            const auto changes = co_await store.watch(entryKind, revision, entryWait, maxEntryAge);
+            const auto changes = co_await store.watch(entryKind, from, entryWait, maxEntryAge);
             if (!recordResult(changes, "watch_entries")) {
                 // A stale listing can be older than the retained history several times in a row.
                 co_await pauseAfterFailure(entryRetry);
@@ -443,7 +485,7 @@
             }
             for (const auto &event : changes->events)
                 applyEntry(event);
-            revision = changes->revision;
+            from = changes->position;
             if (changes->events.empty())
                 continue;
             listener.entriesChanged(entries);
@@ -470,9 +512,14 @@
     platform::StoreClient store;
     UpstreamDirectory directory;
     StoreWatchPolicy watchPolicy;
-    /// Store revision up to which the upstreams are known, and the time it was last updated.
-    platform::Revision position = 0;
+    /// Position up to which the upstreams are known, and the time it was last updated.
+    StorePosition position;
     TimePoint positionAt{};
+    /// Latest era of the store that is known, and the one in which the upstreams were listed last.
+    std::uint64_t era = 0;
+    std::uint64_t listedEra = 0;
+    /// When to list the upstreams after a restore.
+    TimePoint relistAt{};
     /// A store call that reads upstreams is in progress.
     bool readingUpstreams = false;
     /// Last logged value of `StoreWatchPolicy::watchesStore`.
@@ -551,12 +598,11 @@
         asio::detached);
 }
 
-void StoreFollower::recordReportedVersions(std::uint64_t configVersion,
-                                           std::uint64_t upstreamRevision)
+void StoreFollower::recordReportedVersions(std::uint64_t configVersion, StorePosition upstreams)
 {
+    m_private->noteEra(upstreams.era, "entries");
     m_private->watchPolicy.recordReportedConfig(configVersion);
-    m_private->watchPolicy.recordReportedUpstreams(upstreamRevision, m_private->position,
-                                                   steadyNow());
+    m_private->watchPolicy.recordReportedUpstreams(upstreams, m_private->position, steadyNow());
     m_private->wakeLoops();
 }
 
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/StorePosition.h"
 #include "config/Settings.h"
 #include "fleet/UpstreamLog.h"
 #include "serving/FreshnessGuard.h"
@@ -27,11 +28,13 @@
     /// The current configuration was the newest in the store at this time, the start of a call.
     std::function<void(BootTime)> configProved;
     std::function<void(std::vector<UpstreamRecord>)> upstreamsChanged;
-    /// The upstream list is current as of the delta's revision, and was at the time given.
+    /// The upstream list is current as of the delta's position, and was at the time given.
     std::function<void(const UpstreamDelta &, UpstreamSource, BootTime)> upstreamsFollowed;
     /// Origins of streams that an entry wrote to the store, read once after the start; `own`: it
     /// was this entry, before it restarted.
     std::function<void(std::vector<StreamOrigin>, bool own)> originsRead;
+    /// The store has been restored from an older copy.
+    std::function<void()> storeRestored;
     /// All entries by name, including this one.
     std::function<void(std::map<std::string, Endpoint>)> entriesChanged;
 };
@@ -63,8 +66,8 @@
     /// Replaces the origins that this entry keeps in the store. Does nothing while an earlier call
     /// is in progress, or the origins have not been read yet.
     void saveOrigins(const std::vector<StreamOrigin> &origins);
-    /// Versions that other entries have reported; 0 if there is nothing new.
-    void recordReportedVersions(std::uint64_t configVersion, std::uint64_t upstreamRevision);
+    /// Latest versions that other entries have reported.
+    void recordReportedVersions(std::uint64_t configVersion, StorePosition upstreams);
     /// Applies upstream changes received from a follower, which was asked at `requestedAt`.
     void applyRelayed(const UpstreamDelta &delta, BootTime requestedAt);
 
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -105,9 +105,10 @@
 {
     const std::uint64_t version = config ? config->version : 0;
     const bool newConfig = load.configVersion > std::max(version, m_reportedConfig);
-    const bool newUpstreams = load.upstreamRevision > m_reportedUpstreams;
+    const StorePosition reported = latest(m_reportedUpstreams, load.upstreamPosition);
+    const bool newUpstreams = reported != m_reportedUpstreams;
     m_reportedConfig = std::max(m_reportedConfig, load.configVersion);
-    m_reportedUpstreams = std::max(m_reportedUpstreams, load.upstreamRevision);
+    m_reportedUpstreams = reported;
     if (newUpstreams)
         proofs.requestNow();
     if ((newConfig || newUpstreams) && onPeerUpdate)
@@ -121,7 +122,7 @@
 {
     upstreamListAge.recordConfirmed(currentAt);
     if (source == UpstreamSource::Listing)
-        m_upstreamLog.restart(delta.revision);
+        m_upstreamLog.restart(delta.position);
     else
         m_upstreamLog.append(delta);
     if (source == UpstreamSource::Relay)
@@ -129,7 +130,7 @@
     m_upstreamsFollowedAt = steadyNow();
     if (source != UpstreamSource::Listing && delta.changes.empty())
         return;
-    m_upstreamRevision = delta.revision;
+    m_upstreamPosition = delta.position;
     if (m_elected && onLoadChanged)
         onLoadChanged();
 }
@@ -163,8 +164,8 @@
     const bool provesItself = m_elected && age && *age < storeLostProofAge;
     if (provesItself || !onProofRequest)
         return;
-    const std::uint64_t position = m_upstreamLog.position();
-    if (const auto due = proofs.nextRequest(m_proofSources, now, bootNow(), position))
+    const auto due = proofs.nextRequest(m_proofSources, now, bootNow(), m_upstreamLog.position());
+    if (due)
         onProofRequest(due->first, due->second);
 }
 
@@ -182,6 +183,11 @@
 {
     if (!proofs.isRequester(response))
         return;
+    // The follower has not noticed that the store was restored, or does not state the era.
+    if (response.era < m_upstreamLog.position().era) {
+        metrics.add("tamarack_proofs_relayed_total", "outcome=\"former_era\"");
+        return;
+    }
     if (onStoreAnswerRelayed)
         onStoreAnswerRelayed(response.requestedAt - response.age);
     if (response.upstreams && onUpstreamsRelayed)
@@ -471,7 +477,8 @@
 
 TrafficState::UpdateVersions TrafficState::updateVersions() const
 {
-    return {config ? config->version : 0, m_elected ? m_upstreamRevision : 0, m_statements};
+    return {config ? config->version : 0, m_elected ? m_upstreamPosition : StorePosition(),
+            m_statements};
 }
 
 EntryLoad TrafficState::ownLoad() const
@@ -480,7 +487,7 @@
     load.name = settings.name;
     load.dataCentre = settings.dataCentre;
     load.configVersion = updateVersions().configVersion;
-    load.upstreamRevision = updateVersions().upstreamRevision;
+    load.upstreamPosition = updateVersions().upstreamPosition;
     load.incarnation = incarnation;
     load.loads = upstreams.ownLoads();
     load.demand = queue.demand(steadyNow());
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -96,6 +96,8 @@
     /// Applies the origins of streams that an entry wrote to the store before this process started;
     /// `own`: it was this entry.
     void applySavedOrigins(const std::vector<StreamOrigin> &saved, bool own);
+    /// Writes the origins to the store again, which may have lost them.
+    void saveOriginsAgain() { m_originSaving.saveAgain(); }
     /// Records a complete, successful response to a request with this prompt.
     void recordAnswer(std::span<const PromptPart> prompt, TimePoint now);
     /// Records that no connection to the upstream could be made. Attempts that broke off shortly
@@ -111,8 +113,8 @@
     struct UpdateVersions
     {
         std::uint64_t configVersion = 0;
-        /// Store revision of the latest upstream change; 0 if this entry is not a follower.
-        std::uint64_t upstreamRevision = 0;
+        /// Position of the latest upstream change; revision 0 if this entry is not a follower.
+        StorePosition upstreamPosition;
         /// Number of upstream statements so far that changed anything.
         std::uint64_t statements = 0;
 
@@ -137,7 +139,7 @@
     /// Called when this entry starts or stops watching the store on behalf of others.
     std::function<void(bool)> onElected;
     /// Called when another entry reports a newer configuration or newer upstream changes.
-    std::function<void(std::uint64_t configVersion, std::uint64_t upstreamRevision)> onPeerUpdate;
+    std::function<void(std::uint64_t configVersion, StorePosition upstreams)> onPeerUpdate;
 
     /// Reports the clock reading that `readLag` expects, and logs when the thread falls behind.
     void recordLateness(TimePoint now);
@@ -211,11 +213,11 @@
     std::vector<std::string> m_proofSources;
     bool m_elected = true;
     std::uint64_t m_reportedConfig = 0;
-    std::uint64_t m_reportedUpstreams = 0;
+    StorePosition m_reportedUpstreams;
     UpstreamLog m_upstreamLog;
     OriginSaving m_originSaving;
-    /// Revision of the last change received from this entry's own watch.
-    std::uint64_t m_upstreamRevision = 0;
+    /// Position of the last change received from this entry's own watch.
+    StorePosition m_upstreamPosition;
     TimePoint m_upstreamsFollowedAt{};
     std::uint64_t m_statements = 0;
     TimePoint m_refusalAt = TimePoint::max();
--- a/src/fleet/OriginSaving.h
+++ b/src/fleet/OriginSaving.h
@@ -24,6 +24,8 @@
     void add(const StreamOrigin &origin, TimePoint now);
     /// Records that the client has received the whole stream and will not take it up.
     void remove(StreamKey stream);
+    /// Makes the next write due even without a new origin.
+    void saveAgain() { m_changed = m_changed || !m_rows.empty(); }
     /// Origins to write now; empty if no write is due. `entries`: number of entries of the fleet.
     std::vector<StreamOrigin> takeDue(bool severalVersions, std::size_t entries, TimePoint now);
 
--- a/src/fleet/ProofRelay.cpp
+++ b/src/fleet/ProofRelay.cpp
@@ -4,13 +4,13 @@
 
 std::optional<std::pair<std::string, ProofRequest>>
 ProofRelay::nextRequest(const std::vector<std::string> &followers, TimePoint now, BootTime bootTime,
-                        std::uint64_t upstreamRevision)
+                        StorePosition upstreamPosition)
 {
     if (followers.empty() || now < m_nextRequestAt)
         return std::nullopt;
     m_nextRequestAt = now + requestInterval;
     return std::pair(followers[++m_turn % followers.size()],
-                     ProofRequest{m_own, bootTime, upstreamRevision});
+                     ProofRequest{m_own, bootTime, upstreamPosition});
 }
 
 std::optional<ProofResponse> ProofRelay::makeResponse(const ProofRequest &request,
@@ -23,8 +23,12 @@
     if (!age || *age > maxRelayedProofAge)
         return std::nullopt;
     // The age was rounded down to milliseconds; report an upper bound.
-    return ProofResponse{request.requester, request.requestedAt, configVersion,
-                         *age + milliseconds(1), upstreams.since(request.upstreamRevision)};
+    return ProofResponse{request.requester,
+                         request.requestedAt,
+                         configVersion,
+                         *age + milliseconds(1),
+                         upstreams.position().era,
+                         upstreams.since(request.upstreamPosition)};
 }
 
 std::optional<BootTime> ProofRelay::proofTime(const ProofResponse &response,
--- a/src/fleet/ProofRelay.h
+++ b/src/fleet/ProofRelay.h
@@ -18,8 +18,8 @@
     Incarnation requester = 0;
     /// Send time, on the requester's boot clock.
     BootTime requestedAt{};
-    /// Store revision up to which the requester knows the upstreams.
-    std::uint64_t upstreamRevision = 0;
+    /// Position in the store up to which the requester knows the upstreams.
+    StorePosition upstreamPosition;
 
     bool operator==(const ProofRequest &) const = default;
 };
@@ -33,7 +33,9 @@
     BootTime requestedAt{};
     std::uint64_t configVersion = 0;
     milliseconds age{};
-    /// Upstream changes after the requested revision; none if the follower's log does not cover
+    /// Era of the store in which the follower knows the upstreams.
+    std::uint64_t era = 0;
+    /// Upstream changes after the requested position; none if the follower's log does not cover
     /// them.
     std::optional<UpstreamDelta> upstreams;
 
@@ -60,7 +62,7 @@
     /// this entry.
     std::optional<std::pair<std::string, ProofRequest>>
     nextRequest(const std::vector<std::string> &followers, TimePoint now, BootTime bootTime,
-                std::uint64_t upstreamRevision);
+                StorePosition upstreamPosition);
     /// Makes the next request due immediately, because another entry reported an update.
     void requestNow() { m_nextRequestAt = {}; }
 
--- a/src/fleet/StoreWatchPolicy.cpp
+++ b/src/fleet/StoreWatchPolicy.cpp
@@ -4,17 +4,28 @@
 
 namespace tamarack {
 
+namespace {
+
+/// Whether changes that led to `reported` may be missing at `position`.
+bool lacks(StorePosition position, StorePosition reported)
+{
+    return position < reported || isOfLaterEra(reported, position);
+}
+
+} // namespace
+
 void StoreWatchPolicy::recordReportedConfig(std::uint64_t version)
 {
     m_configVersion = std::max(m_configVersion, version);
+    m_reportedConfig = std::max(m_reportedConfig, version);
 }
 
-void StoreWatchPolicy::recordReportedUpstreams(std::uint64_t revision, std::uint64_t position,
+void StoreWatchPolicy::recordReportedUpstreams(StorePosition reported, StorePosition position,
                                                TimePoint now)
 {
-    if (position >= m_upstreamRevision)
+    if (!lacks(position, m_reportedUpstreams))
         m_behindSince = now;
-    m_upstreamRevision = std::max(m_upstreamRevision, revision);
+    m_reportedUpstreams = latest(m_reportedUpstreams, reported);
 }
 
 void StoreWatchPolicy::applyProof(BootTime provedAt)
@@ -22,9 +33,9 @@
     m_provedAt = std::max(m_provedAt.value_or(provedAt), provedAt);
 }
 
-bool StoreWatchPolicy::areUpstreamsBehind(std::uint64_t position, TimePoint now) const
+bool StoreWatchPolicy::areUpstreamsBehind(StorePosition position, TimePoint now) const
 {
-    return m_upstreamRevision > position && now - m_behindSince > relayTimeout;
+    return lacks(position, m_reportedUpstreams) && now - m_behindSince > relayTimeout;
 }
 
 bool StoreWatchPolicy::watchesStore(BootTime now) const
--- a/src/fleet/StoreWatchPolicy.h
+++ b/src/fleet/StoreWatchPolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/StorePosition.h"
 #include "base/Time.h"
 #include "serving/FreshnessGuard.h"
 
@@ -21,9 +22,9 @@
     void applyProof(BootTime provedAt);
     /// Another entry reported this configuration version.
     void recordReportedConfig(std::uint64_t version);
-    /// A follower reported upstream changes up to the store's `revision`; this entry knows them up
-    /// to `position`.
-    void recordReportedUpstreams(std::uint64_t revision, std::uint64_t position, TimePoint now);
+    /// A follower reported upstream changes up to the store's position `reported`; this entry knows
+    /// them up to `position`.
+    void recordReportedUpstreams(StorePosition reported, StorePosition position, TimePoint now);
 
     /// The store was read and holds this version; overrides versions reported by others.
     void configRead(std::uint64_t version) { m_configVersion = version; }
@@ -31,8 +32,10 @@
     bool isElected() const { return m_elected; }
     bool watchesStore(BootTime now) const;
     bool isConfigBehind(std::uint64_t version) const { return m_configVersion > version; }
+    /// Whether another entry has reported a newer configuration, whatever the store holds.
+    bool isNewerConfigReported(std::uint64_t version) const { return m_reportedConfig > version; }
     /// Whether the followers are overdue in delivering the changes after `position`.
-    bool areUpstreamsBehind(std::uint64_t position, TimePoint now) const;
+    bool areUpstreamsBehind(StorePosition position, TimePoint now) const;
 
     /// An entry watches the store itself once the newest proof from the followers is older than
     /// this. This leaves time for a store call of its own before its configuration counts as stale.
@@ -43,8 +46,10 @@
 private:
     bool m_elected = true;
     std::optional<BootTime> m_provedAt;
+    /// Newest version that the store is expected to hold.
     std::uint64_t m_configVersion = 0;
-    std::uint64_t m_upstreamRevision = 0;
+    std::uint64_t m_reportedConfig = 0;
+    StorePosition m_reportedUpstreams;
     TimePoint m_behindSince{};
 };
 
--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -99,7 +99,8 @@
     root.setIncarnation(load.incarnation);
     root.setSequence(load.sequence);
     root.setConfigVersion(load.configVersion);
-    root.setUpstreamRevision(load.upstreamRevision);
+    root.setUpstreamRevision(load.upstreamPosition.revision);
+    root.setUpstreamEra(load.upstreamPosition.era);
     root.setLeaving(load.leaving);
     writeLists(root, load);
 }
@@ -109,7 +110,8 @@
     auto root = to.initStoreAsk();
     root.setAsker(ask.requester);
     root.setAskedAtNs(ask.requestedAt.count());
-    root.setUpstreamRevision(ask.upstreamRevision);
+    root.setUpstreamRevision(ask.upstreamPosition.revision);
+    root.setUpstreamEra(ask.upstreamPosition.era);
 }
 
 void write(wire::EntryMessage::Builder to, const ProofResponse &answer)
@@ -119,11 +121,12 @@
     root.setAskedAtNs(answer.requestedAt.count());
     root.setConfigVersion(answer.configVersion);
     root.setAgeMs(static_cast<std::uint32_t>(answer.age.count()));
+    root.setStoreEra(answer.era);
     root.setHasUpstreams(answer.upstreams.has_value());
     if (!answer.upstreams)
         return;
-    root.setUpstreamSince(answer.upstreams->since);
-    root.setUpstreamRevision(answer.upstreams->revision);
+    root.setUpstreamSince(answer.upstreams->since.revision);
+    root.setUpstreamRevision(answer.upstreams->position.revision);
     const auto &changes = answer.upstreams->changes;
     auto rows = root.initUpstreamChanges(changes.size());
     for (unsigned i = 0; i < changes.size(); ++i) {
@@ -208,11 +211,14 @@
 
 Result<EntryMessage> read(wire::StoreAnswer::Reader from)
 {
-    ProofResponse answer{from.getAsker(), BootTime(from.getAskedAtNs()), from.getConfigVersion(),
-                         milliseconds(from.getAgeMs()), std::nullopt};
+    ProofResponse answer{from.getAsker(),         BootTime(from.getAskedAtNs()),
+                         from.getConfigVersion(), milliseconds(from.getAgeMs()),
+                         from.getStoreEra(),      std::nullopt};
     if (!from.getHasUpstreams())
         return answer;
-    answer.upstreams = UpstreamDelta{from.getUpstreamSince(), from.getUpstreamRevision(), {}};
+    const std::uint64_t era = answer.era;
+    answer.upstreams =
+        UpstreamDelta{{era, from.getUpstreamSince()}, {era, from.getUpstreamRevision()}, {}};
     for (const auto row : from.getUpstreamChanges()) {
         auto change = read(row);
         if (!change)
@@ -243,7 +249,7 @@
     EntryLoad load;
     load.name = stringOf(from.getName());
     load.dataCentre = stringOf(from.getDataCentre());
-    load.upstreamRevision = from.getUpstreamRevision();
+    load.upstreamPosition = {from.getUpstreamEra(), from.getUpstreamRevision()};
     load.incarnation = from.getIncarnation();
     load.sequence = from.getSequence();
     load.configVersion = from.getConfigVersion();
@@ -277,8 +283,9 @@
         return read(from.getLoad());
     case wire::EntryMessage::STORE_ASK: {
         const auto ask = from.getStoreAsk();
-        return ProofRequest{ask.getAsker(), BootTime(ask.getAskedAtNs()),
-                            ask.getUpstreamRevision()};
+        return ProofRequest{ask.getAsker(),
+                            BootTime(ask.getAskedAtNs()),
+                            {ask.getUpstreamEra(), ask.getUpstreamRevision()}};
     }
     case wire::EntryMessage::STORE_ANSWER:
         return read(from.getStoreAnswer());
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -197,6 +197,7 @@
     terms @11 :List(UpstreamTerms);
     partCrashes @12 :List(PartCrash);
     partAnswers @13 :List(PartAnswer);
+    upstreamEra @14 :UInt64;
 }
 
 struct UpstreamChange {
@@ -236,6 +237,7 @@
     asker @0 :UInt64;
     askedAtNs @1 :Int64;
     upstreamRevision @2 :UInt64;
+    upstreamEra @3 :UInt64;
 }
 
 struct StoreAnswer {
@@ -247,6 +249,8 @@
     upstreamRevision @5 :UInt64;
     upstreamChanges @6 :List(UpstreamChange);
     upstreamSince @7 :UInt64;
+    # Era of the store, also of `upstreamSince` and `upstreamRevision`.
+    storeEra @8 :UInt64;
 }
 
 struct EntryMessage {
--- a/src/serving/EntryLoad.h
+++ b/src/serving/EntryLoad.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/RequestId.h"
+#include "base/StorePosition.h"
 #include "serving/CrashLedger.h"
 #include "serving/DispatchQueue.h"
 #include "serving/PartCrash.h"
@@ -24,9 +25,9 @@
     /// Increases with each message of the same incarnation.
     std::uint64_t sequence = 0;
     std::uint64_t configVersion = 0;
-    /// Store revision up to which this entry has followed upstream changes; 0: it does not follow
-    /// them.
-    std::uint64_t upstreamRevision = 0;
+    /// Position in the store up to which this entry has followed upstream changes; revision 0: it
+    /// does not follow them.
+    StorePosition upstreamPosition;
     std::vector<std::pair<UpstreamKey, UpstreamLoad>> loads;
     std::vector<QueueDemand> demand;
     std::vector<QuotaUse> quotas;
--- a/src/serving/UpstreamDirectory.cpp
+++ b/src/serving/UpstreamDirectory.cpp
@@ -16,6 +16,11 @@
     m_failedAt = at;
 }
 
+void UpstreamDirectory::storeRestored(TimePoint at)
+{
+    m_returnedAt = at;
+}
+
 bool UpstreamDirectory::isStoreOut(TimePoint at) const
 {
     const bool hasFailed = m_answeredAt && m_failedAt && *m_failedAt > *m_answeredAt;
--- a/src/serving/UpstreamDirectory.h
+++ b/src/serving/UpstreamDirectory.h
@@ -24,6 +24,10 @@
     /// without answers is no outage: an entry that relies on others may ask nothing for seconds.
     void storeFailed(TimePoint at);
 
+    /// Records that the store was restored from an older copy. It may lack the entries of live
+    /// upstreams until they are registered again.
+    void storeRestored(TimePoint at);
+
     bool knows(const std::string &id) const { return m_entries.contains(id); }
     void put(UpstreamRecord record);
     void remove(const std::string &id, TimePoint now);
--- a/tests/EntryMessageCodecTest.cpp
+++ b/tests/EntryMessageCodecTest.cpp
@@ -13,7 +13,7 @@
     EntryLoad load;
     load.name = "entry-1";
     load.dataCentre = "north";
-    load.upstreamRevision = 14;
+    load.upstreamPosition = {3, 14};
     load.incarnation = 11;
     load.sequence = 12;
     load.configVersion = 13;
@@ -43,15 +43,15 @@
 
 BOOST_AUTO_TEST_CASE(proofsRoundTrip)
 {
-    const ProofRequest ask{7, BootTime(8'000'000'001), 40};
-    ProofResponse answer{7, BootTime(8'000'000'001), 9, milliseconds(1300), std::nullopt};
+    const ProofRequest ask{7, BootTime(8'000'000'001), {2, 40}};
+    ProofResponse answer{7, BootTime(8'000'000'001), 9, milliseconds(1300), 2, std::nullopt};
     BOOST_TEST((std::get<ProofResponse>(*openMessage(sealMessage(answer, key), key)) == answer));
     UpstreamChange change;
     change.record = {"id", "models", {"10.0.0.9", 80}, "north", 6, true, 5, "v1"};
     UpstreamChange removal;
     removal.record.id = "gone";
     removal.removed = true;
-    answer.upstreams = UpstreamDelta{40, 44, {change, removal}};
+    answer.upstreams = UpstreamDelta{{2, 40}, {2, 44}, {change, removal}};
     BOOST_TEST((std::get<ProofRequest>(*openMessage(sealMessage(ask, key), key)) == ask));
     BOOST_TEST((std::get<ProofResponse>(*openMessage(sealMessage(answer, key), key)) == answer));
 }
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -26,8 +26,9 @@
 }
 
 /// Simulates a follower and an entry that relies on it, whose clocks have different origins. Their
-/// link drops, delays, duplicates and reorders datagrams, and either side may be suspended. `m_now`
-/// is the simulation's own time.
+/// link drops, delays, duplicates and reorders datagrams, either side may be suspended, and the
+/// store is restored from older copies, whose revisions it assigns again. `m_now` is the
+/// simulation's own time.
 class ProofSchedule
 {
 public:
@@ -36,14 +37,14 @@
     {}
 
     /// Simulates about 30 s. Returns false if the requester considered a version proved at a time
-    /// when a newer one was in force, or if its upstreams differ from those at its revision.
+    /// when a newer one was in force, or if its upstreams differ from those at its position.
     bool runAndCheck()
     {
         for (m_now = milliseconds(1); m_now < seconds(30); m_now += milliseconds(draw(1, 120))) {
             step();
             if (m_proved && versionsAt(*m_proved) > m_requesterVersion)
                 return false;
-            if (m_requesterUpstreams.names != m_upstreamsAt[m_requesterUpstreams.revision])
+            if (m_requesterUpstreams.names != upstreamsAt(m_requesterUpstreams.position))
                 return false;
         }
         return true;
@@ -63,9 +64,28 @@
         UpstreamChange change;
         change.record.id = std::to_string(which);
         change.removed = draw(0, 1) == 0;
-        ++m_revision;
-        m_changes.push_back({m_revision - 1, m_revision, {change}});
-        m_upstreamsAt[m_revision] = apply(m_upstreamsAt[m_revision - 1], change);
+        const StorePosition former = m_position;
+        ++m_position.revision;
+        m_changes.push_back({former, m_position, {change}});
+        upstreamsAt(m_position) = apply(upstreamsAt(former), change);
+    }
+
+    /// Restores the store as of a few changes ago.
+    void restoreStore()
+    {
+        const StorePosition copied{m_position.era,
+                                   m_position.revision
+                                       - std::min<std::uint64_t>(m_position.revision, draw(0, 9))};
+        std::erase_if(m_changes, [&](const UpstreamDelta &each) { return copied < each.position; });
+        for (UpstreamDelta &each : m_changes)
+            each.since.era = each.position.era = copied.era + 1;
+        m_position = {copied.era + 1, copied.revision};
+        upstreamsAt(m_position) = upstreamsAt(copied);
+    }
+
+    std::set<std::string> &upstreamsAt(StorePosition position)
+    {
+        return m_upstreamsAt[{position.era, position.revision}];
     }
 
     static std::set<std::string> apply(std::set<std::string> upstreams,
@@ -81,25 +101,27 @@
     /// history has expired.
     void followUpstreams()
     {
-        if (draw(0, 30) == 0) {
-            m_log.restart(m_revision);
+        const bool restored = m_log.position().era != m_position.era;
+        if (restored || draw(0, 30) == 0) {
+            m_log.restart(m_position);
             return;
         }
-        UpstreamDelta delta{m_log.position(), m_revision, {}};
+        UpstreamDelta delta{m_log.position(), m_position, {}};
         for (const UpstreamDelta &each : m_changes)
-            if (each.revision > m_log.position())
+            if (m_log.position() < each.position)
                 delta.changes.push_back(each.changes.front());
         m_log.append(delta);
     }
 
     void applyUpstreams(const UpstreamDelta &delta)
     {
-        if (delta.since > m_requesterUpstreams.revision
-            || delta.revision < m_requesterUpstreams.revision)
+        const StorePosition known = m_requesterUpstreams.position;
+        const bool continuesList = delta.since <= known && known <= delta.position;
+        if (!continuesList)
             return;
         for (const UpstreamChange &change : delta.changes)
             m_requesterUpstreams.names = apply(m_requesterUpstreams.names, change);
-        m_requesterUpstreams.revision = delta.revision;
+        m_requesterUpstreams.position = delta.position;
     }
 
     std::size_t versionsAt(BootTime time) const
@@ -139,6 +161,8 @@
             m_versionAt.insert(m_now);
         if (draw(0, 4) == 0)
             changeUpstream();
+        if (draw(0, 60) == 0)
+            restoreStore();
         if (draw(0, 60) == 0)
             m_followerSuspendedUntil = m_now + milliseconds(draw(100, 5000));
         if (draw(0, 60) == 0)
@@ -172,9 +196,11 @@
 
     void stepRequester()
     {
+        if (draw(0, 40) == 0)
+            m_requesterUpstreams = {m_position, upstreamsAt(m_position)};
         if (const auto request =
                 m_relay.nextRequest({"follower"}, TimePoint{m_now}, m_now + requesterClock,
-                                    m_requesterUpstreams.revision))
+                                    m_requesterUpstreams.position))
             send(m_toFollower, request->second);
         deliver(m_toRequester, [this](const auto &content) {
             const auto &response = std::get<ProofResponse>(content);
@@ -205,13 +231,14 @@
     std::size_t m_requesterVersion = 0;
     struct Known
     {
-        std::uint64_t revision = 0;
+        StorePosition position{1, 0};
         std::set<std::string> names;
     };
     Known m_requesterUpstreams;
-    std::uint64_t m_revision = 0;
+    StorePosition m_position{1, 0};
     std::vector<UpstreamDelta> m_changes;
-    std::map<std::uint64_t, std::set<std::string>> m_upstreamsAt;
+    /// Upstreams by era and revision.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, std::set<std::string>> m_upstreamsAt;
     UpstreamLog m_log;
     std::optional<BootTime> m_proved;
 };
@@ -269,17 +296,25 @@
     StoreWatchPolicy watchPolicy;
     watchPolicy.recordReportedConfig(7);
     const TimePoint start{seconds(100)};
-    watchPolicy.recordReportedUpstreams(40, 39, start);
-    watchPolicy.recordReportedUpstreams(41, 39, start + StoreWatchPolicy::relayTimeout);
+    const StorePosition known{1, 39};
+    watchPolicy.recordReportedUpstreams({1, 40}, known, start);
+    watchPolicy.recordReportedUpstreams({1, 41}, known, start + StoreWatchPolicy::relayTimeout);
     const TimePoint late = start + StoreWatchPolicy::relayTimeout + milliseconds(1);
     BOOST_TEST(watchPolicy.isConfigBehind(6));
     BOOST_TEST(!watchPolicy.isConfigBehind(7));
-    BOOST_TEST(!watchPolicy.areUpstreamsBehind(39, start + StoreWatchPolicy::relayTimeout));
-    BOOST_TEST(watchPolicy.areUpstreamsBehind(39, late));
-    BOOST_TEST(!watchPolicy.areUpstreamsBehind(41, late));
+    BOOST_TEST(!watchPolicy.areUpstreamsBehind(known, start + StoreWatchPolicy::relayTimeout));
+    BOOST_TEST(watchPolicy.areUpstreamsBehind(known, late));
+    BOOST_TEST(!watchPolicy.areUpstreamsBehind({1, 41}, late));
+    // After a restore, a lower revision of the new era is ahead.
+    BOOST_TEST(!watchPolicy.areUpstreamsBehind({2, 5}, late));
+    watchPolicy.recordReportedUpstreams({2, 5}, {1, 41}, late);
+    BOOST_TEST(watchPolicy.areUpstreamsBehind({1, 41}, late + StoreWatchPolicy::relayTimeout
+                                                           + milliseconds(1)));
     // The store's version takes precedence over versions reported by entries.
     watchPolicy.configRead(6);
     BOOST_TEST(!watchPolicy.isConfigBehind(6));
+    BOOST_TEST(watchPolicy.isNewerConfigReported(6));
+    BOOST_TEST(!watchPolicy.isNewerConfigReported(7));
 }
 
 BOOST_AUTO_TEST_CASE(oldProofIsNotRelayed)
@@ -296,7 +331,7 @@
 BOOST_AUTO_TEST_CASE(responseProvesOnlyTheRequestersOwnVersion)
 {
     const ProofRelay relay(7);
-    const ProofResponse response{7, seconds(50), 3, milliseconds(1200), {}};
+    const ProofResponse response{7, seconds(50), 3, milliseconds(1200), 1, {}};
     BOOST_TEST((relay.proofTime(response, 3) == seconds(50) - milliseconds(1200)));
     BOOST_TEST(!relay.proofTime(response, 2));
     BOOST_TEST(!relay.proofTime(response, 4));
@@ -306,24 +341,27 @@
 BOOST_AUTO_TEST_CASE(logReturnsCompleteDeltaOrNothing)
 {
     UpstreamLog log;
-    log.restart(10);
-    BOOST_TEST(!log.since(9));
-    BOOST_TEST((log.since(10) == UpstreamDelta{10, 10, {}}));
+    const auto at = [](std::uint64_t revision) { return StorePosition{2, revision}; };
+    log.restart(at(10));
+    BOOST_TEST(!log.since(at(9)));
+    BOOST_TEST((log.since(at(10)) == UpstreamDelta{at(10), at(10), {}}));
     UpstreamChange change;
     change.record.id = "a";
-    log.append({10, 12, {change}});
+    log.append({at(10), at(12), {change}});
     change.removed = true;
-    log.append({12, 13, {change}});
-    log.append({13, 20, {}});
-    BOOST_TEST(log.since(10)->changes.size() == 2U);
-    BOOST_TEST(log.since(11)->changes.size() == 2U);
-    BOOST_TEST((log.since(12) == UpstreamDelta{12, 20, {change}}));
-    BOOST_TEST(log.since(25)->changes.empty());
+    log.append({at(12), at(13), {change}});
+    log.append({at(13), at(20), {}});
+    BOOST_TEST(log.since(at(10))->changes.size() == 2U);
+    BOOST_TEST(log.since(at(11))->changes.size() == 2U);
+    BOOST_TEST((log.since(at(12)) == UpstreamDelta{at(12), at(20), {change}}));
+    BOOST_TEST(log.since(at(25))->changes.empty());
+    BOOST_TEST(!log.since({1, 12}));
+    BOOST_TEST(!log.since({3, 12}));
     for (std::uint64_t revision = 21; revision <= 20 + UpstreamLog::maxRetainedChanges; ++revision)
-        log.append({revision - 1, revision, {change}});
-    BOOST_TEST(!log.since(11));
-    BOOST_TEST(!log.since(20));
-    BOOST_TEST(log.since(20 + UpstreamLog::maxRetainedChanges - UpstreamLog::maxRelayedChanges)
+        log.append({at(revision - 1), at(revision), {change}});
+    BOOST_TEST(!log.since(at(11)));
+    BOOST_TEST(!log.since(at(20)));
+    BOOST_TEST(log.since(at(20 + UpstreamLog::maxRetainedChanges - UpstreamLog::maxRelayedChanges))
                    .has_value());
 }
 
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -210,13 +210,14 @@
 {
     const auto changes = platform::decodeChanges(
         R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":4},"spec":null}},
-            {"deleted":false,"object":{"metadata":{},"spec":1}}, 7],"currentRev":9})");
+            {"deleted":false,"object":{"metadata":{},"spec":1}}, 7],"currentRev":9})",
+        3);
     BOOST_REQUIRE(changes);
-    BOOST_TEST(changes->revision == 9U);
+    BOOST_TEST((changes->position == StorePosition{3, 9}));
     BOOST_REQUIRE(changes->events.size() == 1U);
     BOOST_TEST(changes->events[0].deleted);
     BOOST_TEST(changes->events[0].object.revision == 4U);
-    BOOST_TEST(!platform::decodeChanges(R"({"events":[]})"));
+    BOOST_TEST(!platform::decodeChanges(R"({"events":[]})", 3));
 }
 
 BOOST_AUTO_TEST_CASE(splitsJsonTextWithoutReadingValues)
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -34,6 +34,7 @@
     static std::string upstreamName(std::size_t number) { return "up-" + std::to_string(number); }
     standin::UpstreamServer &upstream(std::size_t number) { return *m_upstreams.at(number); }
     const DirectEntry &entry(std::size_t number) const { return *m_entries.at(number); }
+    standin::StoreServer &store() { return m_store; }
     /// Context on which the fleet's stand-ins run.
     boost::asio::io_context &context() { return m_context; }
 
--- a/tools/model/PlatformStore.cpp
+++ b/tools/model/PlatformStore.cpp
@@ -87,7 +87,7 @@
 std::optional<PlatformStore::Answer> PlatformStore::changes(const std::string &kind,
                                                             std::uint64_t revision) const
 {
-    if (revision < m_compactedRevision)
+    if (revision < m_compactedRevision || revision > m_revision)
         return Answer{410, json::object{{"error", "history is gone"}}};
     json::array events;
     for (const Change &change : m_history)
@@ -104,6 +104,13 @@
     return {200, json::object{{"events", json::array{}}, {"currentRev", m_revision}}};
 }
 
+void PlatformStore::restore(const PlatformStore &copy)
+{
+    const std::uint64_t era = m_era + 1;
+    *this = copy;
+    m_era = era;
+}
+
 void PlatformStore::compact()
 {
     m_history.clear();
--- a/tools/model/PlatformStore.h
+++ b/tools/model/PlatformStore.h
@@ -37,10 +37,13 @@
                    std::uint64_t revision);
     Answer remove(const std::string &kind, const std::string &name);
     /// Changes of the kind after `revision`; empty if there are none yet. Returns 410 if the
-    /// history from `revision` on is no longer kept.
+    /// history from `revision` on is no longer kept, or the store has not reached it.
     std::optional<Answer> changes(const std::string &kind, std::uint64_t revision) const;
     Answer noChanges() const;
 
+    /// Replaces the content by that of an older copy and begins a new era.
+    void restore(const PlatformStore &copy);
+    std::uint64_t era() const { return m_era; }
     /// Discards the change history, so that watches from earlier revisions get 410.
     void compact();
     std::uint64_t revision() const { return m_revision; }
@@ -71,6 +74,7 @@
     std::deque<Change> m_history;
     std::uint64_t m_revision = 1;
     std::uint64_t m_compactedRevision = 0;
+    std::uint64_t m_era = 1;
 };
 
 } // namespace tamarack::standin
--- a/tools/model/StoreServer.cpp
+++ b/tools/model/StoreServer.cpp
@@ -99,6 +99,7 @@
 {
     HttpResponse response{answer.status, {}, json::serialize(answer.body)};
     const std::lock_guard lock(m_mutex);
+    response.headers.emplace_back("Store-Era", std::to_string(m_store.era()));
     for (const auto &[placeholder, text] : m_substitutes) {
         for (auto at = response.body.find(placeholder); at != std::string::npos;
              at = response.body.find(placeholder, at + text.size()))
