An entry keeps its registration: deletions name their revision, a lost one is written again

Cause: an entry deleted its registration without a condition and wrote it once per start. A deletion that the store carries out late, or a restore from an older copy, removed the registration of the running process, and nothing wrote it again; the others no longer heard it.

Change: deletions of the registration and of saved origins name the revision that this process has written. The registration carries the start of the process, since writing equal content raises no revision. An entry whose registration is deleted, or missing from a listing that is not older than it, creates it again, but not while it leaves and not over one that another process has written.

--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -3,6 +3,7 @@
 #include "base/AsioPch.h"
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "base/RequestId.h"
 #include "fleet/OriginRecords.h"
 #include "fleet/StoreWatchPolicy.h"
 #include "platform/ConfigDecoder.h"
@@ -158,7 +159,8 @@
     {
         // These errors are responses, so the store is reachable.
         const bool answered = result || result.error().kind == ErrorKind::HistoryGone
-                              || result.error().kind == ErrorKind::NotFound;
+                              || result.error().kind == ErrorKind::NotFound
+                              || result.error().kind == ErrorKind::VersionConflict;
         recordCall(answered, what, result ? "" : result.error().message);
         return result.has_value();
     }
@@ -424,9 +426,12 @@
             }
             std::size_t streams = 0;
             for (const auto &object : listing->objects) {
+                const bool isOwn = object.name == settings.name;
                 std::vector<StreamOrigin> origins = decodeOrigins(object.spec);
                 streams += origins.size();
-                listener.originsRead(std::move(origins), object.name == settings.name);
+                listener.originsRead(std::move(origins), isOwn);
+                if (isOwn)
+                    originsRevision = object.revision;
             }
             logEvent(LogLevel::Info, "stream_origins_read",
                      {{"entries", listing->objects.size()}, {"streams", streams}});
@@ -441,7 +446,8 @@
         savingOrigins = true;
         const auto saved = co_await store.put(originKind, settings.name, content);
         savingOrigins = false;
-        recordResult(saved, "save_origins");
+        if (recordResult(saved, "save_origins"))
+            originsRevision = *saved;
     }
 
     asio::awaitable<void> entryLoop()
@@ -457,16 +463,61 @@
             for (const auto &object : listing->objects)
                 applyEntry({object, false});
             listener.entriesChanged(entries);
+            if (isRegistrationMissing(*listing))
+                co_await restoreRegistration("missing");
             co_await watchEntries(listing->position);
         }
     }
 
+    /// The registration of this process. The incarnation makes each start a change of the object,
+    /// so that a deletion meant for an earlier start does not apply to it.
+    json::value registration() const
+    {
+        return json::object{{"peer", toString(settings.peer)}, {"incarnation", hex64(incarnation)}};
+    }
+
     asio::awaitable<void> registerEntry()
     {
-        const json::value own = json::object{{"peer", toString(settings.peer)}};
-        while (true) {
-            const auto written = co_await store.put(entryKind, settings.name, own);
-            if (recordResult(written, "register"))
+        while (!leaving) {
+            const auto written = co_await store.put(entryKind, settings.name, registration());
+            if (recordResult(written, "register")) {
+                co_await handleRegistered(*written);
+                co_return;
+            }
+            co_await pauseAfterFailure(entryRetry);
+        }
+    }
+
+    asio::awaitable<void> handleRegistered(platform::Revision revision)
+    {
+        registeredAt = {store.era(), revision};
+        if (leaving)
+            co_await remove(entryKind, revision);
+    }
+
+    /// Whether a listing, which may be seconds old, shows that the registration has been lost.
+    bool isRegistrationMissing(const platform::StoreListing &listing) const
+    {
+        const bool isOlder =
+            listing.position < registeredAt || isOfLaterEra(registeredAt, listing.position);
+        return !isOlder
+               && std::ranges::find(listing.objects, settings.name, &platform::StoredObject::name)
+                      == listing.objects.end();
+    }
+
+    /// Registers this entry again unless it is leaving or another process has taken its name.
+    asio::awaitable<void> restoreRegistration(std::string_view reason)
+    {
+        while (!leaving) {
+            const auto created = co_await store.create(entryKind, settings.name, registration());
+            const bool exists = !created && created.error().kind == ErrorKind::VersionConflict;
+            logEvent(LogLevel::Warning, "registration_restored",
+                     {{"reason", reason},
+                      {"outcome", created ? "created" : (exists ? "exists" : "failed")},
+                      {"revision", created ? *created : 0}});
+            if (recordResult(created, "register_again"))
+                co_await handleRegistered(*created);
+            if (created || exists)
                 co_return;
             co_await pauseAfterFailure(entryRetry);
         }
@@ -489,10 +540,22 @@
             if (changes->events.empty())
                 continue;
             listener.entriesChanged(entries);
+            if (isRegistrationDeleted(*changes))
+                co_await restoreRegistration("deleted");
             co_await pause(entryPause);
         }
     }
 
+    /// Whether the registration has been deleted since it was written. The changes may be seconds
+    /// old.
+    bool isRegistrationDeleted(const platform::StoreChanges &changes) const
+    {
+        const auto last =
+            std::find_if(changes.events.rbegin(), changes.events.rend(),
+                         [this](const auto &event) { return event.object.name == settings.name; });
+        return last != changes.events.rend() && last->deleted && !(changes.position < registeredAt);
+    }
+
     void applyEntry(const platform::StoreEvent &event)
     {
         const auto *spec = event.object.spec.if_object();
@@ -506,6 +569,16 @@
             entries[event.object.name] = *peer;
     }
 
+    /// Removes this entry's object at the revision that it is known to have, so that a deletion
+    /// that takes effect late does not remove what the next start has written.
+    asio::awaitable<void> remove(const std::string &kind, platform::Revision revision)
+    {
+        const auto removed = co_await store.remove(kind, settings.name, revision);
+        if (!removed)
+            logEvent(LogLevel::Warning, "unregister_failed",
+                     {{"kind", kind}, {"revision", revision}, {"reason", removed.error().message}});
+    }
+
     asio::any_io_executor executor;
     Settings settings;
     StoreListener listener;
@@ -535,6 +608,14 @@
     std::optional<BootTime> provedAt;
     /// Revisions of the listed entries that describe no usable upstream.
     std::map<std::string, platform::Revision> ignoredEntries;
+    /// Identifies this start of the process.
+    std::uint64_t incarnation = randomBits64();
+    /// Where this entry's registration was written last.
+    StorePosition registeredAt;
+    /// Revision of this entry's origins in the store, if there are any.
+    std::optional<platform::Revision> originsRevision;
+    /// The process is stopping and removes what it has written.
+    bool leaving = false;
     /// The origins in the store have been read since the start.
     bool originsRead = false;
     /// A call that writes this entry's origins is in progress.
@@ -563,12 +644,10 @@
 asio::awaitable<void> StoreFollower::leave()
 {
     const auto self = m_private;
-    for (const std::string &kind : {entryKind, originKind}) {
-        const auto removed = co_await self->store.remove(kind, self->settings.name);
-        if (!removed)
-            logEvent(LogLevel::Warning, "unregister_failed",
-                     {{"kind", kind}, {"reason", removed.error().message}});
-    }
+    self->leaving = true;
+    co_await self->remove(entryKind, self->registeredAt.revision);
+    if (self->originsRevision)
+        co_await self->remove(originKind, *self->originsRevision);
 }
 
 void StoreFollower::setElected(bool elected)
@@ -590,7 +669,7 @@
 void StoreFollower::saveOrigins(const std::vector<StreamOrigin> &origins)
 {
     const auto self = m_private;
-    if (!self->originsRead || self->savingOrigins)
+    if (!self->originsRead || self->savingOrigins || self->leaving)
         return;
     asio::co_spawn(
         self->executor,
--- a/tests/StoreRestoreTest.cpp
+++ b/tests/StoreRestoreTest.cpp
@@ -37,10 +37,7 @@
     /// Raises the revision by writes that do not concern the entries.
     void advance(int revisions)
     {
-        store().with([this, revisions](PlatformStore &content) {
-            for (int i = 0; i < revisions; ++i)
-                content.create("others", "object-" + std::to_string(m_written++), nullptr);
-        });
+        store().with([=, this](PlatformStore &content) { write(content, revisions); });
     }
 
     /// Restores the store as of the construction of the fleet.
@@ -49,6 +46,17 @@
         store().with([this](PlatformStore &content) { content.restore(m_copy); });
     }
 
+    /// Restores the store, which then lacks the upstream and reaches its former revision before any
+    /// entry asks again.
+    void restoreWithout(std::size_t upstream, int revisions)
+    {
+        store().with([=, this](PlatformStore &content) {
+            content.restore(m_copy);
+            content.remove("servers", upstreamName(upstream));
+            write(content, revisions);
+        });
+    }
+
     void requestAtAllEntries(const std::string &path, const std::string &prefix)
     {
         for (int i = 0; i < requestsPerEntry; ++i)
@@ -59,6 +67,12 @@
     }
 
 private:
+    void write(PlatformStore &content, int revisions)
+    {
+        for (int i = 0; i < revisions; ++i)
+            content.create("others", "object-" + std::to_string(m_written++), nullptr);
+    }
+
     PlatformStore m_copy;
     int m_written = 0;
 };
@@ -93,9 +107,7 @@
     advance(30);
     list(2, {.slots = 5});
     std::this_thread::sleep_for(listDelay);
-    restore();
-    unlist(1);
-    advance(200);
+    restoreWithout(1, 200);
     std::this_thread::sleep_for(listDelay + UpstreamDirectory::recoveryGrace);
     const std::size_t before = upstream(1).receivedRequests().size();
     requestAtAllEntries("/read/", "r");
--- a/tests/support/DirectEntry.cpp
+++ b/tests/support/DirectEntry.cpp
@@ -29,6 +29,11 @@
     m_thread.join();
 }
 
+void DirectEntry::drain()
+{
+    asio::post(m_contexts->control(), [process = m_process] { process->drain([] {}); });
+}
+
 void DirectEntry::freeze(milliseconds duration)
 {
     const auto sleep = [duration] { std::this_thread::sleep_for(duration); };
--- a/tests/support/DirectEntry.h
+++ b/tests/support/DirectEntry.h
@@ -26,6 +26,8 @@
     void startOnUnusedPorts(const std::string &name, const std::string &dataCentre,
                             unsigned short storePort);
     void stop();
+    /// Begins a graceful stop; the process goes on until `stop`.
+    void drain();
     /// Lets the process stand still for a while.
     void freeze(milliseconds duration);
     /// HTTP status of the readiness check; 0 if there was no response.
--- a/tests/support/SmallFleet.cpp
+++ b/tests/support/SmallFleet.cpp
@@ -76,6 +76,13 @@
     return number;
 }
 
+void SmallFleet::restartEntry(std::size_t number)
+{
+    m_entries.at(number) = std::make_unique<DirectEntry>();
+    m_entries.at(number)->startOnUnusedPorts(entryName(number), "dc", m_links.at(number)->port());
+    BOOST_REQUIRE(eventually([&] { return m_entries.at(number)->readiness() == okStatus; }));
+}
+
 void SmallFleet::list(std::size_t upstream, const Listed &listed)
 {
     m_upstreams.at(upstream)->born = reportsBorn ? listed.born : 0;
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -66,6 +66,9 @@
     {
         m_entries.at(number)->freeze(duration);
     }
+    void drainEntry(std::size_t number) { m_entries.at(number)->drain(); }
+    /// Starts the entry again, which has been stopped.
+    void restartEntry(std::size_t number);
     void stopEntry(std::size_t number) { m_entries.at(number)->stop(); }
     /// Sends a GET with the additional header lines to the entry and returns the whole response.
     std::string get(std::size_t entry, std::string_view path, std::string_view requestId,
--- a/tools/model/PlatformStore.cpp
+++ b/tools/model/PlatformStore.cpp
@@ -71,13 +71,16 @@
     return {200, encode(name, object)};
 }
 
-PlatformStore::Answer PlatformStore::remove(const std::string &kind, const std::string &name)
+PlatformStore::Answer PlatformStore::remove(const std::string &kind, const std::string &name,
+                                            std::uint64_t revision)
 {
     Objects &objects = m_kinds[kind];
     const auto present = objects.find(name);
     if (present == objects.end())
         return {404, json::object{{"error", "no such object"}}};
     Object object = present->second;
+    if (revision != 0 && revision != object.revision)
+        return {409, encode(name, object)};
     objects.erase(present);
     object.revision = ++m_revision;
     record(kind, name, object, true);
--- a/tools/model/PlatformStore.h
+++ b/tools/model/PlatformStore.h
@@ -35,7 +35,8 @@
     /// `revision` 0 replaces unconditionally. 409 carries the current object.
     Answer replace(const std::string &kind, const std::string &name, boost::json::value spec,
                    std::uint64_t revision);
-    Answer remove(const std::string &kind, const std::string &name);
+    /// `revision` 0 removes unconditionally. 409 carries the current object.
+    Answer remove(const std::string &kind, const std::string &name, std::uint64_t revision = 0);
     /// Changes of the kind after `revision`; empty if there are none yet. Returns 410 if the
     /// history from `revision` on is no longer kept, or the store has not reached it.
     std::optional<Answer> changes(const std::string &kind, std::uint64_t revision) const;
--- a/tools/model/StoreServer.cpp
+++ b/tools/model/StoreServer.cpp
@@ -63,6 +63,10 @@
         co_await watch(exchange, std::move(kind));
         co_return;
     }
+    if (hold(exchange.request())) {
+        exchange.abort();
+        co_return;
+    }
     const auto answer = handle(exchange.request());
     co_await exchange.respond(encode(answer));
 }
@@ -95,6 +99,29 @@
     m_substitutes[json::serialize(json::string(placeholder))] = std::move(text);
 }
 
+void StoreServer::holdDeletions(const std::string &kind, const std::string &name)
+{
+    const std::lock_guard lock(m_mutex);
+    m_heldPath = "/objects/" + kind + "/" + name;
+}
+
+void StoreServer::carryOutHeldDeletions()
+{
+    std::vector<HttpRequest> held;
+    with([&](const PlatformStore &) { held = std::exchange(m_heldDeletions, {}); });
+    for (const HttpRequest &request : held)
+        handle(request);
+}
+
+bool StoreServer::hold(const HttpRequest &request)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool isHeld = request.method == "DELETE" && request.path() == m_heldPath;
+    if (isHeld)
+        m_heldDeletions.push_back(request);
+    return isHeld;
+}
+
 HttpResponse StoreServer::encode(const PlatformStore::Answer &answer)
 {
     HttpResponse response{answer.status, {}, json::serialize(answer.body)};
@@ -117,7 +144,7 @@
     if (request.method == "GET")
         return m_store.get(path.kind, path.name);
     if (request.method == "DELETE")
-        return m_store.remove(path.kind, path.name);
+        return m_store.remove(path.kind, path.name, numberOf(request.query("revision")));
     const json::object object = json::parse(request.body).as_object();
     const json::object &metadata = object.at("metadata").as_object();
     if (request.method == "POST")
--- a/tools/model/StoreServer.h
+++ b/tools/model/StoreServer.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace tamarack::standin {
 
@@ -36,6 +37,11 @@
     /// the text need not be valid JSON.
     void substitute(const std::string &placeholder, std::string text);
 
+    /// The next deletions of this object get no response and are not carried out.
+    void holdDeletions(const std::string &kind, const std::string &name);
+    /// Carries the held deletions out, if their condition still holds.
+    void carryOutHeldDeletions();
+
     std::atomic<StoreMode> mode{StoreMode::Normal};
     std::atomic<int> calls{0};
     /// Those of `calls` that accept stale data; this store serves them the latest data all the
@@ -46,12 +52,17 @@
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
     boost::asio::awaitable<void> watch(HttpExchange &exchange, std::string kind);
     PlatformStore::Answer handle(const HttpRequest &request);
+    /// Whether the call is a deletion that is held.
+    bool hold(const HttpRequest &request);
     HttpResponse encode(const PlatformStore::Answer &answer);
 
     std::mutex m_mutex;
     PlatformStore m_store{2};
     /// Texts by the quoted placeholders that they replace.
     std::map<std::string, std::string> m_substitutes;
+    /// Path of the object whose deletions are held.
+    std::string m_heldPath;
+    std::vector<HttpRequest> m_heldDeletions;
     std::unique_ptr<HttpServer> m_server;
 };
 
