The end of a kept connection is no sign of a restart; the process is asked instead

Cause: a kept connection that its upstream had closed counted as a suspected restart for 3 s, and the origin of each stream that began in that time was ambiguous. An idle close is enough for that, and nothing but the time ended the suspicion.

Change: ended connections make the entry ask the process for its start before the next new stream; a start as listed ends any suspicion, another one withholds the request. Attempts that broke off ask, too, so that a restart between two requests is noticed.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -377,6 +377,7 @@
     m_state.upstreams.recordHealth(upstream, sign, now);
     if (sign != HealthSignal::Good && sign != HealthSignal::Full) {
         m_state.pool.drop(upstream.key);
+        upstream.connectionsEnded = true;
         if (end == AttemptEnd::Broken)
             m_state.recordBrokenAttempt(m_assignment->upstream,
                                         requestFingerprint(m_admitted.workspace, parts()),
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -112,9 +112,8 @@
     const UpstreamState &upstream = *m_assignment.upstream;
     auto taken = m_state.pool.take(upstream.key, steadyNow());
     m_reusedConnection = taken.connection != nullptr;
-    if (taken.foundClosed)
-        m_state.upstreams.suspectRestart(*m_assignment.upstream,
-                                         steadyNow() + UpstreamTable::listingDelay);
+    // Connections end when an upstream restarts, but also for many other reasons.
+    m_assignment.upstream->connectionsEnded |= taken.foundClosed;
     if (taken.connection)
         co_return taken.connection;
     m_state.metrics.add("tamarack_upstream_connections_total", "");
@@ -140,8 +139,11 @@
     const UpstreamReport report = co_await readReport(m_state.executor, connection, record);
     if (m_cancelled || report.lost)
         co_return Identity::Lost;
+    upstream.connectionsEnded = false;
     upstream.reportsNoStart = !report.startedAt && !report.misdirected && !report.late;
     const Identity identity = compare(report, record);
+    if (identity == Identity::AsListed)
+        UpstreamTable::confirmIncarnation(upstream);
     m_state.metrics.add("tamarack_upstream_reports_total",
                         fmt::format("outcome=\"{}\"", identityName(identity)));
     if (identity == Identity::Other) {
@@ -157,8 +159,11 @@
 
 bool UpstreamAttempt::needsIdentity() const
 {
-    const bool listIsCurrent = m_state.upstreamListAge.isCurrent(bootNow());
-    return m_request.continuesStream || (m_request.newStream && !listIsCurrent);
+    const UpstreamState &upstream = *m_assignment.upstream;
+    const bool mayBeOther = upstream.connectionsEnded
+                            || steadyNow() < upstream.restartSuspectedUntil
+                            || !m_state.upstreamListAge.isCurrent(bootNow());
+    return m_request.continuesStream || (m_request.newStream && mayBeOther);
 }
 
 asio::awaitable<bool> UpstreamAttempt::admitsProcess()
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -72,7 +72,7 @@
     boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> connect();
     boost::asio::awaitable<Identity> identify(std::shared_ptr<UpstreamConnection> connection);
     /// Whether the request depends on what the connected process is: it goes on with a stream, or
-    /// begins one while the list of upstreams is not known to be current.
+    /// begins one while the process may not be the listed incarnation.
     bool needsIdentity() const;
     /// Whether the connected process may get the request. May replace the connection.
     boost::asio::awaitable<bool> admitsProcess();
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -104,6 +104,11 @@
     upstream.restartSuspectedUntil = std::max(upstream.restartSuspectedUntil, until);
 }
 
+void UpstreamTable::confirmIncarnation(UpstreamState &upstream)
+{
+    upstream.restartSuspectedUntil = {};
+}
+
 bool UpstreamTable::isCertain(const StreamOrigin &origin) const
 {
     const auto listed = m_lastListed.find(origin.upstreamId);
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -70,6 +70,8 @@
     /// The store has listed it as draining. It will not become ready again.
     bool drained = false;
     TimePoint restartSuspectedUntil{};
+    /// A connection has ended since its process was asked what it is.
+    bool connectionsEnded = false;
     /// It was asked when its process was started and did not say.
     bool reportsNoStart = false;
     /// When `removeGone` first saw it as gone.
@@ -110,9 +112,11 @@
     /// The origin of a stream whose first event this upstream has written. It is ambiguous if the
     /// store lists another incarnation by now, or may do so later.
     StreamOrigin originAt(const UpstreamState &upstream, StreamKey stream, TimePoint now) const;
-    /// Until then, the upstream may be another incarnation than the one listed: connections to it
-    /// have ended, or none could be made.
+    /// Until then, the upstream may be another incarnation than the one listed: it refused a
+    /// connection, or reported another start.
     static void suspectRestart(UpstreamState &upstream, TimePoint until);
+    /// The process has reported to be the listed incarnation.
+    static void confirmIncarnation(UpstreamState &upstream);
     /// Within this time the store usually lists an upstream that has restarted.
     static constexpr milliseconds listingDelay{3000};
     /// An upstream that refuses connections may be back within this time.
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -76,6 +76,22 @@
         std::this_thread::sleep_for(listDelay);
     }
 
+    /// Lets upstream 1, which closes idle connections, begin streams at the first entry, each over
+    /// a new connection.
+    void beginStreamsOverNewConnections()
+    {
+        constexpr milliseconds idleTime{100};
+        upstream(1).closeIdleAfter(idleTime);
+        unlist(0);
+        unlist(2);
+        std::this_thread::sleep_for(listDelay);
+        for (int i = 0; i < streams; ++i) {
+            const std::string id = "a" + std::to_string(i);
+            BOOST_REQUIRE(isFrom(get(0, "/stream/" + id, id), 1));
+            std::this_thread::sleep_for(2 * idleTime);
+        }
+    }
+
     /// Lets upstream 0 begin streams, and lists then only upstream 1, with the same version.
     void beginOnOneOfTwo()
     {
@@ -268,6 +284,34 @@
     BOOST_TEST(continuations(0) + continuations(2) == 0U);
 }
 
+// Guards against review case 5: an idle close counted as a sign of a restart.
+BOOST_AUTO_TEST_CASE(clientsTakeUpStreamsOfAnUpstreamThatClosesIdleConnections)
+{
+    beginStreamsOverNewConnections();
+    BOOST_TEST(takeUp(1, "a") == streams);
+}
+
+BOOST_AUTO_TEST_CASE(clientsTakeUpStreamsAfterIdleClosesOfAnUpstreamWithoutAReport)
+{
+    reportsBorn = false;
+    list(1, {.version = "v2", .born = 2});
+    beginStreamsOverNewConnections();
+    BOOST_TEST(takeUp(1, "a") == streams);
+}
+
+// The list is current, but the upstream has restarted and is listed later.
+BOOST_AUTO_TEST_CASE(streamsDoNotBeginAtAnotherIncarnationOnceItsConnectionsHaveEnded)
+{
+    beginStreamsOverNewConnections();
+    upstream(1).born = 2;
+    const std::size_t before = upstream(1).receivedRequests().size();
+    for (int i = 0; i < streams; ++i) {
+        const std::string id = "b" + std::to_string(i);
+        BOOST_TEST(responseStatus(get(0, "/stream/" + id, id)) != okStatus);
+    }
+    BOOST_TEST(upstream(1).receivedRequests().size() == before);
+}
+
 // The upstream is back under its id with another version; which of the two wrote the events is not
 // known, as the store may list it late.
 BOOST_AUTO_TEST_CASE(takeUpIsRefusedWhenTheUpstreamIsBackAsAnotherIncarnation)
--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -32,6 +32,13 @@
     return m_server->port();
 }
 
+void UpstreamServer::closeIdleAfter(milliseconds idle)
+{
+    HttpLimits limits;
+    limits.idleTimeoutMs = static_cast<int>(idle.count());
+    m_server->setLimits(limits);
+}
+
 std::vector<HttpRequest> UpstreamServer::receivedRequests() const
 {
     const std::lock_guard lock(m_mutex);
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -42,6 +42,9 @@
 
     std::vector<HttpRequest> receivedRequests() const;
 
+    /// Closes connections that are idle for this long, without stating it.
+    void closeIdleAfter(milliseconds idle);
+
     std::atomic<UpstreamMode> mode{UpstreamMode::Normal};
     /// Limit in requests per second that responses state; negative: responses state none.
     std::atomic<double> limitPerSecond{-1};
