A stream that has begun goes on only with responses of its status and media type

Cause: any attempt that ended with a complete response finished the stream, and each response with status 200 was read as events.

Change: one decision, ResponseRelay::isContinuedBy, when the head has been read. Any other response is a failed attempt; the stream goes on elsewhere or is cut.

Evidence: BrokenStreamSuite with the decision undone: 404, 410, 400, 302, 204 and 200 of another media type end the stream as complete, the last with its text in it; 500 does not. None with the change.

--- a/src/direct/ResponseRelay.h
+++ b/src/direct/ResponseRelay.h
@@ -44,6 +44,10 @@
     /// truncated response for a complete one.
     void abort();
 
+    /// Whether a response with this head may go on with the stream that has been started. One with
+    /// another status or media type, such as an error, has no part of it.
+    bool isContinuedBy(const UpstreamResponse &answer) const;
+
     /// Whether part of the response has been sent to the client.
     bool started() const { return m_started; }
     const EventScanner &events() const { return m_events; }
@@ -54,6 +58,9 @@
     HttpExchange &m_exchange;
     EventScanner m_events;
     bool m_started = false;
+    /// Of the response that started the stream.
+    int m_status = 0;
+    std::string m_mediaType;
     TimePoint m_lastForwardAt{};
     Duration m_longestPause{};
 };
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -267,6 +267,8 @@
         return AttemptEnd::Spoiled;
     if (status >= firstServerError || statesNotProcessed(status))
         return statesNotProcessed(status) ? AttemptEnd::Spoiled : AttemptEnd::Failed;
+    if (m_relay.started() && !m_relay.isContinuedBy(m_response))
+        return AttemptEnd::Failed;
     return AttemptEnd::Whole;
 }
 
--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -93,6 +93,13 @@
     }
     if (now != UpstreamMode::Unsigned)
         response.headers.emplace_back("Server-Signature", "signed-by-" + m_id);
+    if (resumptionStatus != 0 && findHeader(request.headers, "Last-Event-Id")) {
+        response.status = resumptionStatus;
+        response.headers.emplace_back("Content-Type", "text/plain");
+        response.body = response.status == 204 ? "" : "error text\n\n";
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     if (request.target.find("stream") != std::string::npos) {
         co_await stream(exchange, std::move(response.headers));
         co_return;
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -55,6 +55,8 @@
     /// Start of its process, in its report on itself; 0: it has no report.
     std::atomic<std::uint64_t> born{0};
     std::atomic<int> reportDelayMs{0};
+    /// If not 0, the status of a response to a request that resumes a stream, which is not run.
+    std::atomic<int> resumptionStatus{0};
     std::atomic<bool> clientGone{false};
     std::atomic<int> eventPauseMs{0};
     /// Delay before a response that is not a stream.
