Requests that cannot be served before a planned stop ends are refused as not run

Cause: the path of a request did not know of the stop.

Change: StopWindow holds the end of the stop and the longest recent time by route. A request that would outlast the stop is refused as "draining", not run, before the queue, at its assignment and before a retry. A request that is sent ends before the process does, with an answer that says that it may have run.

--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds balancerDetectionTime{2600};
 /// Part of the stop grace period reserved for shutting down the process itself.
 constexpr milliseconds shutdownReserve{700};
+/// Time to send the last responses before the process shuts down.
+constexpr milliseconds responseReserve{200};
 constexpr milliseconds drainPoll{50};
 constexpr int readyStatus = 200;
 constexpr int notReadyStatus = 503;
@@ -226,9 +228,8 @@
             traffic, [self = shared_from_this()] { return self->tickLoop(); }, asio::detached);
     }
 
-    asio::awaitable<void> drainAndStop(std::function<void()> done)
+    asio::awaitable<void> drainAndStop(TimePoint end, std::function<void()> done)
     {
-        const TimePoint end = steadyNow() + settings.direct.stopGrace - shutdownReserve;
         co_await storeFollower.leave();
         callerServer->closeAfterAnswers();
         co_await pause(balancerDetectionTime);
@@ -281,10 +282,15 @@
     const auto self = m_private;
     self->draining = true;
     logEvent(LogLevel::Info, "drain_started", {{"connections", self->callerServer->connections()}});
-    asio::post(self->traffic, [self] { self->state.draining = true; });
+    const TimePoint end = steadyNow() + self->settings.direct.stopGrace - shutdownReserve;
+    asio::post(self->traffic, [self, end] {
+        self->state.draining = true;
+        self->state.stopWindow.beginStop(end - responseReserve);
+    });
     asio::co_spawn(
         self->contexts.control(),
-        [self, done = std::move(done)] { return self->drainAndStop(done); }, asio::detached);
+        [self, end, done = std::move(done)] { return self->drainAndStop(end, done); },
+        asio::detached);
 }
 
 void DirectProcess::reload(const Settings &settings)
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -20,6 +20,8 @@
 
 /// With less time than this before the deadline no attempt is made.
 constexpr milliseconds minAttemptTime{20};
+/// Another entry serves the request; this one takes no new connections.
+constexpr milliseconds stoppingRetryAfter{50};
 /// Another entry may know the stream.
 constexpr milliseconds unknownStreamRetryAfter{300};
 constexpr int okStatus = 200;
@@ -105,16 +107,25 @@
     const milliseconds deadline = m_facts.deadline.value_or(m_admitted.route.timeout);
     m_sinceFirstAttempt = m_state.attemptAge.learn(m_admitted.route.name, deadline);
     m_deadlineAt = m_arrivedAt + std::min(deadline, m_admitted.route.timeout);
-    m_deadlineTimer.expires_at(m_deadlineAt);
+    armDeadline();
+    m_exchange.onGone([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->stop(StopReason::ClientGone);
+    });
+}
+
+void RequestFlow::armDeadline()
+{
+    const TimePoint endsBy = m_state.stopWindow.cap(m_deadlineAt);
+    if (endsBy == m_endsBy)
+        return;
+    m_endsBy = endsBy;
+    m_deadlineTimer.expires_at(endsBy);
     m_deadlineTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
         if (!error && self)
             self->stop(StopReason::TimedOut);
     });
-    m_exchange.onGone([weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->stop(StopReason::ClientGone);
-    });
 }
 
 void RequestFlow::stop(StopReason reason)
@@ -137,6 +148,7 @@
         co_await findOrigin();
     bool anotherAttempt = true;
     while (anotherAttempt) {
+        armDeadline();
         if (const auto denial = sendDenial()) {
             co_await respondUnassigned(denial->kind, denial->retryAfter);
             break;
@@ -188,6 +200,8 @@
 {
     if (isQuarantined())
         return Denial{ErrorKind::SuspectHeld, quarantineRetryAfter};
+    if (!m_state.stopWindow.admits(m_admitted.route.name, m_deadlineAt, steadyNow()))
+        return Denial{ErrorKind::Draining, stoppingRetryAfter};
     return continuationDenial();
 }
 
@@ -246,6 +260,7 @@
         co_await m_wait->signal.async_wait(asio::as_tuple(asio::use_awaitable));
     m_waited += steadyNow() - queuedAt;
     m_attempt.reset();
+    armDeadline();
     const auto wait = std::exchange(m_wait, nullptr);
     m_assignment = wait->assignment;
     // A busy process reads requests late, so the client may have closed its connection already
@@ -334,7 +349,10 @@
                                      m_deadlineAt, isStream(), m_sends == 0,
                                      m_admitted.isTrial && m_sends == 0, m_admitted.service,
                                      newStream, m_origin.has_value()});
+    const TimePoint start = steadyNow();
     const AttemptEnd end = co_await m_attempt->run();
+    if (end == AttemptEnd::Whole)
+        m_state.stopWindow.recordServed(m_admitted.route.name, steadyNow() - start);
     if (m_attempt->sent()) {
         ++m_sends;
         m_retryReserved = false;
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -37,6 +37,7 @@
     /// Makes the quota charge final, because a request that is sent may be processed.
     void commitQuota();
     void startTimers();
+    void armDeadline();
     void stop(StopReason reason);
 
     boost::asio::awaitable<void> serve();
@@ -92,6 +93,8 @@
     /// for which it lay unread.
     TimePoint m_arrivedAt;
     TimePoint m_deadlineAt{};
+    /// `m_deadlineAt`, or the end of a planned stop.
+    TimePoint m_endsBy{};
     Duration m_sinceFirstAttempt{};
     boost::asio::steady_timer m_deadlineTimer;
     StopReason m_stopReason = StopReason::None;
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -19,6 +19,7 @@
 #include "serving/ReadLag.h"
 #include "serving/RetryBudget.h"
 #include "serving/ServingConfig.h"
+#include "serving/StopWindow.h"
 #include "serving/UpstreamListAge.h"
 #include "serving/UpstreamTable.h"
 #include "serving/WaitPolicy.h"
@@ -167,6 +168,7 @@
     UpstreamPool pool;
     HealthChecker healthChecker;
     ReadLag readLag;
+    StopWindow stopWindow;
     bool draining = false;
 
 private:
