--- a/tests/StopWindowTest.cpp
+++ b/tests/StopWindowTest.cpp
@@ -1,5 +1,5 @@
-#include "process/Timers.h"
 #include "serving/StopWindow.h"
+#include "process/Timers.h"
 #include "support/DirectEntry.h"
 #include "support/SmallFleet.h"
 
