The logs tell how a stream departs from its sequence of events

Nothing that was logged told a missing event from one that came again or had no id, nor a first response from a continuation. EventScanner now names the first fault of a response; stream_out_of_sequence and tamarack_stream_faults_total have it, and the line of each request has the last id. Nothing is decided by it yet.

--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -144,8 +144,10 @@
     startTimers();
     m_state.retries.countRequest(m_admitted.service, m_readAt);
     m_expectedEvents = expectedEvents();
-    if (resumesStream())
+    if (resumesStream()) {
+        m_relay.startAfter(*m_facts.resumeAfter);
         co_await findOrigin();
+    }
     bool anotherAttempt = true;
     while (anotherAttempt) {
         armDeadline();
@@ -565,6 +567,8 @@
               {"prompt", m_facts.promptTokens.value_or(0)},
               {"expected_events", m_expectedEvents},
               {"events", m_relay.events().events()},
+              {"last_event", m_relay.events().lastId().value_or(0)},
+              {"output_tokens", m_facts.outputTokens},
               {"resumes", m_facts.resumedRequest},
               {"resume_after", m_facts.resumeAfter ? std::to_string(*m_facts.resumeAfter) : ""},
               {"upstream", m_assignment ? m_assignment->upstream->record.id : ""},
--- a/src/direct/ResponseRelay.h
+++ b/src/direct/ResponseRelay.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -28,6 +29,8 @@
 public:
     explicit ResponseRelay(HttpExchange &exchange);
 
+    /// Prepares for a stream of which the client already has the events up to `id`.
+    void startAfter(std::uint64_t id) { m_events.startAfter(id); }
     /// Prepares for a retry that resumes the stream: discards the incomplete event of the earlier
     /// attempt and skips events that have already been delivered.
     void restartStream() { m_events.prepareResume(); }
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -287,7 +287,10 @@
             co_return AttemptEnd::Broken;
         if (piece->empty())
             break;
+        const bool wasSound = !m_relay.events().fault();
         const std::string_view events = m_relay.takeEvents(*piece);
+        if (wasSound)
+            reportEventFault();
         if (m_relay.events().isOverlong())
             co_return AttemptEnd::Spoiled;
         if (events.empty())
@@ -311,6 +314,23 @@
     co_return m_cancelled || !complete ? AttemptEnd::Broken : AttemptEnd::Whole;
 }
 
+void UpstreamAttempt::reportEventFault() const
+{
+    const EventScanner &events = m_relay.events();
+    if (!events.fault())
+        return;
+    const std::string_view fault = eventFaultName(*events.fault());
+    m_state.metrics.add("tamarack_stream_faults_total", fmt::format("fault=\"{}\"", fault));
+    logEvent(LogLevel::Warning, "stream_out_of_sequence",
+             {{"request", m_request.facts.id},
+              {"upstream", m_assignment.upstream->record.id},
+              {"version", m_assignment.upstream->record.version},
+              {"fault", fault},
+              {"last_event", events.lastId().value_or(0)},
+              {"events", events.events()},
+              {"continues", m_request.continuesStream}});
+}
+
 asio::awaitable<AttemptEnd> UpstreamAttempt::bufferResponse(AttemptEnd headOutcome)
 {
     std::string &body = m_response.body;
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -86,6 +86,8 @@
     boost::asio::awaitable<bool> skipResponse();
     AttemptEnd classifyHead() const;
     boost::asio::awaitable<AttemptEnd> relayStream();
+    /// Logs how the stream departs from its sequence of events, if it does.
+    void reportEventFault() const;
     boost::asio::awaitable<AttemptEnd> bufferResponse(AttemptEnd headOutcome);
     /// Whether the received response is complete. If only the end of the connection shows that, the
     /// process must respond to another request: one that is killed closes its connections, too, and
--- a/src/serving/EventScanner.cpp
+++ b/src/serving/EventScanner.cpp
@@ -40,10 +40,24 @@
 
 } // namespace
 
+std::string_view eventFaultName(EventFault fault)
+{
+    switch (fault) {
+    case EventFault::Gap:
+        return "gap";
+    case EventFault::NotIncreasing:
+        return "not_increasing";
+    case EventFault::NoId:
+        return "no_id";
+    }
+    return "unknown";
+}
+
 void EventScanner::prepareResume()
 {
     m_partial.clear();
     m_skipThrough = m_lastId;
+    m_fault.reset();
 }
 
 std::string_view EventScanner::feed(std::string_view bytes)
@@ -59,13 +73,26 @@
     return m_complete;
 }
 
+std::optional<EventFault> EventScanner::faultOf(std::optional<std::uint64_t> id) const
+{
+    if (!id)
+        return EventFault::NoId;
+    if (*id <= m_received)
+        return EventFault::NotIncreasing;
+    return *id > m_received + 1 ? std::optional(EventFault::Gap) : std::nullopt;
+}
+
 void EventScanner::processEvent(std::string_view event)
 {
     const auto id = idOf(event);
     if (id && m_skipThrough && *id <= *m_skipThrough)
         return;
-    if (id)
+    if (!m_fault)
+        m_fault = faultOf(id);
+    if (id) {
         m_lastId = id;
+        m_received = *id;
+    }
     ++m_events;
     m_complete.append(event);
 }
