--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -150,6 +150,12 @@
     headers.emplace_back("Content-Type", "text/event-stream");
     co_await exchange.startStream(200, std::move(headers));
     const int first = after ? std::stoi(std::string(*after)) + 1 : 1;
+    if (const auto script = scriptedEvents ? scriptedEvents(first - 1) : std::nullopt) {
+        for (const std::string &event : *script)
+            co_await exchange.write(event);
+        co_await exchange.finish();
+        co_return;
+    }
     for (int id = first; id <= streamEvents; ++id) {
         if (mode == UpstreamMode::AbortsConnection && id > eventsBeforeBreak) {
             co_await exchange.write(eventText(id, writer).substr(0, 9));
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,6 +65,9 @@
     /// Version of its software, which the events of its streams name; empty: they do not. Set on
     /// the server's thread.
     std::string softwareVersion;
+    /// Returns the events of a stream that begins after the event `after`, instead of the usual
+    /// ones; none: the usual ones. Set on the server's thread.
+    std::function<std::optional<std::vector<std::string>>(int after)> scriptedEvents;
     /// Called on the server's thread for each request that the server runs.
     std::function<void(const HttpRequest &)> onRun;
     /// Called for each request received, before it is run or refused.
