Events reach a client only in the order of their ids

Cause: EventScanner compared ids once, where a retry goes on, and only for being too low. What an upstream wrote after that, and all that a first response or a take-up brought, was relayed unread. A take-up did not even know which events its client had.

Change: the scanner knows the id that must come next, from the first event (1, or behind Last-Event-Id) on. Events that the client has are dropped at the beginning of a response; any other event whose id is not the next, missing, or no number ends the attempt as spoiled before it is relayed, so that the stream goes on at another upstream or is cut. One place decides for first responses, retries and take-ups.

--- a/src/direct/ResponseRelay.h
+++ b/src/direct/ResponseRelay.h
@@ -31,11 +31,11 @@
 
     /// Prepares for a stream of which the client already has the events up to `id`.
     void startAfter(std::uint64_t id) { m_events.startAfter(id); }
-    /// Prepares for a retry that resumes the stream: discards the incomplete event of the earlier
-    /// attempt and skips events that have already been delivered.
-    void restartStream() { m_events.prepareResume(); }
+    /// Prepares for a response that begins the stream or goes on with it: discards the incomplete
+    /// event of the earlier attempt and skips events that have already been delivered.
+    void startResponse() { m_events.startResponse(); }
     /// Appends received bytes and returns the events completed so far, without those already
-    /// delivered. Valid until the next call.
+    /// delivered, up to the first one that does not follow them. Valid until the next call.
     std::string_view takeEvents(std::string_view bytes) { return m_events.feed(bytes); }
     /// Sends events to the client; the first call sends the status and headers of `answer` before
     /// them. Returns false when the client has disconnected.
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -280,46 +280,50 @@
 
 asio::awaitable<AttemptEnd> UpstreamAttempt::relayStream()
 {
-    m_relay.restartStream();
+    m_relay.startResponse();
+    const EventScanner &scanner = m_relay.events();
     while (true) {
         const auto piece = co_await m_connection->readBody();
         if (!piece)
             co_return AttemptEnd::Broken;
         if (piece->empty())
             break;
-        const bool wasSound = !m_relay.events().fault();
         const std::string_view events = m_relay.takeEvents(*piece);
-        if (wasSound)
+        if (scanner.hasProgressed())
+            recordEvents();
+        if (!events.empty()) {
+            const bool forwarded = co_await m_relay.forward(events, m_response);
+            if (!forwarded) {
+                m_clientGone = true;
+                co_return AttemptEnd::Broken;
+            }
+        }
+        if (scanner.fault() || scanner.isOverlong()) {
             reportEventFault();
-        if (m_relay.events().isOverlong())
             co_return AttemptEnd::Spoiled;
-        if (events.empty())
-            continue;
-        recordFirstToken();
-        recordPace(paceSampleEvents);
-        if (m_request.newStream && !m_relay.started())
-            m_origin =
-                m_state.beginStream(*m_request.newStream, *m_assignment.upstream, m_identified);
-        const bool forwarded = co_await m_relay.forward(events, m_response);
-        if (!forwarded) {
-            m_clientGone = true;
-            co_return AttemptEnd::Broken;
         }
     }
-    const EventScanner &events = m_relay.events();
-    if (events.hasPartial())
+    if (scanner.hasPartial())
         co_return AttemptEnd::Broken;
     recordPace(EngineTimeModel::minPaceEvents);
     const bool complete = co_await confirmEnd();
     co_return m_cancelled || !complete ? AttemptEnd::Broken : AttemptEnd::Whole;
 }
 
+void UpstreamAttempt::recordEvents()
+{
+    recordFirstToken();
+    recordPace(paceSampleEvents);
+    if (m_request.newStream && !m_origin)
+        m_origin = m_state.beginStream(*m_request.newStream, *m_assignment.upstream, m_identified);
+}
+
 void UpstreamAttempt::reportEventFault() const
 {
     const EventScanner &events = m_relay.events();
-    if (!events.fault())
-        return;
-    const std::string_view fault = eventFaultName(*events.fault());
+    std::string_view fault = events.isOverlong() ? "overlong" : "no_events";
+    if (events.fault())
+        fault = eventFaultName(*events.fault());
     m_state.metrics.add("tamarack_stream_faults_total", fmt::format("fault=\"{}\"", fault));
     logEvent(LogLevel::Warning, "stream_out_of_sequence",
              {{"request", m_request.facts.id},
@@ -327,6 +331,7 @@
               {"version", m_assignment.upstream->record.version},
               {"fault", fault},
               {"last_event", events.lastId().value_or(0)},
+              {"found", events.faultId() ? std::to_string(*events.faultId()) : ""},
               {"events", events.events()},
               {"continues", m_request.continuesStream}});
 }
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -86,7 +86,9 @@
     boost::asio::awaitable<bool> skipResponse();
     AttemptEnd classifyHead() const;
     boost::asio::awaitable<AttemptEnd> relayStream();
-    /// Logs how the stream departs from its sequence of events, if it does.
+    /// Records what the first event and the pace of the stream show.
+    void recordEvents();
+    /// Logs how the events of the response depart from the sequence of the stream.
     void reportEventFault() const;
     boost::asio::awaitable<AttemptEnd> bufferResponse(AttemptEnd headOutcome);
     /// Whether the received response is complete. If only the end of the connection shows that, the
