A response without a new event completes no stream

Cause: the regular end of any response of the stream's type counted as the end of the stream. The class is again a belief without proof: an end says that a response is over, not that the stream is.

Change: a response that has not brought an event that the client did not have ends as spoiled. The stream goes on at another upstream, or is cut so that the client takes it up.

Evidence: without these lines three of eight cases of StreamSequenceSuite fail, with them none does. With them StreamSequence, EventScanner, BrokenStream, UnframedStream, StreamVersion and DirectProcess suites are green together.

--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -305,6 +305,11 @@
     }
     if (scanner.hasPartial())
         co_return AttemptEnd::Broken;
+    // Whether the stream ends here or has lost its rest cannot be told.
+    if (!scanner.hasProgressed()) {
+        reportEventFault();
+        co_return AttemptEnd::Spoiled;
+    }
     recordPace(EngineTimeModel::minPaceEvents);
     const bool complete = co_await confirmEnd();
     co_return m_cancelled || !complete ? AttemptEnd::Broken : AttemptEnd::Whole;
