What an upstream sends without a complete element is bounded

Cause: the read buffer of a connection had no bound, and the parser consumes nothing until such an element is complete; the bounds on head and body do not cover what stands between chunks.

Change: the buffer holds 128 KB, twice the largest head; a read that needs more fails, and the connection is closed.

--- a/src/direct/UpstreamConnection.cpp
+++ b/src/direct/UpstreamConnection.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds unresponsiveTimeout{2000};
 constexpr std::size_t bodyReadBytes = 8 << 10;
 constexpr std::uint32_t headBytes = 64 << 10;
+/// Bytes that may be read without a complete element, such as a head, the size of a chunk with its
+/// extensions, or a trailer.
+constexpr std::size_t unparsedBytes = 2 * headBytes;
 constexpr int firstFinalStatus = 200;
 
 } // namespace
@@ -35,7 +38,7 @@
     {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{unparsedBytes};
     http::request<http::string_body> message;
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, bodyReadBytes> piece{};
