Bodies held until they are complete share a bounded memory

Cause: the bound was one for each response and none for the process, and a body was held although its head had already shown that it is no answer, or that the request was refused.

Change: BufferBudget bounds the bodies of a process: while memory is left each may grow, then only those below an equal share, so that the largest end first. Bodies that are not delivered are not held: unsigned ones end at their head, those of refusals are read up to 1 MB and dropped, so that the connection can be used again. response_too_large names a body that was given up, with what all bodies had.

Evidence: EndlessBytesTest runs a daemon before two sound upstreams and two that send without end (30 clients, 8 MB/s a connection, 5 s a part), bound 88 MB, the smallest host.

--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/BufferBudget.h"
 #include "base/Metrics.h"
 #include "config/Settings.h"
 #include "direct/HealthChecker.h"
@@ -42,6 +43,9 @@
 /// some time passes between checking a request and sending it.
 constexpr milliseconds proofMargin{1250};
 
+/// Memory for responses that are held until they are complete. The smallest hosts have 88 MB.
+constexpr std::size_t responseBufferBytes = 16 << 20;
+
 /// One request's wait for an upstream.
 struct QueueWait
 {
@@ -169,6 +173,7 @@
     HealthChecker healthChecker;
     ReadLag readLag;
     StopWindow stopWindow;
+    BufferBudget responseBuffers{responseBufferBytes};
     bool draining = false;
 
 private:
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -21,9 +21,8 @@
 
 constexpr int okStatus = 200;
 constexpr int firstServerError = 500;
-/// Size limit of a response that is buffered completely before it is delivered.
-constexpr std::size_t maxBufferedResponseBytes = 16 << 20;
-/// A late response to another request on the same connection is read and discarded up to this size.
+/// A response that is not delivered is read and discarded up to this size, so that its connection
+/// can be used again.
 constexpr std::size_t maxSkippedResponseBytes = 1 << 20;
 constexpr int maxSkippedResponses = 2;
 /// The pace of a running stream is measured over this many events.
@@ -228,7 +227,13 @@
             const bool streams = m_request.streams && m_response.status == okStatus;
             if (headOutcome == AttemptEnd::Whole && streams)
                 co_return co_await relayStream();
-            co_return co_await bufferResponse(headOutcome);
+            const bool deliverable = headOutcome == AttemptEnd::Whole
+                                     || (headOutcome == AttemptEnd::Failed && !m_relay.started());
+            if (deliverable)
+                co_return co_await bufferResponse(headOutcome);
+            if (headOutcome != AttemptEnd::Spoiled)
+                co_await skipResponse();
+            co_return headOutcome;
         }
         logEvent(LogLevel::Warning, "answer_of_another_request",
                  {{"request", m_request.facts.id},
@@ -343,18 +348,42 @@
 
 asio::awaitable<AttemptEnd> UpstreamAttempt::bufferResponse(AttemptEnd headOutcome)
 {
-    std::string &body = m_response.body;
+    m_bodyMemory.emplace(m_state.responseBuffers);
     while (true) {
         const auto piece = co_await m_connection->readBody();
-        if (!piece || body.size() > maxBufferedResponseBytes)
-            co_return headOutcome == AttemptEnd::NotExecuted ? headOutcome : AttemptEnd::Broken;
+        if (!piece)
+            co_return AttemptEnd::Broken;
         if (piece->empty())
             break;
-        body.append(*piece);
+        if (!appendToBody(*piece))
+            co_return AttemptEnd::Spoiled;
     }
     recordFirstToken();
     const bool complete = co_await confirmEnd();
-    co_return complete || headOutcome == AttemptEnd::NotExecuted ? headOutcome : AttemptEnd::Broken;
+    co_return complete ? headOutcome : AttemptEnd::Broken;
+}
+
+bool UpstreamAttempt::appendToBody(std::string_view piece)
+{
+    std::string &body = m_response.body;
+    const std::size_t size = body.size() + piece.size();
+    if (size > body.capacity()) {
+        const std::size_t capacity = std::max(size, 2 * body.capacity());
+        if (!m_bodyMemory->tryResize(capacity)) {
+            m_state.metrics.add("tamarack_responses_too_large_total", "");
+            logEvent(LogLevel::Warning, "response_too_large",
+                     {{"request", m_request.facts.id},
+                      {"upstream", m_assignment.upstream->record.id},
+                      {"status", m_response.status},
+                      {"bytes", size},
+                      {"all_bytes", m_state.responseBuffers.size()},
+                      {"responses", m_state.responseBuffers.bodies()}});
+            return false;
+        }
+        body.reserve(capacity);
+    }
+    body.append(piece);
+    return true;
 }
 
 asio::awaitable<bool> UpstreamAttempt::confirmEnd()
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace tamarack {
 
@@ -83,6 +84,8 @@
     boost::asio::awaitable<AttemptEnd> readResponse();
     /// Whether the head read last belongs to this request.
     bool isOwnResponse() const;
+    /// Reads the rest of a response that is not delivered. Returns false if the connection is of no
+    /// use any more.
     boost::asio::awaitable<bool> skipResponse();
     AttemptEnd classifyHead() const;
     boost::asio::awaitable<AttemptEnd> relayStream();
@@ -91,6 +94,8 @@
     /// Logs how the events of the response depart from the sequence of the stream.
     void reportEventFault() const;
     boost::asio::awaitable<AttemptEnd> bufferResponse(AttemptEnd headOutcome);
+    /// Appends to the body; returns false if there is no memory for it.
+    bool appendToBody(std::string_view piece);
     /// Whether the received response is complete. If only the end of the connection shows that, the
     /// process must respond to another request: one that is killed closes its connections, too, and
     /// its kernel may accept new ones until it has ended.
@@ -106,6 +111,8 @@
     AttemptRequest m_request;
     std::shared_ptr<UpstreamConnection> m_connection;
     UpstreamResponse m_response;
+    /// The memory of the response's body.
+    std::optional<BufferBudget::Share> m_bodyMemory;
     TimePoint m_sentAt{};
     std::optional<TimePoint> m_firstTokenAt;
     std::optional<StreamOrigin> m_origin;
--- a/tools/model/EndlessServer.cpp
+++ b/tools/model/EndlessServer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/AsioPch.h"
 #include "model/RawRequest.h"
+#include "process/Timers.h"
 
 #include <utility>
 
@@ -15,17 +16,33 @@
 /// What comes before the part that does not end.
 std::string beginning(EndlessPart part, const std::string &requestId)
 {
-    std::string head =
-        "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nServer-Signature: s\r\n";
+    const std::string idLine = "Request-Id: " + requestId + "\r\n";
+    const std::string ok = "HTTP/1.1 200 OK\r\n" + idLine;
+    const std::string signedOk = ok + "Server-Signature: s\r\n";
+    const std::string chunked = signedOk + "Transfer-Encoding: chunked\r\n\r\n";
     switch (part) {
     case EndlessPart::Garbage:
         return "";
     case EndlessPart::Head:
-        return head;
+        return signedOk;
     case EndlessPart::Body:
-        return head + "\r\n";
+        return signedOk + "\r\n";
     case EndlessPart::Event:
-        return head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ";
+        return signedOk + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ";
+    case EndlessPart::UnsignedBody:
+        return ok + "Content-Length: 1099511627776\r\n\r\n";
+    case EndlessPart::FailureBody:
+        return "HTTP/1.1 500 Failed\r\n" + idLine + "Server-Signature: s\r\n\r\n";
+    case EndlessPart::RefusalBody:
+        return "HTTP/1.1 503 Full\r\n" + idLine + "Not-Executed: 1\r\n\r\n";
+    case EndlessPart::Chunks:
+        return chunked;
+    case EndlessPart::ChunkExtension:
+        return chunked + "1;extension=";
+    case EndlessPart::ChunkSize:
+        return chunked + "0";
+    case EndlessPart::Trailer:
+        return chunked + "0\r\n";
     }
     return "";
 }
@@ -33,9 +50,15 @@
 std::string filler(EndlessPart part)
 {
     constexpr std::size_t pieceBytes = 1 << 16;
+    const bool isFields = part == EndlessPart::Head || part == EndlessPart::Trailer;
+    std::string unit = isFields ? "X-More: and more\r\n" : "xxxxxxxxxxxxxxxx";
+    if (part == EndlessPart::ChunkSize)
+        unit = "0000000000000000";
+    if (part == EndlessPart::Chunks)
+        unit = "1000\r\n" + std::string(0x1000, 'x') + "\r\n";
     std::string piece;
     while (piece.size() < pieceBytes)
-        piece += part == EndlessPart::Head ? "X-More: and more\r\n" : "xxxxxxxxxxxxxxxx";
+        piece += unit;
     return piece;
 }
 
@@ -68,6 +91,8 @@
         if (error)
             break;
         piece = filler(sent);
+        if (pieceIntervalMs > 0)
+            co_await pause(milliseconds(pieceIntervalMs));
     }
     closed = true;
 }
--- a/tools/model/EndlessServer.h
+++ b/tools/model/EndlessServer.h
@@ -21,6 +21,20 @@
     Body,
     /// One event of a stream.
     Event,
+    /// A body whose length is told, without the signature of an upstream.
+    UnsignedBody,
+    /// A body of chunks of some kilobytes.
+    Chunks,
+    /// The body of a failure.
+    FailureBody,
+    /// The body of a refusal.
+    RefusalBody,
+    /// The extension of a chunk.
+    ChunkExtension,
+    /// The digits of a chunk's size.
+    ChunkSize,
+    /// The fields behind the last chunk.
+    Trailer,
 };
 
 /// Answers every request with bytes that go on until the other side closes the connection.
@@ -30,6 +44,8 @@
     EndlessServer(boost::asio::io_context &context, unsigned short port);
 
     std::atomic<EndlessPart> part{EndlessPart::Garbage};
+    /// From one piece of 64 KB to the next; 0: as fast as the other side takes them.
+    std::atomic<int> pieceIntervalMs{0};
     /// Bytes that were taken from it on the last connection.
     std::atomic<std::size_t> taken{0};
     /// The last connection was closed by the other side.
--- a/tools/soak/EntryProcess.cpp
+++ b/tools/soak/EntryProcess.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <csignal>
 #include <cstring>
+#include <fstream>
+#include <string_view>
 
 #include <fcntl.h>
 #include <spawn.h>
@@ -70,4 +72,16 @@
     return false;
 }
 
+std::size_t EntryProcess::peakMemory() const
+{
+    constexpr std::string_view field = "VmHWM:";
+    constexpr std::size_t bytesPerUnit = 1024;
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    std::string line;
+    while (std::getline(status, line))
+        if (line.starts_with(field))
+            return std::stoul(line.substr(field.size())) * bytesPerUnit;
+    return 0;
+}
+
 } // namespace tamarack::soak
--- a/tools/soak/EntryProcess.h
+++ b/tools/soak/EntryProcess.h
@@ -2,6 +2,7 @@
 
 #include "tamarackseam/Error.h"
 
+#include <cstddef>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -25,6 +26,8 @@
     /// No effect unless it runs.
     void signal(int number);
     bool running();
+    /// The most resident memory that the running process has had, in bytes.
+    std::size_t peakMemory() const;
     /// How the process ended last: its exit code, or 128 and the signal's number.
     int exitCode() const { return m_exitCode; }
 
