What a client sends without a complete element is bounded

Would be seen by callers: one client that sends the extension of a chunk, the digits of its size, or a trailer without end fills the memory of an entry, which is killed with the requests of all others.

Change: it holds the largest head that the configuration allows and 64 KB.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -25,6 +25,9 @@
 namespace {
 
 constexpr int listenBacklog = 1024;
+/// Bytes beyond the largest head that may be read without a complete element, such as the size of a
+/// chunk with its extensions, or a trailer.
+constexpr std::size_t unparsedBytes = 64 << 10;
 constexpr auto useTuple = asio::as_tuple(use_awaitable);
 
 using PlainStream = beast::tcp_stream;
@@ -244,6 +247,7 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(limits->headerBytes));
         parser.body_limit(limits->bodyBytes);
+        m_buffer.max_size(std::max(m_buffer.size(), limits->headerBytes + unparsedBytes));
         if (!co_await waitForRequest(*limits))
             co_return false;
         beast::error_code error = co_await readHeader(parser, *limits);
--- a/tests/EndlessBytesTest.cpp
+++ b/tests/EndlessBytesTest.cpp
@@ -16,6 +16,7 @@
 
 #include <unistd.h>
 
+#include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -27,7 +28,9 @@
 using tamarack::standin::EndlessPart;
 using tamarack::standin::EndlessServer;
 using tamarack::standin::freePort;
+namespace asio = boost::asio;
 namespace json = boost::json;
+using tcp = asio::ip::tcp;
 
 namespace {
 
@@ -57,6 +60,19 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+/// Sends the pieces behind `beginning` until the other side closes, or `mostBytes` were sent.
+void sendUntilClosed(unsigned short port, const std::string &beginning, const std::string &piece,
+                     std::size_t mostBytes)
+{
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code error;
+    socket.connect({asio::ip::make_address("127.0.0.1"), port}, error);
+    asio::write(socket, asio::buffer(beginning), error);
+    for (std::size_t sent = 0; !error && sent < mostBytes; sent += piece.size())
+        asio::write(socket, asio::buffer(piece), error);
+}
+
 /// An entry in a process of its own, before two sound upstreams and two that send bytes without
 /// end.
 struct EndlessUpstreams : SmallFleet
@@ -66,7 +82,6 @@
         , process(DAEMON, directory / "settings.json", directory / "log")
     {
         std::filesystem::create_directories(directory);
-        std::ofstream(directory / "settings.json") << json::serialize(settings());
         for (std::size_t i = 0; i < soundUpstreams; ++i) {
             upstream(i).workMs = 500;
             upstream(i).eventPauseMs = 100;
@@ -78,7 +93,7 @@
     }
     ~EndlessUpstreams() { std::filesystem::remove_all(directory); }
 
-    json::object settings()
+    json::object settings(unsigned short storePort) const
     {
         const auto listener = [](unsigned short port) {
             return json::object{{"address", address(port)}};
@@ -91,13 +106,19 @@
                 {"admin", listener(freePort())},
                 {"peer", address(freePort())},
                 {"peerKey", "0123456789abcdef"},
-                {"store", address(store().port())},
+                {"store", address(storePort)},
                 {"bounds", {{"revokeMs", 4000}}}};
     }
 
-    void startProcess()
+    void startProcess(unsigned short storePort)
     {
+        std::ofstream(directory / "settings.json") << json::serialize(settings(storePort));
         BOOST_REQUIRE(process.start().has_value());
+    }
+
+    void startReadyProcess()
+    {
+        startProcess(store().port());
         BOOST_REQUIRE(eventually([this] {
             return responseStatus(exchangeBytes(readinessPort, "GET /readyz HTTP/1.1\r\nHost: h\r\n"
                                                                "Connection: close\r\n\r\n"))
@@ -146,7 +167,7 @@
     for (const auto &[part, name] : parts) {
         for (EndlessServer &server : endless)
             server.part = part;
-        startProcess();
+        startReadyProcess();
         std::atomic<bool> over{false};
         std::vector<std::jthread> threads;
         for (int i = 0; i < clients; ++i)
@@ -163,4 +184,33 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(endlessBytesOfClientsDoNotExhaustTheMemoryOfAHost)
+{
+    constexpr std::size_t mostBytes = 64 << 20;
+    constexpr std::size_t pieceBytes = 1 << 16;
+    const std::string head = "POST /read/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    startReadyProcess();
+    for (const auto &[beginning, unit] : std::vector<std::pair<std::string, std::string>>{
+             {"", "x"},
+             {head, "X-More: and more\r\n"},
+             {head + chunked + "1;extension=", "x"},
+             {head + chunked + "0", "0"},
+             {head + chunked + "0\r\n", "X-More: and more\r\n"}}) {
+        std::string piece;
+        while (piece.size() < pieceBytes)
+            piece += unit;
+        std::vector<std::jthread> threads;
+        for (int i = 0; i < 4; ++i)
+            threads.emplace_back([this, &beginning, &piece] {
+                sendUntilClosed(callerPort, beginning, piece, mostBytes);
+            });
+        threads.clear();
+        BOOST_TEST(process.peakMemory() < smallestHostBytes, beginning << unit);
+        BOOST_TEST(process.running());
+    }
+    BOOST_TEST_MESSAGE("peak memory: " << (process.peakMemory() >> 20) << " MB");
+    endProcess();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
