What the store sends without end is bounded

Would be seen by callers: answers of the store without end fill the memory of an entry.

Change: 8 MB an answer, 128 KB without a complete element. Pages and values have about 1 MB by the users' page.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -24,7 +24,10 @@
 constexpr milliseconds longestConnect{1200};
 constexpr std::size_t readBytes = 16 << 10;
 constexpr std::size_t idleConnectionsPerServer = 64;
-constexpr std::uint64_t largestAnswerBytes = 64ULL << 20;
+/// Pages of the store have about 1 MB.
+constexpr std::uint64_t largestAnswerBytes = 8ULL << 20;
+/// Bytes that may be read without a complete element, such as a head or the size of a chunk.
+constexpr std::size_t unparsedBytes = 128 << 10;
 
 http::request<http::string_body> toMessage(const Endpoint &server, HttpRequest &&request)
 {
@@ -110,7 +113,7 @@
     const auto [writeError, written] = co_await http::async_write(*connection, message, useTuple);
     if (writeError)
         co_return tl::unexpected(toError(writeError, "write"));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(unparsedBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(largestAnswerBytes);
     const auto [readError, size] = co_await http::async_read(*connection, buffer, parser, useTuple);
@@ -139,7 +142,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{unparsedBytes};
     http::response_parser<http::buffer_body> parser;
     std::string piece;
 };
--- a/tests/EndlessBytesTest.cpp
+++ b/tests/EndlessBytesTest.cpp
@@ -213,4 +213,20 @@
     endProcess();
 }
 
+BOOST_AUTO_TEST_CASE(endlessBytesOfTheStoreDoNotExhaustTheMemoryOfAHost)
+{
+    constexpr std::chrono::seconds storeTime{3};
+    for (const EndlessPart part : {EndlessPart::Head, EndlessPart::Body, EndlessPart::Chunks,
+                                   EndlessPart::ChunkExtension, EndlessPart::Trailer}) {
+        endless[0].part = part;
+        endless[0].pieceIntervalMs = 0;
+        startProcess(ports[0]);
+        std::this_thread::sleep_for(storeTime);
+        BOOST_TEST_MESSAGE("peak memory: " << (process.peakMemory() >> 20) << " MB");
+        BOOST_TEST(process.peakMemory() < smallestHostBytes, static_cast<int>(part));
+        BOOST_TEST(process.running());
+        endProcess();
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
