--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -310,7 +310,7 @@
     }
     if (scanner.hasPartial())
         co_return AttemptEnd::Broken;
-    // Whether the stream ends here or has lost its rest cannot be told.
+    // Nothing shows whether the stream ends here or has lost its rest.
     if (!scanner.hasProgressed()) {
         reportEventFault();
         co_return AttemptEnd::Spoiled;
