--- a/src/direct/UpstreamConnection.cpp
+++ b/src/direct/UpstreamConnection.cpp
@@ -26,7 +26,7 @@
 constexpr std::uint32_t headBytes = 64 << 10;
 /// Bytes that may be read without a complete element, such as a head, the size of a chunk with its
 /// extensions, or a trailer.
-constexpr std::size_t unparsedBytes = 2 * headBytes;
+constexpr std::size_t unparsedBytes = 128 << 10;
 constexpr int firstFinalStatus = 200;
 
 } // namespace
--- a/tools/model/EndlessServer.cpp
+++ b/tools/model/EndlessServer.cpp
@@ -18,8 +18,8 @@
 {
     const std::string idLine = "Request-Id: " + requestId + "\r\n";
     const std::string ok = "HTTP/1.1 200 OK\r\n" + idLine;
-    const std::string signedOk = ok + "Server-Signature: s\r\n";
-    const std::string chunked = signedOk + "Transfer-Encoding: chunked\r\n\r\n";
+    std::string signedOk = ok + "Server-Signature: s\r\n";
+    std::string chunked = signedOk + "Transfer-Encoding: chunked\r\n\r\n";
     switch (part) {
     case EndlessPart::Garbage:
         return "";
