Design: what hard load needs, and the interfaces between its parts

Cause: six parts are to be built side by side and meet in EntryLoad and in the datagrams of the exchange. Result: no behaviour changes; a message without the lists reads as before.

--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -198,6 +198,30 @@
     partCrashes @12 :List(PartCrash);
     partAnswers @13 :List(PartAnswer);
     upstreamEra @14 :UInt64;
+    rollouts @15 :List(RolloutEvidence);
+    occupancies @16 :List(UpstreamOccupancy);
+    returns @17 :List(ReturnSlot);
+    workspaceUses @18 :List(WorkspaceUse);
+}
+
+# What an entry has seen of the requests to one side of a roll-out.
+struct RolloutEvidence {
+}
+
+# What an upstream stated last of its load.
+struct UpstreamOccupancy {
+}
+
+# Refused requests that are expected back.
+struct ReturnSlot {
+}
+
+# What a workspace that is not at rest uses of a service.
+struct WorkspaceUse {
+}
+
+# What the entries of one exchange group report together to the other groups.
+struct GroupDigest {
 }
 
 struct UpstreamChange {
@@ -261,5 +285,6 @@
         streamOrigin @3 :StreamOrigin;
         originRequest @4 :OriginRequest;
         originResponse @5 :OriginResponse;
+        groupDigest @6 :GroupDigest;
     }
 }
