Tests: only one file depends on the build directory

Cause: each test file had the source and build directories as definitions, so that no object could come from a shared compiler cache. Change: daemonPath() in the test support; SOURCE_DIR was used nowhere.

--- a/tests/EndlessBytesTest.cpp
+++ b/tests/EndlessBytesTest.cpp
@@ -1,6 +1,7 @@
 #include "model/EndlessServer.h"
 #include "model/LoopbackListener.h"
 #include "soak/EntryProcess.h"
+#include "support/DaemonPath.h"
 #include "support/Eventually.h"
 #include "support/SmallFleet.h"
 
@@ -79,7 +80,7 @@
 {
     EndlessUpstreams()
         : SmallFleet(0, soundUpstreams)
-        , process(DAEMON, directory / "settings.json", directory / "log")
+        , process(harness::daemonPath(), directory / "settings.json", directory / "log")
     {
         std::filesystem::create_directories(directory);
         for (std::size_t i = 0; i < soundUpstreams; ++i) {
--- /dev/null
+++ b/tests/support/DaemonPath.cpp
@@ -0,0 +1,10 @@
+#include "support/DaemonPath.h"
+
+namespace tamarack::harness {
+
+std::string daemonPath()
+{
+    return DAEMON;
+}
+
+} // namespace tamarack::harness
