Hedging carried out, and the check of a configuration (not built whole yet)

Change: HedgedAttempt runs a second attempt at another upstream, AttemptRace lets one of them deliver; tamarackseamctl check.

--- a/ctl/Commands.cpp
+++ b/ctl/Commands.cpp
@@ -1,5 +1,6 @@
 #include "Commands.h"
 
+#include "ConfigCheckCommand.h"
 #include "Table.h"
 #include "base/Time.h"
 #include "config/FleetConfig.h"
@@ -7,11 +8,9 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <fstream>
 #include <functional>
 #include <iostream>
 #include <set>
-#include <sstream>
 #include <thread>
 
 #include <boost/json.hpp>
@@ -34,20 +33,6 @@
     return errorAnswer(error.kind).exitCode;
 }
 
-Result<std::string> readFile(const std::string &path)
-{
-    std::stringstream text;
-    if (path == "-") {
-        text << std::cin.rdbuf();
-        return text.str();
-    }
-    std::ifstream file(path);
-    text << file.rdbuf();
-    if (!file)
-        return failure(ErrorKind::NotFound, "cannot read " + path);
-    return text.str();
-}
-
 std::string textOf(const json::value &value)
 {
     if (value.is_string())
@@ -149,6 +134,20 @@
         return exitOk;
     }
 
+    int check(Words words)
+    {
+        const auto text = readFile(words[0]);
+        if (!text)
+            return report(text.error());
+        const ConfigCheckOptions options{m_options.against, m_options.store, m_options.json};
+        std::size_t findings = 0;
+        const auto checked = checkConfigText(*text, options, findings);
+        if (!checked)
+            return report({checked.error().kind, words[0] + ": " + checked.error().message});
+        std::cout << *checked;
+        return findings == 0 ? exitOk : errorAnswer(ErrorKind::InvalidConfig).exitCode;
+    }
+
     int presetList(Words)
     {
         const auto reply = m_client.call("GET", "config");
@@ -293,6 +292,11 @@
          &Runner::configDiff,
          "compare a file with what is in force"},
         {{"config", "validate"}, "FILE", 1, &Runner::configValidate, "check a file locally"},
+        {{"check"},
+         "FILE",
+         1,
+         &Runner::check,
+         "check a configuration of the role direct before it is sent; see --against"},
         {{"preset", "list"}, "", 0, &Runner::presetList, "list the presets"},
         {{"preset", "use"}, "NAME", 1, &Runner::presetUse, "put a preset in force"},
         {{"mark"}, "UPSTREAM stop|leave|none", 2, &Runner::mark, "mark an upstream"},
--- a/ctl/Commands.h
+++ b/ctl/Commands.h
@@ -2,6 +2,7 @@
 
 #include "AdminClient.h"
 
+#include <optional>
 #include <span>
 #include <string>
 
@@ -12,6 +13,10 @@
     bool json = false;
     bool wait = false;
     int timeoutSeconds = 0;
+    /// What `check` compares with: a file, `live`, or nothing.
+    std::string against;
+    /// The platform's store.
+    std::optional<Endpoint> store;
 };
 
 /// Runs one command line without its flags; returns the exit code, which names the error kind.
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -14,6 +14,8 @@
 ABSL_FLAG(std::string, token, "", "operator's token; else the variable TAMARACK_TOKEN");
 ABSL_FLAG(std::string, output, "table", "table or json");
 ABSL_FLAG(bool, wait, false, "return when every live process confirms the change");
+ABSL_FLAG(std::string, against, "", "check: compare with this file, or live: with the store's");
+ABSL_FLAG(std::string, store, "", "IP:PORT of the platform's store, for --against=live");
 ABSL_FLAG(int, timeout, 30, "seconds that --wait waits at most");
 
 int main(int argc, char **argv)
@@ -37,6 +39,7 @@
         token = fromEnvironment;
     ctl::AdminClient client(*entry, token);
     const ctl::CommandOptions options{output == "json", absl::GetFlag(FLAGS_wait),
-                                      absl::GetFlag(FLAGS_timeout)};
+                                      absl::GetFlag(FLAGS_timeout), absl::GetFlag(FLAGS_against),
+                                      parseEndpoint(absl::GetFlag(FLAGS_store))};
     return ctl::runCommand(client, options, words);
 }
--- a/fuzz/PlatformFuzz.cpp
+++ b/fuzz/PlatformFuzz.cpp
@@ -5,6 +5,7 @@
 #include "platform/HeaderCodec.h"
 #include "platform/StoreClient.h"
 #include "platform/UpstreamDecoder.h"
+#include "serving/ConfigCheck.h"
 #include "serving/EventScanner.h"
 
 #include <algorithm>
@@ -40,6 +41,7 @@
             check(!chooseService(route, route.name.size()).empty() || route.services.size() == 1);
         }
         (*config)->route("h", "/a/");
+        check(compareConfigs(**config, **config).empty() || !checkConfig(**config).empty());
     }
     if (const auto upstream = platform::decodeUpstream("i", value))
         check(upstream->slots > 0 && upstream->endpoint.port != 0);
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -211,6 +211,7 @@
     const double grace = bounds.number("stopGraceSeconds", defaultGraceSeconds, 1, 3600);
     settings.direct.stopGrace = milliseconds(static_cast<std::int64_t>(grace * 1000));
     settings.direct.retries = readRetryBounds(bounds);
+    settings.direct.hedgeShare = bounds.number("hedgeShare", 0, 0, settings.direct.retries.ratio);
     const double quotaWindow = bounds.number("quotaWindowSeconds", defaultQuotaSeconds, 1, 3600);
     settings.direct.quotaWindow = milliseconds(static_cast<std::int64_t>(quotaWindow * 1000));
     bounds.finish();
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -103,6 +103,8 @@
     /// Time between the signal to stop and the kill.
     milliseconds stopGrace{0};
     RetryBounds retries;
+    /// Fraction of a service's sends that may be second sends of slow requests; 0: none.
+    double hedgeShare = 0;
     /// Over which the quotas of workspaces are judged.
     milliseconds quotaWindow{0};
 };
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -135,8 +135,8 @@
     m_stopReason = reason;
     if (m_wait && !m_wait->decided())
         m_state.abandon(m_ticket);
-    if (m_attempt)
-        m_attempt->cancel();
+    if (m_hedged)
+        m_hedged->cancel();
 }
 
 asio::awaitable<void> RequestFlow::serve()
@@ -261,7 +261,8 @@
     if (!m_wait->decided())
         co_await m_wait->signal.async_wait(asio::as_tuple(asio::use_awaitable));
     m_waited += steadyNow() - queuedAt;
-    m_attempt.reset();
+    m_attempt = nullptr;
+    m_hedged.reset();
     armDeadline();
     const auto wait = std::exchange(m_wait, nullptr);
     m_assignment = wait->assignment;
@@ -276,8 +277,10 @@
         co_return true;
     if (m_assignment)
         releaseUpstream();
-    if (wait->refusal)
+    if (wait->refusal) {
+        m_state.hedging.countRefusal(m_admitted.service, steadyNow());
         logRefusal(*wait->refusal);
+    }
     const Duration retryAfter = wait->refusal ? wait->refusal->retryAfter : unprovedRetryAfter;
     if (!proved)
         co_await respondUnassigned(ErrorKind::ConfigUnproved, retryAfter);
@@ -318,13 +321,8 @@
 
 void RequestFlow::releaseUpstream()
 {
-    UpstreamState &upstream = *m_assignment->upstream;
     const bool prefilled = m_attempt && m_attempt->firstTokenAt();
-    if (!prefilled)
-        m_state.upstreams.firstToken(upstream, m_assignment->freshTokens);
-    m_state.upstreams.ended(upstream);
-    m_state.queue.ended(m_admitted.service, rank());
-    m_state.pump();
+    m_state.releasePlace(*m_assignment, m_admitted.service, rank(), prefilled);
 }
 
 asio::awaitable<void> RequestFlow::respondUnassigned(ErrorKind reason, Duration retryAfter)
@@ -346,13 +344,17 @@
     std::optional<StreamKey> newStream;
     if (isStream() && m_admitted.route.resumable && !m_origin)
         newStream = streamKey(m_facts.id);
-    m_attempt.emplace(m_state, *m_assignment, m_relay,
-                      AttemptRequest{m_exchange.request(), m_facts, m_admitted.workspace,
-                                     m_deadlineAt, isStream(), m_sends == 0,
-                                     m_admitted.isTrial && m_sends == 0, m_admitted.service,
-                                     newStream, m_origin.has_value()});
+    m_hedged = std::make_shared<HedgedAttempt>(
+        m_state, *m_assignment, m_relay,
+        AttemptRequest{m_exchange.request(), m_facts, m_admitted.workspace, m_deadlineAt,
+                       isStream(), m_sends == 0, m_admitted.isTrial && m_sends == 0,
+                       m_admitted.service, newStream, m_origin.has_value()});
+    m_attempt = &m_hedged->attempt();
+    if (m_sends == 0)
+        m_state.hedging.countSend(m_admitted.service);
     const TimePoint start = steadyNow();
-    const AttemptEnd end = co_await m_attempt->run();
+    const AttemptEnd end = co_await m_hedged->run(hedgeTerms());
+    recordHedge();
     if (end == AttemptEnd::Whole)
         m_state.stopWindow.recordServed(m_admitted.route.name, steadyNow() - start);
     if (m_attempt->sent()) {
@@ -371,6 +373,37 @@
     co_return end;
 }
 
+std::optional<HedgedAttempt::Terms> RequestFlow::hedgeTerms() const
+{
+    const Route &route = m_admitted.route;
+    const bool allowed = m_state.hedging.isEnabled() && route.repeatable() && m_sends == 0
+                         && route.maxAttempts > 1 && !m_admitted.isTrial && !resumesStream();
+    if (!allowed)
+        return std::nullopt;
+    const auto maySend = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return self && self->m_stopReason == StopReason::None && self->timeLeft() > minAttemptTime
+               && !self->sendDenial();
+    };
+    return HedgedAttempt::Terms{queuedRequest(), maySend};
+}
+
+void RequestFlow::recordHedge()
+{
+    m_attempt = &m_hedged->attempt();
+    m_assignment = m_hedged->assignment();
+    const auto hedgedAt = m_hedged->hedgedAt();
+    if (!hedgedAt)
+        return;
+    m_wasHedged = true;
+    m_hedgeWon = m_hedged->hedgeWon();
+    m_tried.push_back(*hedgedAt);
+    // Both upstreams may have run the request; the attempt that counts is counted at its end.
+    m_mayHaveRun = true;
+    ++m_upstreamsRun;
+    ++m_sends;
+}
+
 HealthSignal RequestFlow::healthSign(AttemptEnd end) const
 {
     switch (end) {
@@ -577,6 +610,8 @@
               {"predicted_ms", m_assignment ? toMs(m_assignment->predicted) : -1},
               {"raised", m_assignment && m_assignment->promoted},
               {"sends", m_sends},
+              {"hedged", m_wasHedged},
+              {"hedge_won", m_hedgeWon},
               {"peers_heard", m_state.peers.reachableCount(now)},
               {"cost", m_admitted.cost},
               {"quota_left", m_state.quotas.level(m_admitted.workspace)},
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "direct/HedgedAttempt.h"
 #include "direct/ResponseRelay.h"
 #include "direct/TrafficState.h"
 #include "direct/UpstreamAttempt.h"
@@ -64,6 +65,10 @@
     /// Expected number of events in the response after the first one; 0 if it is not a stream.
     std::uint32_t expectedEvents() const;
     boost::asio::awaitable<AttemptEnd> attempt();
+    /// Under which terms the coming attempt may be hedged; none if it may not.
+    std::optional<HedgedAttempt::Terms> hedgeTerms() const;
+    /// Takes over the outcome of a hedge.
+    void recordHedge();
     /// Updates the upstream's health, crash and failure records from the ended attempt.
     void recordAttempt(AttemptEnd end);
     HealthSignal healthSign(AttemptEnd end) const;
@@ -105,7 +110,11 @@
     std::uint32_t m_expectedEvents = 0;
     std::optional<Assignment> m_assignment;
     /// The most recent attempt.
-    std::optional<UpstreamAttempt> m_attempt;
+    std::shared_ptr<HedgedAttempt> m_hedged;
+    /// Its attempt that counts.
+    UpstreamAttempt *m_attempt = nullptr;
+    bool m_wasHedged = false;
+    bool m_hedgeWon = false;
     std::vector<UpstreamKey> m_tried;
     std::optional<Duration> m_firstToken;
     bool m_mayHaveRun = false;
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -43,6 +43,7 @@
     , queue(upstreams, settings.dataCentre)
     , quotas(settings.direct.quotaWindow)
     , retries(settings.direct.retries, steadyNow())
+    , hedging(settings.direct.hedgeShare)
     , admission(freshness, crashes, partQuarantine, quotas)
     , peers(settings.name)
     , proofs(incarnation)
@@ -240,6 +241,17 @@
     pump();
 }
 
+void TrafficState::releasePlace(const Assignment &assignment, const std::string &service,
+                                QueueRank rank, bool prefilled)
+{
+    UpstreamState &upstream = *assignment.upstream;
+    if (!prefilled)
+        upstreams.firstToken(upstream, assignment.freshTokens);
+    upstreams.ended(upstream);
+    queue.ended(service, rank);
+    pump();
+}
+
 void TrafficState::pump()
 {
     applyDecisions(queue.decide(steadyNow()));
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -14,6 +14,7 @@
 #include "serving/DispatchQueue.h"
 #include "serving/EntryLoad.h"
 #include "serving/FreshnessGuard.h"
+#include "serving/HedgePolicy.h"
 #include "serving/PartQuarantine.h"
 #include "serving/PeerRegistry.h"
 #include "serving/QuotaLedger.h"
@@ -84,6 +85,9 @@
     void abandon(Ticket ticket);
     /// Runs the dispatch queue. Call after an attempt has ended or an upstream has changed.
     void pump();
+    /// Returns the place of an attempt that has ended; `prefilled`: it had its first token.
+    void releasePlace(const Assignment &assignment, const std::string &service, QueueRank rank,
+                      bool prefilled);
     Ticket nextTicket() { return ++m_lastTicket; }
 
     /// Applies the statement about itself that an upstream made in a response.
@@ -162,6 +166,7 @@
     DispatchQueue queue;
     QuotaLedger quotas;
     RetryBudget retries;
+    HedgePolicy hedging;
     CrashLedger crashes;
     PartQuarantine partQuarantine;
     Admission admission;
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -2,12 +2,14 @@
 
 #include "base/AsioPch.h"
 #include "base/Log.h"
+#include "direct/AttemptRace.h"
 #include "direct/UpstreamReport.h"
 #include "platform/HeaderCodec.h"
 #include "process/Timers.h"
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -283,14 +285,21 @@
     return AttemptEnd::Whole;
 }
 
+bool UpstreamAttempt::mayDeliver()
+{
+    return !m_request.race || m_request.race->tryWin(*this);
+}
+
 asio::awaitable<AttemptEnd> UpstreamAttempt::relayStream()
 {
-    m_relay.startResponse();
     const EventScanner &scanner = m_relay.events();
+    bool delivers = false;
     while (true) {
         const auto piece = co_await m_connection->readBody();
-        if (!piece)
+        if (!piece || !mayDeliver())
             co_return AttemptEnd::Broken;
+        if (!std::exchange(delivers, true))
+            m_relay.startResponse();
         if (piece->empty())
             break;
         const std::string_view events = m_relay.takeEvents(*piece);
@@ -358,6 +367,8 @@
         if (!appendToBody(*piece))
             co_return AttemptEnd::Spoiled;
     }
+    if (headOutcome == AttemptEnd::Whole && !mayDeliver())
+        co_return AttemptEnd::Broken;
     recordFirstToken();
     const bool complete = co_await confirmEnd();
     co_return complete ? headOutcome : AttemptEnd::Broken;
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -14,6 +14,8 @@
 
 namespace tamarack {
 
+class AttemptRace;
+
 /// The input of one attempt: the request to send, its deadline and the expected kind of response.
 struct AttemptRequest
 {
@@ -33,6 +35,8 @@
     std::optional<StreamKey> newStream;
     /// It goes on with a stream, which only the software version that began it may do.
     bool continuesStream = false;
+    /// Decides which of several attempts delivers its response; null if there is only this one.
+    AttemptRace *race = nullptr;
 };
 
 /// One attempt to serve a request at the upstream that the queue assigned: connects, sends the
@@ -63,6 +67,11 @@
     bool clientGone() const { return m_clientGone; }
     /// When the first event, or the complete response of another kind, had been received.
     std::optional<TimePoint> firstTokenAt() const { return m_firstTokenAt; }
+    /// Time from the send to the first token.
+    std::optional<Duration> firstTokenTime() const
+    {
+        return m_firstTokenAt ? std::optional(*m_firstTokenAt - m_sentAt) : std::nullopt;
+    }
     const UpstreamResponse &response() const { return m_response; }
     /// The origin of the stream, if this attempt has brought its first event.
     const std::optional<StreamOrigin> &origin() const { return m_origin; }
@@ -88,6 +97,8 @@
     /// use any more.
     boost::asio::awaitable<bool> skipResponse();
     AttemptEnd classifyHead() const;
+    /// Whether no other attempt of the request delivers its response.
+    bool mayDeliver();
     boost::asio::awaitable<AttemptEnd> relayStream();
     /// Records what the first event and the pace of the stream show.
     void recordEvents();
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -216,6 +216,27 @@
     m_chooser.recordStart(request, *choice.upstream);
 }
 
+std::optional<Assignment> DispatchQueue::assignAtOnce(const QueuedRequest &request, TimePoint now)
+{
+    const UpstreamChoice choice = m_chooser.choose(request, UpstreamChooser::Pacing::Keep, now);
+    if (!choice.upstream || choice.upstream->terms.isLimited())
+        return std::nullopt;
+    QueueDecisions decisions;
+    assign(request, choice, now, decisions);
+    return decisions.assignments.front();
+}
+
+std::size_t DispatchQueue::waitingEverywhere(std::string_view service) const
+{
+    const auto queue = m_serviceQueues.find(service);
+    if (queue == m_serviceQueues.end())
+        return 0;
+    std::size_t waiting = queue->second.waiting.size();
+    for (const auto &[rank, demand] : queue->second.peerDemand)
+        waiting += demand.waiting;
+    return waiting;
+}
+
 int DispatchQueue::reserve(QueueRank rank, bool late, const ServiceQueue &queue)
 {
     const auto above = [rank, late](QueueRank other) {
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -97,6 +98,9 @@
     void push(QueuedRequest request);
     /// Returns false if the ticket is not queued.
     bool remove(Ticket ticket);
+    /// Assigns a request that is not queued to the upstream that it would get now, but to none that
+    /// limits itself; none if no place is free.
+    std::optional<Assignment> assignAtOnce(const QueuedRequest &request, TimePoint now);
     /// Records that an assigned request has ended.
     void ended(std::string_view service, QueueRank rank);
 
@@ -108,6 +112,8 @@
 
     std::vector<QueueDemand> demand(TimePoint now) const;
     std::size_t size() const { return m_positions.size(); }
+    /// Requests of the service that are queued at this entry and, by their reports, at the others.
+    std::size_t waitingEverywhere(std::string_view service) const;
     /// Earliest time at which a queued request is refused; `TimePoint::max()` if none is queued.
     TimePoint nextRefusal() const;
 
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -327,6 +327,13 @@
                                       : places;
 }
 
+int UpstreamTable::places(std::string_view service, TimePoint now) const
+{
+    const auto &upstreams = ofService(service);
+    return std::accumulate(upstreams.begin(), upstreams.end(), 0,
+                           [now](int sum, const auto &each) { return sum + limit(*each, now); });
+}
+
 int UpstreamTable::freePlaces(std::string_view service, TimePoint now) const
 {
     const auto &upstreams = ofService(service);
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -168,7 +168,8 @@
     /// Maximum number of concurrent requests that the upstream should have.
     static int limit(const UpstreamState &upstream, TimePoint now);
 
-    /// Number of free places at the upstreams of the service.
+    /// Number of places at the upstreams of the service, and of those that are free.
+    int places(std::string_view service, TimePoint now) const;
     int freePlaces(std::string_view service, TimePoint now) const;
 
     /// Nonzero loads from this entry.
