--- a/ctl/ConfigCheckCommand.cpp
+++ b/ctl/ConfigCheckCommand.cpp
@@ -34,7 +34,7 @@
 
 Result<ServingConfigPtr> parseConfig(std::string_view text)
 {
-    json::parser parser;
+    json::stream_parser parser;
     boost::system::error_code error;
     const std::size_t parsed = parser.write_some(text.data(), text.size(), error);
     const std::string_view rest = text.substr(parsed);
--- a/src/serving/ServingConfig.h
+++ b/src/serving/ServingConfig.h
@@ -51,7 +51,10 @@
     /// An interrupted stream may be resumed at another upstream after its last complete event.
     bool resumable = false;
 
-    bool repeatable() const { return kind == RequestKind::Idempotent || resumable; }
+    bool repeatable() const
+    {
+        return kind == RequestKind::Idempotent || (kind == RequestKind::Stream && resumable);
+    }
 };
 
 /// Properties of the model engine behind a service.
