Roll-outs: orders are read, a new version gets a bounded share, and is judged

Change: RolloutControl decides for each entry which versions its requests may use, RolloutJudge compares the answers of both versions as all entries saw them, RolloutFollower reads orders and writes status, RolloutDesk connects them with upstreams and queue. Off without the settings' group "rollouts". Stand-in store: objects have a status.

--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -191,6 +191,22 @@
     return bounds;
 }
 
+std::optional<RolloutBounds> readRolloutBounds(JsonObjectReader &reader, Faults &faults)
+{
+    constexpr double highestSlack = 1e6;
+    const auto *value = reader.child("rollouts");
+    if (!value)
+        return std::nullopt;
+    JsonObjectReader group(*value, "rollouts", faults);
+    RolloutBounds bounds;
+    bounds.exposeShare = group.number("exposeShare", bounds.exposeShare, 0, 1);
+    bounds.exposeSlack = group.number("exposeSlack", bounds.exposeSlack, 0, highestSlack);
+    bounds.rollback =
+        milliseconds(group.integer("rollbackMs", bounds.rollback.count(), {1, hourMs}));
+    group.finish();
+    return bounds;
+}
+
 void readDirectPart(JsonObjectReader &reader, Settings &settings, Faults &faults)
 {
     static const boost::json::value empty = boost::json::object{};
@@ -214,6 +230,7 @@
     const double quotaWindow = bounds.number("quotaWindowSeconds", defaultQuotaSeconds, 1, 3600);
     settings.direct.quotaWindow = milliseconds(static_cast<std::int64_t>(quotaWindow * 1000));
     bounds.finish();
+    settings.direct.rollouts = readRolloutBounds(reader, faults);
 }
 
 void readCommonPart(JsonObjectReader &reader, Settings &settings, Faults &faults)
--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -5,6 +5,7 @@
 #include "base/Metrics.h"
 #include "direct/PeerExchange.h"
 #include "direct/RequestFlow.h"
+#include "direct/RolloutFollower.h"
 #include "direct/StoreFollower.h"
 #include "direct/TrafficState.h"
 #include "http/HttpServer.h"
@@ -47,6 +48,12 @@
         , supervisor(contexts.control().get_executor(),
                      [this](const std::string &) { contexts.stop(); })
         , storeFollower(contexts.control().get_executor(), settings, listener())
+        , rolloutFollower(contexts.control().get_executor(), settings,
+                          [this](std::vector<RolloutOrder> orders, BootTime readAt) {
+                              asio::post(traffic, [this, orders = std::move(orders), readAt] {
+                                  state.rollouts.applyOrders(orders, readAt);
+                              });
+                          })
         , proof(settings.direct.revokeBound, proofMargin)
     {}
 
@@ -81,6 +88,8 @@
         listener.storeRestored = [this] {
             metrics.add("tamarack_store_restores_total", "");
             asio::post(traffic, [this] { state.saveOriginsAgain(); });
+            if (settings.direct.rollouts)
+                rolloutFollower.read();
         };
         listener.entriesChanged = [this](std::map<std::string, Endpoint> entries) {
             asio::post(traffic, [this, entries = std::move(entries)] { applyEntries(entries); });
@@ -123,6 +132,21 @@
         };
     }
 
+    void connectRollouts()
+    {
+        const auto control = contexts.control().get_executor();
+        state.rollouts.onReadDue = [this, control] {
+            asio::post(control, [this] { rolloutFollower.read(); });
+        };
+        state.rollouts.onStatusDue = [this, control](const RolloutStatusDue &due) {
+            asio::post(control, [this, due] { rolloutFollower.writeStatus(due); });
+        };
+        state.rollouts.onDutyChanged = [this, control](bool elected, bool active) {
+            asio::post(control,
+                       [this, elected, active] { rolloutFollower.setDuty(elected, active); });
+        };
+    }
+
     void applyConfig(const ServingConfigPtr &config)
     {
         HttpLimits limits;
@@ -153,6 +177,7 @@
         exchange = std::move(*peers);
         state.onLoadChanged = [this] { exchange->loadChanged(); };
         connectFollower();
+        connectRollouts();
         const HttpLimits limits;
         asio::io_context *trafficContext = &traffic;
         asio::io_context *control = &contexts.control();
@@ -199,7 +224,8 @@
             co_await request.respond(std::move(missing));
             co_return;
         }
-        metrics.set("tamarack_store_calls_total", "", storeFollower.calls());
+        metrics.set("tamarack_store_calls_total", "",
+                    storeFollower.calls() + rolloutFollower.calls());
         HttpResponse response{readyStatus, {{"Content-Type", "text/plain; version=0.0.4"}}, ""};
         response.body = metrics.prometheusText();
         co_await request.respond(std::move(response));
@@ -224,6 +250,8 @@
     void start()
     {
         storeFollower.start(supervisor);
+        if (settings.direct.rollouts)
+            rolloutFollower.start(supervisor);
         asio::co_spawn(
             traffic, [self = shared_from_this()] { return self->tickLoop(); }, asio::detached);
     }
@@ -250,6 +278,7 @@
     TrafficState state;
     Supervisor supervisor;
     StoreFollower storeFollower;
+    RolloutFollower rolloutFollower;
     std::unique_ptr<PeerExchange> exchange;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> readinessServer;
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -216,6 +216,8 @@
         return Denial{ErrorKind::StreamUnknown, unknownStreamRetryAfter};
     if (!m_state.upstreams.offersVersion(m_admitted.service, m_origin->version))
         return Denial{ErrorKind::VersionGone, {}};
+    if (!m_state.rollouts.maySend(m_admitted.service, m_origin->version))
+        return Denial{ErrorKind::VersionGone, {}};
     return std::nullopt;
 }
 
@@ -239,6 +241,7 @@
     if (m_origin)
         request.version = m_origin->version;
     request.excluded = m_tried;
+    m_state.rollouts.prepare(request);
     request.isFirstAttempt = m_tried.empty() && m_sinceFirstAttempt == Duration::zero();
     return request;
 }
@@ -257,7 +260,9 @@
     m_ticket = m_state.nextTicket();
     m_wait = std::make_shared<QueueWait>(m_state.executor);
     const TimePoint queuedAt = steadyNow();
-    m_state.enqueue(queuedRequest(), m_wait);
+    QueuedRequest queued = queuedRequest();
+    m_isRolloutTurn = !queued.onlyAt.empty();
+    m_state.enqueue(std::move(queued), m_wait);
     if (!m_wait->decided())
         co_await m_wait->signal.async_wait(asio::as_tuple(asio::use_awaitable));
     m_waited += steadyNow() - queuedAt;
@@ -358,6 +363,8 @@
     if (m_attempt->sent()) {
         ++m_sends;
         m_retryReserved = false;
+        m_state.rollouts.countSend(*m_assignment->upstream, m_isRolloutTurn);
+        recordRolloutAnswer(end, steadyNow() - start);
     }
     if (!m_origin)
         m_origin = m_attempt->origin();
@@ -389,6 +396,22 @@
     return end == AttemptEnd::Failed && isStream() ? HealthSignal::Faulty : HealthSignal::Good;
 }
 
+void RequestFlow::recordRolloutAnswer(AttemptEnd end, Duration took)
+{
+    const bool ran = end != AttemptEnd::NotSent && end != AttemptEnd::NotExecuted;
+    if (!ran || m_stopReason == StopReason::ClientGone)
+        return;
+    const bool timedOut = m_stopReason == StopReason::TimedOut;
+    const UpstreamState &upstream = *m_assignment->upstream;
+    const EngineTimeModel &model = m_state.upstreams.model(m_admitted.service);
+    const auto events = static_cast<std::uint32_t>(isStream() ? m_relay.events().events() : 0);
+    const Duration expected =
+        model.nominal(m_assignment->backlogTokens + m_assignment->freshTokens)
+        + (events > 0 ? model.predictEvents(1, events - 1) : Duration::zero());
+    m_state.rollouts.recordAnswer(upstream, m_admitted.route.tier,
+                                  {end != AttemptEnd::Whole && !timedOut, took, expected});
+}
+
 void RequestFlow::recordAttempt(AttemptEnd end)
 {
     UpstreamState &upstream = *m_assignment->upstream;
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -66,6 +66,8 @@
     boost::asio::awaitable<AttemptEnd> attempt();
     /// Updates the upstream's health, crash and failure records from the ended attempt.
     void recordAttempt(AttemptEnd end);
+    /// Records what the ended attempt shows of the upstream's software version.
+    void recordRolloutAnswer(AttemptEnd end, Duration took);
     HealthSignal healthSign(AttemptEnd end) const;
 
     /// Retries, delivers or refuses after an attempt. Returns true when another attempt follows.
@@ -115,6 +117,8 @@
     int m_sends = 0;
     /// The retry budget holds a token for the next send.
     bool m_retryReserved = false;
+    /// The request was queued as this entry's turn at a new software version.
+    bool m_isRolloutTurn = false;
 };
 
 } // namespace tamarack
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -41,6 +41,7 @@
     , freshness(settings.direct.revokeBound, proofMargin)
     , upstreamListAge(settings.direct.drainBound + longestWatchPause)
     , queue(upstreams, settings.dataCentre)
+    , rollouts(settings.direct.rollouts, upstreams, queue, metrics)
     , quotas(settings.direct.quotaWindow)
     , retries(settings.direct.retries, steadyNow())
     , admission(freshness, crashes, partQuarantine, quotas)
@@ -77,6 +78,7 @@
                   {"limited", upstream->terms.isLimited()},
                   {"closed_ms",
                    std::max<std::int64_t>(0, toMs(upstream->terms.closedUntil() - steadyNow()))}});
+    rollouts.upstreamsChanged();
     checkUnconfirmed(steadyNow());
     pump();
 }
@@ -90,6 +92,7 @@
     quotas.applyReport(load.incarnation, load.quotas, now);
     for (const ReportedCrash &told : load.crashes)
         crashes.merge(told, now);
+    rollouts.applyReports(load.incarnation, load.rollouts);
     partQuarantine.merge(load.partCrashes, load.partAnswers, load.incarnation, now);
     logPartQuarantines();
     if (std::exchange(m_peersChanged, true))
@@ -153,6 +156,9 @@
     // Without a recent proof, the store or this data centre's followers are unreachable: request
     // proofs from the followers of all data centres.
     const auto age = freshness.age(bootNow());
+    if (settings.direct.rollouts)
+        rollouts.tick({electAllFollowers(members), settings.name, peers.reachableShare(now),
+                       elected, draining});
     m_proofSources = age && *age < storeLostProofAge ? m_followers : electAllFollowers(members);
     std::erase(m_proofSources, settings.name);
     requestProof(now);
@@ -496,6 +502,7 @@
     load.partCrashes = partQuarantine.crashes(steadyNow());
     load.partAnswers = partQuarantine.answers(steadyNow());
     load.terms = upstreams.termsReports(steadyNow());
+    load.rollouts = rollouts.reports();
     load.leaving = draining;
     return load;
 }
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -5,6 +5,7 @@
 #include "config/Settings.h"
 #include "direct/HealthChecker.h"
 #include "direct/OriginExchange.h"
+#include "direct/RolloutDesk.h"
 #include "direct/UpstreamPool.h"
 #include "fleet/OriginSaving.h"
 #include "fleet/ProofRelay.h"
@@ -160,6 +161,7 @@
     UpstreamTable upstreams;
     UpstreamListAge upstreamListAge;
     DispatchQueue queue;
+    RolloutDesk rollouts;
     QuotaLedger quotas;
     RetryBudget retries;
     CrashLedger crashes;
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -100,7 +100,8 @@
     // The store may list another incarnation since the assignment, perhaps of another version.
     const bool replaced = m_state.upstreams.otherIncarnation(upstream) != nullptr;
     m_withheld = m_connection
-                 && (quarantined || replaced || !admitted || !upstream.terms.isOpen(steadyNow()));
+                 && (quarantined || replaced || !admitted || !upstream.terms.isOpen(steadyNow())
+                     || !m_state.rollouts.maySend(upstream));
     if (!m_connection || m_cancelled || m_withheld)
         co_return AttemptEnd::NotSent;
     m_sentAt = steadyNow();
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -56,8 +56,8 @@
     /// The request was passed to a connection for sending.
     bool sent() const { return m_sent; }
     /// Not sent, because since the assignment the upstream has reported that it accepts no
-    /// requests, another incarnation was listed or found, or a part of the prompt has been
-    /// quarantined.
+    /// requests, another incarnation was listed or found, a part of the prompt has been
+    /// quarantined, or its software version has been withheld.
     bool withheld() const { return m_withheld; }
     bool reusedConnection() const { return m_reusedConnection; }
     bool clientGone() const { return m_clientGone; }
--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -33,8 +33,34 @@
     return {text.begin(), text.size()};
 }
 
+void write(wire::RolloutEvidence::Builder to, const RolloutReport &report)
+{
+    to.setService(textOf(report.service));
+    to.setTo(textOf(report.to));
+    to.setCreated(report.created);
+    to.setRevision(report.revision);
+    to.setVerdict(static_cast<std::uint8_t>(report.verdict));
+    to.setOrderAgeMs(static_cast<std::uint32_t>(report.orderAge.count()));
+    to.setHasProof(report.proofAge.has_value());
+    to.setProofAgeMs(static_cast<std::uint32_t>(report.proofAge.value_or(milliseconds(0)).count()));
+    to.setFailedUpstreams(report.evidence.failedUpstreams);
+    to.setSlowUpstreams(report.evidence.slowUpstreams);
+    const auto &tallies = report.evidence.tallies;
+    auto rows = to.initTallies(tallies.size());
+    for (unsigned i = 0; i < tallies.size(); ++i) {
+        rows[i].setIsNew(tallies[i].isNew);
+        rows[i].setRouteTier(tallies[i].routeTier);
+        rows[i].setAnswers(tallies[i].answers);
+        rows[i].setFailures(tallies[i].failures);
+        rows[i].setSlow(tallies[i].slow);
+    }
+}
+
 void writeLists(wire::EntryLoad::Builder to, const EntryLoad &load)
 {
+    auto rollouts = to.initRollouts(load.rollouts.size());
+    for (unsigned i = 0; i < load.rollouts.size(); ++i)
+        write(rollouts[i], load.rollouts[i]);
     auto loads = to.initLoads(load.loads.size());
     for (unsigned i = 0; i < load.loads.size(); ++i) {
         loads[i].setUpstream(load.loads[i].first);
@@ -244,6 +270,32 @@
     return told;
 }
 
+/// None when it names no known verdict, or counts more bad answers than answers.
+std::optional<RolloutReport> read(wire::RolloutEvidence::Reader from)
+{
+    if (from.getVerdict() > static_cast<std::uint8_t>(RolloutVerdict::Bad))
+        return std::nullopt;
+    RolloutReport report;
+    report.service = stringOf(from.getService());
+    report.to = stringOf(from.getTo());
+    report.created = from.getCreated();
+    report.revision = from.getRevision();
+    report.verdict = static_cast<RolloutVerdict>(from.getVerdict());
+    report.orderAge = milliseconds(from.getOrderAgeMs());
+    if (from.getHasProof())
+        report.proofAge = milliseconds(from.getProofAgeMs());
+    report.evidence.failedUpstreams = from.getFailedUpstreams();
+    report.evidence.slowUpstreams = from.getSlowUpstreams();
+    for (const auto row : from.getTallies()) {
+        const RolloutTally tally{row.getIsNew(), row.getRouteTier(), row.getAnswers(),
+                                 row.getFailures(), row.getSlow()};
+        if (tally.failures > tally.answers || tally.slow > tally.answers)
+            return std::nullopt;
+        report.evidence.tallies.push_back(tally);
+    }
+    return report;
+}
+
 EntryLoad read(wire::EntryLoad::Reader from)
 {
     EntryLoad load;
@@ -273,6 +325,9 @@
     for (const auto row : from.getTerms())
         if (const auto told = read(row))
             load.terms.push_back(*told);
+    for (const auto row : from.getRollouts())
+        if (auto report = read(row))
+            load.rollouts.push_back(std::move(*report));
     return load;
 }
 
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -206,6 +206,27 @@
 
 # What an entry has seen of the requests to one side of a roll-out.
 struct RolloutEvidence {
+    service @0 :Text;
+    to @1 :Text;
+    # Revision at which the order was created, and the latest one that the sender knows.
+    created @2 :UInt64;
+    revision @3 :UInt64;
+    verdict @4 :UInt8;
+    orderAgeMs @5 :UInt32;
+    hasProof @6 :Bool;
+    proofAgeMs @7 :UInt32;
+    failedUpstreams @8 :UInt64;
+    slowUpstreams @9 :UInt64;
+    tallies @10 :List(RolloutTally);
+}
+
+# Answers of one side to requests of one kind, counted since the order.
+struct RolloutTally {
+    isNew @0 :Bool;
+    routeTier @1 :UInt8;
+    answers @2 :UInt32;
+    failures @3 :UInt32;
+    slow @4 :UInt32;
 }
 
 # What an upstream stated last of its load.
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -71,6 +71,20 @@
     return decisions;
 }
 
+void DispatchQueue::withholdVersions(std::string_view service,
+                                     const std::set<std::string> &versions)
+{
+    const auto queue = m_serviceQueues.find(service);
+    if (queue == m_serviceQueues.end())
+        return;
+    for (auto &[position, request] : queue->second.waiting) {
+        if (request.version)
+            continue;
+        request.withheldVersions = versions;
+        request.onlyAt.clear();
+    }
+}
+
 void DispatchQueue::setPeerDemand(const std::vector<QueueDemand> &demand)
 {
     for (auto &[service, queue] : m_serviceQueues)
@@ -100,12 +114,14 @@
         const auto pacing =
             refusable ? UpstreamChooser::Pacing::Ignore : UpstreamChooser::Pacing::Keep;
         UpstreamChoice choice;
-        if (free > reserved)
+        // Its place is not among those that others may use.
+        const bool isBound = !request->onlyAt.empty();
+        if (free > reserved || isBound)
             choice = m_chooser.choose(*request, pacing, now);
         if (choice.upstream) {
             assign(*request, choice, now, decisions);
             decisions.assignments.back().promoted = promoted;
-            --free;
+            free -= isBound ? 0 : 1;
         } else if (refusable) {
             decisions.refusals.push_back(refuse(*request, view, free, reserved, now));
             ++view.ahead;
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -100,6 +100,10 @@
     /// Records that an assigned request has ended.
     void ended(std::string_view service, QueueRank rank);
 
+    /// Replaces the versions that queued requests of the service must not use. Those that go on
+    /// with a stream stay bound to its version; those bound to some upstreams may use all others
+    /// again.
+    void withholdVersions(std::string_view service, const std::set<std::string> &versions);
     /// Replaces the demand that the other entries reported last.
     void setPeerDemand(const std::vector<QueueDemand> &demand);
 
--- a/src/serving/QueuedRequest.h
+++ b/src/serving/QueuedRequest.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,10 @@
     TimePoint refuseAt{};
     /// Software version of the upstreams at which the stream may go on; none if it is new.
     std::optional<std::string> version;
+    /// Software versions that the request must not use.
+    std::set<std::string> withheldVersions;
+    /// The only upstreams that it may use; empty: all.
+    std::vector<UpstreamKey> onlyAt;
     /// Upstreams that were already tried.
     std::vector<UpstreamKey> excluded;
     /// First attempt of the client: neither refused nor tried at an upstream before.
--- a/src/serving/UpstreamChooser.cpp
+++ b/src/serving/UpstreamChooser.cpp
@@ -34,6 +34,14 @@
 /// Fraction of the objective for the interval between events that one prompt may use up.
 constexpr double pauseUse = 0.5;
 
+bool isAllowed(const QueuedRequest &request, const UpstreamState &upstream)
+{
+    const bool isAmong = request.onlyAt.empty()
+                         || std::ranges::find(request.onlyAt, upstream.key) != request.onlyAt.end();
+    return isAmong && !request.withheldVersions.contains(upstream.record.version)
+           && std::ranges::find(request.excluded, upstream.key) == request.excluded.end();
+}
+
 } // namespace
 
 UpstreamChooser::UpstreamChooser(const UpstreamTable &upstreams, std::string dataCentre)
@@ -70,13 +78,13 @@
                                                    TimePoint now) const
 {
     std::vector<UpstreamPtr> open;
-    std::ranges::copy_if(
-        m_upstreams.ofService(request.service), std::back_inserter(open),
-        [&](const UpstreamPtr &each) {
-            return UpstreamTable::limit(*each, now) > 0
-                   && (!request.version || *request.version == each->record.version)
-                   && std::ranges::find(request.excluded, each->key) == request.excluded.end();
-        });
+    std::ranges::copy_if(m_upstreams.ofService(request.service), std::back_inserter(open),
+                         [&](const UpstreamPtr &each) {
+                             return UpstreamTable::limit(*each, now) > 0
+                                    && (!request.version
+                                        || *request.version == each->record.version)
+                                    && isAllowed(request, *each);
+                         });
     // Keeps only the upstreams that have the property, if there are any.
     const auto prefer = [&open](auto hasProperty) {
         if (std::ranges::any_of(open, hasProperty))
@@ -182,9 +190,11 @@
 {
     if (prefix == 0 || upstreams.empty())
         return 0;
-    // A limited or leaving upstream must not become the home of a recurring prompt.
+    // An upstream that does not accept every request must not become the home of a recurring
+    // prompt.
     const auto weight = [prefix](const UpstreamPtr &upstream) {
-        const bool acceptsAll = !upstream->terms.isLeaving() && !upstream->terms.isLimited();
+        const bool acceptsAll = !upstream->terms.isLeaving() && !upstream->terms.isLimited()
+                                && !upstream->versionWithheld;
         return std::pair(acceptsAll, mixBits(prefix, upstream->key));
     };
     return (*std::ranges::max_element(upstreams, {}, weight))->key;
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -327,11 +327,32 @@
                                       : places;
 }
 
+bool UpstreamTable::withholdVersions(std::string_view service,
+                                     const std::set<std::string> &versions)
+{
+    bool changed = false;
+    for (const UpstreamPtr &upstream : ofService(service)) {
+        const bool withheld = versions.contains(upstream->record.version);
+        changed |= std::exchange(upstream->versionWithheld, withheld) != withheld;
+    }
+    return changed;
+}
+
+std::map<std::string, std::set<std::string>> UpstreamTable::versions() const
+{
+    std::map<std::string, std::set<std::string>> versions;
+    for (const auto &[service, state] : m_services)
+        for (const UpstreamPtr &upstream : state.upstreams)
+            versions[service].insert(upstream->record.version);
+    return versions;
+}
+
 int UpstreamTable::freePlaces(std::string_view service, TimePoint now) const
 {
     const auto &upstreams = ofService(service);
     return std::accumulate(upstreams.begin(), upstreams.end(), 0, [&](int sum, const auto &each) {
-        return sum + std::max(0, limit(*each, now) - static_cast<int>(each->inFlight()));
+        const int free = limit(*each, now) - static_cast<int>(each->inFlight());
+        return sum + (each->versionWithheld ? 0 : std::max(0, free));
     });
 }
 
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -77,6 +77,8 @@
     /// When `removeGone` first saw it as gone.
     std::optional<TimePoint> goneSince;
     UpstreamTerms terms;
+    /// Its software version is not for all requests.
+    bool versionWithheld = false;
     /// Earliest time of the next health check, if one is needed.
     TimePoint nextHealthCheck{};
     /// True for a model engine, which slows down with every request, false for a plain service.
@@ -168,7 +170,13 @@
     /// Maximum number of concurrent requests that the upstream should have.
     static int limit(const UpstreamState &upstream, TimePoint now);
 
-    /// Number of free places at the upstreams of the service.
+    /// Withholds the versions of the service from requests in general; returns whether that changed
+    /// anything.
+    bool withholdVersions(std::string_view service, const std::set<std::string> &versions);
+    /// Software versions of the listed upstreams, by service.
+    std::map<std::string, std::set<std::string>> versions() const;
+
+    /// Number of free places at the upstreams of the service, but for those of withheld versions.
     int freePlaces(std::string_view service, TimePoint now) const;
 
     /// Nonzero loads from this entry.
--- a/tests/support/DirectEntry.cpp
+++ b/tests/support/DirectEntry.cpp
@@ -84,12 +84,18 @@
 }
 
 void DirectEntry::startOnUnusedPorts(const std::string &name, const std::string &dataCentre,
-                                     unsigned short storePort)
+                                     unsigned short storePort,
+                                     std::optional<RolloutBounds> rollouts)
 {
     constexpr int attempts = 5;
-    auto started = tryStart(makeSettings(name, dataCentre, storePort));
+    const auto start = [&] {
+        Settings settings = makeSettings(name, dataCentre, storePort);
+        settings.direct.rollouts = rollouts;
+        return tryStart(settings);
+    };
+    auto started = start();
     for (int i = 1; i < attempts && !started; ++i)
-        started = tryStart(makeSettings(name, dataCentre, storePort));
+        started = start();
     const std::string reason = started ? "" : started.error().message;
     BOOST_REQUIRE_MESSAGE(started.has_value(), reason);
 }
--- a/tests/support/DirectEntry.h
+++ b/tests/support/DirectEntry.h
@@ -4,6 +4,7 @@
 #include "direct/DirectProcess.h"
 #include "process/Contexts.h"
 
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -23,8 +24,10 @@
                                  unsigned short storePort);
     void start(const Settings &settings);
     /// Starts with new ports if another program has taken one of them since it was found unused.
+    /// `rollouts`: bounds of roll-outs, whose orders are not read otherwise.
     void startOnUnusedPorts(const std::string &name, const std::string &dataCentre,
-                            unsigned short storePort);
+                            unsigned short storePort,
+                            std::optional<RolloutBounds> rollouts = std::nullopt);
     void stop();
     /// Begins a graceful stop; the process goes on until `stop`.
     void drain();
--- a/tests/support/SmallFleet.cpp
+++ b/tests/support/SmallFleet.cpp
@@ -40,8 +40,10 @@
 
 } // namespace
 
-SmallFleet::SmallFleet(std::size_t entryCount, std::size_t upstreamCount)
-    : m_store(m_context, freePort())
+SmallFleet::SmallFleet(std::size_t entryCount, std::size_t upstreamCount,
+                       std::optional<RolloutBounds> rollouts)
+    : m_rollouts(rollouts)
+    , m_store(m_context, freePort())
 {
     setLogLevel("off");
     m_store.with([](PlatformStore &store) { store.create("config", "main", configuration()); });
@@ -71,7 +73,8 @@
         m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
         tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_store.port())));
     m_entries.push_back(std::make_unique<DirectEntry>());
-    m_entries.back()->startOnUnusedPorts(entryName(number), "dc", m_links.back()->port());
+    m_entries.back()->startOnUnusedPorts(entryName(number), "dc", m_links.back()->port(),
+                                         m_rollouts);
     BOOST_REQUIRE(eventually([&] { return m_entries.back()->readiness() == okStatus; }));
     return number;
 }
@@ -79,7 +82,8 @@
 void SmallFleet::restartEntry(std::size_t number)
 {
     m_entries.at(number) = std::make_unique<DirectEntry>();
-    m_entries.at(number)->startOnUnusedPorts(entryName(number), "dc", m_links.at(number)->port());
+    m_entries.at(number)->startOnUnusedPorts(entryName(number), "dc", m_links.at(number)->port(),
+                                             m_rollouts);
     BOOST_REQUIRE(eventually([&] { return m_entries.at(number)->readiness() == okStatus; }));
 }
 
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -25,7 +26,8 @@
 class SmallFleet
 {
 public:
-    SmallFleet(std::size_t entryCount, std::size_t upstreamCount);
+    SmallFleet(std::size_t entryCount, std::size_t upstreamCount,
+               std::optional<RolloutBounds> rollouts = std::nullopt);
     ~SmallFleet();
     SmallFleet(const SmallFleet &) = delete;
     SmallFleet &operator=(const SmallFleet &) = delete;
@@ -82,6 +84,7 @@
     static std::string requestText(std::string_view path, std::string_view requestId,
                                    std::string_view headers);
 
+    std::optional<RolloutBounds> m_rollouts;
     boost::asio::io_context m_context;
     standin::StoreServer m_store;
     std::vector<std::unique_ptr<standin::UpstreamServer>> m_upstreams;
--- a/tools/model/PlatformStore.cpp
+++ b/tools/model/PlatformStore.cpp
@@ -14,7 +14,7 @@
                                 {"createRevision", object.createRevision},
                                 {"finalizers", json::array{}},
                                 {"deleting", false}};
-    return {{"metadata", metadata}, {"spec", object.spec}, {"status", nullptr}};
+    return {{"metadata", metadata}, {"spec", object.spec}, {"status", object.status}};
 }
 
 PlatformStore::Answer PlatformStore::list(const std::string &kind, const std::string &after) const
@@ -46,7 +46,7 @@
     if (const auto present = objects.find(name); present != objects.end())
         return {409, encode(name, present->second)};
     ++m_revision;
-    const Object object{std::move(spec), m_revision, m_revision};
+    const Object object{std::move(spec), nullptr, m_revision, m_revision};
     objects[name] = object;
     record(kind, name, object, false);
     return {201, encode(name, object)};
@@ -71,6 +71,24 @@
     return {200, encode(name, object)};
 }
 
+PlatformStore::Answer PlatformStore::replaceStatus(const std::string &kind, const std::string &name,
+                                                   json::value status, std::uint64_t revision)
+{
+    Objects &objects = m_kinds[kind];
+    const auto present = objects.find(name);
+    if (present == objects.end())
+        return {404, json::object{{"error", "no such object"}}};
+    Object &object = present->second;
+    if (revision != 0 && revision != object.revision)
+        return {409, encode(name, object)};
+    if (object.status == status)
+        return {200, encode(name, object)};
+    object.status = std::move(status);
+    object.revision = ++m_revision;
+    record(kind, name, object, false);
+    return {200, encode(name, object)};
+}
+
 PlatformStore::Answer PlatformStore::remove(const std::string &kind, const std::string &name,
                                             std::uint64_t revision)
 {
--- a/tools/model/PlatformStore.h
+++ b/tools/model/PlatformStore.h
@@ -35,6 +35,9 @@
     /// `revision` 0 replaces unconditionally. 409 carries the current object.
     Answer replace(const std::string &kind, const std::string &name, boost::json::value spec,
                    std::uint64_t revision);
+    /// Like `replace`, for the object's status.
+    Answer replaceStatus(const std::string &kind, const std::string &name,
+                         boost::json::value status, std::uint64_t revision);
     /// `revision` 0 removes unconditionally. 409 carries the current object.
     Answer remove(const std::string &kind, const std::string &name, std::uint64_t revision = 0);
     /// Changes of the kind after `revision`; empty if there are none yet. Returns 410 if the
@@ -53,6 +56,7 @@
     struct Object
     {
         boost::json::value spec;
+        boost::json::value status;
         std::uint64_t revision = 0;
         std::uint64_t createRevision = 0;
     };
--- a/tools/model/StoreServer.cpp
+++ b/tools/model/StoreServer.cpp
@@ -150,9 +150,14 @@
     if (request.method == "POST")
         return m_store.create(path.kind, std::string(metadata.at("name").as_string()),
                               object.at("spec"));
-    const auto *revision = metadata.if_contains("revision");
-    return m_store.replace(path.kind, path.name, object.at("spec"),
-                           revision ? revision->to_number<std::uint64_t>() : 0);
+    const auto *given = metadata.if_contains("revision");
+    const std::uint64_t revision = given ? given->to_number<std::uint64_t>() : 0;
+    constexpr std::string_view statusPath = "/status";
+    if (path.name.ends_with(statusPath))
+        return m_store.replaceStatus(path.kind,
+                                     path.name.substr(0, path.name.size() - statusPath.size()),
+                                     object.at("status"), revision);
+    return m_store.replace(path.kind, path.name, object.at("spec"), revision);
 }
 
 } // namespace tamarack::standin
