Occupancy: place requests by what upstreams state of their load

Cause: what upstreams state with each answer (requests running, waiting, slots, pace) was decoded only with three figures and used nowhere; entries knew only counts as late as short requests are long, and all chose the same upstream. Change: three or four figures are decoded, odd ones ignored, counted and logged once an upstream. OccupancyModel corrects the count for 200 ms, follows slots and pace; entries share statements younger than 200 ms; each upstream ranks the entries, and a place beyond an entry's own ones costs an expected wait. Off unless occupancy.use is set.

--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -214,6 +214,10 @@
     const double quotaWindow = bounds.number("quotaWindowSeconds", defaultQuotaSeconds, 1, 3600);
     settings.direct.quotaWindow = milliseconds(static_cast<std::int64_t>(quotaWindow * 1000));
     bounds.finish();
+    const auto *occupancyGroup = reader.child("occupancy");
+    JsonObjectReader occupancy(occupancyGroup ? *occupancyGroup : empty, "occupancy", faults);
+    settings.direct.usesOccupancy = occupancy.boolean("use", false);
+    occupancy.finish();
 }
 
 void readCommonPart(JsonObjectReader &reader, Settings &settings, Faults &faults)
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -105,6 +105,8 @@
     RetryBounds retries;
     /// Over which the quotas of workspaces are judged.
     milliseconds quotaWindow{0};
+    /// What upstreams state of their load counts when requests are placed.
+    bool usesOccupancy = false;
 };
 
 /// Settings of one process, read from one JSON document and fixed until it restarts,
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -206,6 +206,8 @@
 {
     m_peersChanged = false;
     upstreams.setOthers(peers.loads(now));
+    if (settings.direct.usesOccupancy)
+        upstreams.applyOccupancies(peers.occupancies(now));
     const auto changed = upstreams.setReports(peers.terms(now));
     if (!changed.empty())
         shareLimits(now);
@@ -309,6 +311,48 @@
     pump();
 }
 
+void TrafficState::recordOccupancy(UpstreamState &upstream, const ResponseFacts &response,
+                                   TimePoint sentAt)
+{
+    if (response.malformedOccupancy) {
+        metrics.add("tamarack_occupancies_ignored_total", "");
+        if (!std::exchange(upstream.statedOddLoad, true))
+            logEvent(LogLevel::Warning, "upstream_occupancy_ignored",
+                     {{"upstream", upstream.record.id}});
+    }
+    if (!response.occupancy)
+        return;
+    const UpstreamOccupancy &stated = *response.occupancy;
+    const TimePoint now = steadyNow();
+    const int freeElsewhere = upstreams.freePlaces(upstream.record.service, now)
+                              - UpstreamTable::freePlaces(upstream, now);
+    const bool queues = stated.waiting > UpstreamTable::fewWaiting;
+    std::string_view finding = "short_queue";
+    if (queues)
+        finding = freeElsewhere > 0 ? "queued_beside_free" : "queued";
+    metrics.add("tamarack_occupancies_total", fmt::format("finding=\"{}\"", finding));
+    logEvent(queues ? LogLevel::Info : LogLevel::Debug, "upstream_occupancy",
+             {{"upstream", upstream.record.id},
+              {"service", upstream.record.service},
+              {"running", stated.running},
+              {"waiting", stated.waiting},
+              {"slots", stated.slots},
+              {"pace", stated.pace.value_or(0)},
+              {"own", upstream.own.inFlight},
+              {"counted", upstream.inFlight()},
+              {"expected", upstream.requests(now)},
+              {"former_age_ms", toMs(upstream.occupancy.age(now).value_or(milliseconds(-1)))},
+              {"factor", upstream.factor},
+              {"free_elsewhere", freeElsewhere},
+              {"sent_ms", toMs(now - sentAt)}});
+    if (!settings.direct.usesOccupancy)
+        return;
+    const int freeBefore = UpstreamTable::freePlaces(upstream, now);
+    UpstreamTable::recordOccupancy(upstream, stated, now);
+    if (UpstreamTable::freePlaces(upstream, now) > freeBefore)
+        pump();
+}
+
 void TrafficState::checkUnconfirmed(TimePoint now)
 {
     if (!config)
@@ -354,6 +398,15 @@
     }
 }
 
+std::set<std::string> TrafficState::servingNames(TimePoint now) const
+{
+    std::set<std::string> names;
+    for (FleetMember &member : peers.reachableMembers(now))
+        if (!member.leaving)
+            names.insert(std::move(member.name));
+    return names;
+}
+
 void TrafficState::shareLimits(TimePoint now)
 {
     std::vector<std::string> serving;
@@ -496,6 +549,8 @@
     load.partCrashes = partQuarantine.crashes(steadyNow());
     load.partAnswers = partQuarantine.answers(steadyNow());
     load.terms = upstreams.termsReports(steadyNow());
+    if (settings.direct.usesOccupancy)
+        load.occupancies = upstreams.occupancyReports(steadyNow());
     load.leaving = draining;
     return load;
 }
@@ -516,6 +571,8 @@
     if (peers.isListKnown())
         retries.setEntries(peers.servingCount(now), now);
     shareLimits(now);
+    if (settings.direct.usesOccupancy)
+        upstreams.rankEntries(settings.name, servingNames(now));
     metrics.set("tamarack_upstreams_limited", "", upstreams.limited());
     metrics.set("tamarack_upstreams_leaving", "", upstreams.leaving());
     metrics.set("tamarack_upstreams_closed", "", upstreams.closed(now));
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -89,6 +89,8 @@
     /// Applies the statement about itself that an upstream made in a response.
     void applyStatement(UpstreamState &upstream, const UpstreamStatement &statement,
                         TimePoint sentAt);
+    /// Records what an upstream states of its load in a response.
+    void recordOccupancy(UpstreamState &upstream, const ResponseFacts &response, TimePoint sentAt);
     /// Records that an attempt broke off before its response was complete, and checks whether the
     /// upstream still accepts connections.
     void recordBrokenAttempt(const UpstreamPtr &upstream, RequestFingerprint fingerprint,
@@ -191,6 +193,8 @@
     void updateFollowers(TimePoint now);
     void requestProof(TimePoint now);
     void checkPeerUpdates(const EntryLoad &load);
+    /// The other reachable entries that take requests.
+    std::set<std::string> servingNames(TimePoint now) const;
     /// Divides the limits reported by upstreams among the entries whose reports are received.
     void shareLimits(TimePoint now);
     /// Logs and counts changes to an upstream's terms, reported by itself or by other entries;
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -220,9 +220,11 @@
         m_response.status = head->status;
         m_response.facts = platform::decodeAnswer(head->status, head->headers);
         if (isOwnResponse()) {
-            if (!m_response.facts.misdirected)
+            if (!m_response.facts.misdirected) {
                 m_state.applyStatement(*m_assignment.upstream, m_response.facts.statement,
                                        m_sentAt);
+                m_state.recordOccupancy(*m_assignment.upstream, m_response.facts, m_sentAt);
+            }
             const AttemptEnd headOutcome = classifyHead();
             const bool streams = m_request.streams && m_response.status == okStatus;
             if (headOutcome == AttemptEnd::Whole && streams)
--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -75,6 +75,16 @@
         partAnswers[i].setAgeMs(static_cast<std::uint32_t>(load.partAnswers[i].age.count()));
         partAnswers[i].setCount(load.partAnswers[i].count);
     }
+    auto occupancies = to.initOccupancies(load.occupancies.size());
+    for (unsigned i = 0; i < load.occupancies.size(); ++i) {
+        const ReportedOccupancy &row = load.occupancies[i];
+        occupancies[i].setUpstream(row.upstream);
+        occupancies[i].setRunning(row.stated.running);
+        occupancies[i].setWaiting(row.stated.waiting);
+        occupancies[i].setSlots(row.stated.slots);
+        occupancies[i].setPace(static_cast<float>(row.stated.pace.value_or(0)));
+        occupancies[i].setAgeMs(static_cast<std::uint32_t>(row.age.count()));
+    }
     auto terms = to.initTerms(load.terms.size());
     for (unsigned i = 0; i < load.terms.size(); ++i) {
         const TermsReport &told = load.terms[i];
@@ -244,6 +254,20 @@
     return told;
 }
 
+/// None unless it is a load that an upstream can state.
+std::optional<ReportedOccupancy> read(wire::UpstreamOccupancy::Reader from)
+{
+    const float pace = from.getPace();
+    if (from.getSlots() == 0 || from.getSlots() > largestSlots || !std::isfinite(pace) || pace < 0)
+        return std::nullopt;
+    ReportedOccupancy row{from.getUpstream(),
+                          {from.getRunning(), from.getWaiting(), from.getSlots(), std::nullopt},
+                          milliseconds(from.getAgeMs())};
+    if (pace > 0)
+        row.stated.pace = pace;
+    return row;
+}
+
 EntryLoad read(wire::EntryLoad::Reader from)
 {
     EntryLoad load;
@@ -270,6 +294,9 @@
             {{row.getPart(), row.getUpstream(), row.getPosition()}, milliseconds(row.getAgeMs())});
     for (const auto row : from.getPartAnswers())
         load.partAnswers.push_back({row.getPart(), milliseconds(row.getAgeMs()), row.getCount()});
+    for (const auto row : from.getOccupancies())
+        if (const auto occupancy = read(row))
+            load.occupancies.push_back(*occupancy);
     for (const auto row : from.getTerms())
         if (const auto told = read(row))
             load.terms.push_back(*told);
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -210,6 +210,13 @@
 
 # What an upstream stated last of its load.
 struct UpstreamOccupancy {
+    upstream @0 :UInt64;
+    running @1 :UInt32;
+    waiting @2 :UInt32;
+    slots @3 :UInt32;
+    # Relative to the usual time; 0: not stated.
+    pace @4 :Float32;
+    ageMs @5 :UInt32;
 }
 
 # Refused requests that are expected back.
--- a/src/serving/EntryLoad.h
+++ b/src/serving/EntryLoad.h
@@ -4,6 +4,7 @@
 #include "base/StorePosition.h"
 #include "serving/CrashLedger.h"
 #include "serving/DispatchQueue.h"
+#include "serving/OccupancyModel.h"
 #include "serving/PartCrash.h"
 #include "serving/QuotaLedger.h"
 #include "serving/TermsReport.h"
@@ -35,6 +36,7 @@
     std::vector<ReportedPartCrash> partCrashes;
     std::vector<ReportedPartAnswer> partAnswers;
     std::vector<TermsReport> terms;
+    std::vector<ReportedOccupancy> occupancies;
     /// The entry is shutting down gracefully and takes no new requests.
     bool leaving = false;
 
--- a/src/serving/PeerRegistry.cpp
+++ b/src/serving/PeerRegistry.cpp
@@ -65,6 +65,16 @@
     return rows;
 }
 
+std::vector<std::pair<ReportedOccupancy, TimePoint>> PeerRegistry::occupancies(TimePoint now) const
+{
+    std::vector<std::pair<ReportedOccupancy, TimePoint>> rows;
+    for (const auto &[name, peer] : m_peers)
+        if (now - peer.receivedAt < reportTimeout)
+            for (const ReportedOccupancy &report : peer.load.occupancies)
+                rows.emplace_back(report, peer.receivedAt - report.age);
+    return rows;
+}
+
 std::vector<FleetMember> PeerRegistry::reachableMembers(TimePoint now) const
 {
     std::vector<FleetMember> members;
--- a/src/serving/PeerRegistry.h
+++ b/src/serving/PeerRegistry.h
@@ -36,6 +36,9 @@
     /// Terms reported by the other entries, by upstream. Reports of unresponsive entries remain
     /// valid for `UpstreamTerms::window`, since requests that they sent may still arrive.
     std::unordered_map<UpstreamKey, std::vector<ReceivedTerms>> terms(TimePoint now) const;
+    /// Statements of upstreams in the last reports of the reachable entries, and when they were
+    /// read.
+    std::vector<std::pair<ReportedOccupancy, TimePoint>> occupancies(TimePoint now) const;
     /// Reachable entries, without this one.
     std::vector<FleetMember> reachableMembers(TimePoint now) const;
     std::set<std::string> reachableNames(TimePoint now) const;
--- a/src/serving/RequestFacts.h
+++ b/src/serving/RequestFacts.h
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 #include "http/HttpMessage.h"
+#include "serving/UpstreamOccupancy.h"
 #include "serving/UpstreamStatement.h"
 
 #include <cstdint>
@@ -59,9 +60,10 @@
     bool closing = false;
     /// How long the upstream keeps an idle connection open, if stated.
     std::optional<milliseconds> keepAlive;
-    /// Requests running and waiting at the upstream, if stated.
-    std::optional<int> running;
-    std::optional<int> waiting;
+    /// The load of the upstream, if it states one that is valid.
+    std::optional<UpstreamOccupancy> occupancy;
+    /// A statement of its load could not be parsed, or two of them differ.
+    bool malformedOccupancy = false;
     UpstreamStatement statement;
     /// Headers that are forwarded to the client, without hop-by-hop headers.
     HttpHeaders forwarded;
--- a/src/serving/UpstreamChooser.cpp
+++ b/src/serving/UpstreamChooser.cpp
@@ -33,6 +33,23 @@
 constexpr double deadlineUse = 0.8;
 /// Fraction of the objective for the interval between events that one prompt may use up.
 constexpr double pauseUse = 0.5;
+/// Time until this entry hears of another entry's start.
+constexpr double reportDelaySeconds = 0.1;
+/// Starts of another entry within that time, at the beginning of a burst.
+constexpr double fewestStartsUnheard = 0.1;
+
+/// Requests ahead are taken to be as long as the request, but no longer than this.
+constexpr std::uint32_t mostEventsAhead = 16;
+
+/// Expected time of the events after the first; a slowdown of the upstream's host passes.
+Duration eventTime(const EngineTimeModel &model, const UpstreamState &upstream,
+                   std::uint32_t events, TimePoint now)
+{
+    const Duration usual = model.predictEvents(upstream.factor, events);
+    const double slowness = upstream.occupancy.slowness(now);
+    const Duration slowed = std::min<Duration>(usual, OccupancyModel::paceLife);
+    return usual + std::chrono::duration_cast<Duration>(slowed * (slowness - 1));
+}
 
 } // namespace
 
@@ -57,7 +74,7 @@
     UpstreamChoice best;
     best.costMs = std::numeric_limits<double>::max();
     for (const UpstreamPtr &upstream : suitable(request, pacing, now)) {
-        if (static_cast<int>(upstream->inFlight()) >= UpstreamTable::limit(*upstream, now))
+        if (UpstreamTable::freePlaces(*upstream, now) == 0)
             continue;
         UpstreamChoice choice = evaluate(request, upstream, home, bySpeed, now);
         if (choice.costMs < best.costMs)
@@ -88,21 +105,22 @@
     if (open.empty() || !paced)
         return open;
     const double fastest = (*std::ranges::min_element(open, {}, &UpstreamState::factor))->factor;
-    prefer([&](const UpstreamPtr &each) { return keepsPauses(request, *each, fastest); });
+    prefer([&](const UpstreamPtr &each) { return keepsPauses(request, *each, fastest, now); });
     return open;
 }
 
 bool UpstreamChooser::keepsPauses(const QueuedRequest &request, const UpstreamState &upstream,
-                                  double fastestFactor) const
+                                  double fastestFactor, TimePoint now) const
 {
-    if (upstream.inFlight() == 0)
+    if (upstream.requests(now) == 0)
         return true;
     const EngineTimeModel &model = m_upstreams.model(request.service);
     const Duration shortest = model.predictPause(fastestFactor, request.promptTokens);
     const Duration objective =
         std::chrono::duration_cast<Duration>(request.pauseObjective * pauseUse);
     const Duration bound = std::max(objective, shortest + shortest / 4);
-    return model.predictPause(upstream.factor, upstream.prefillTokens() + request.promptTokens)
+    return model.predictPause(upstream.factor * upstream.occupancy.slowness(now),
+                              upstream.prefillTokens() + request.promptTokens)
            <= bound;
 }
 
@@ -123,7 +141,7 @@
             continue;
         const int limit = UpstreamTable::limit(*upstream, now);
         places += limit;
-        taken += std::min(limit, static_cast<int>(upstream->inFlight()));
+        taken += std::min(limit, static_cast<int>(upstream->requests(now)));
     }
     speeds.fastTaken = places > 0 ? static_cast<double>(taken) / places : 0;
     return speeds;
@@ -133,8 +151,7 @@
                                  Duration firstToken, TimePoint now) const
 {
     const EngineTimeModel &model = m_upstreams.model(request.service);
-    const Duration whole =
-        firstToken + model.predictEvents(upstream.factor, request.responseEvents);
+    const Duration whole = firstToken + eventTime(model, upstream, request.responseEvents, now);
     return whole <= (request.deadlineAt - now) * deadlineUse;
 }
 
@@ -147,8 +164,8 @@
         cost += lateFirstTokenMs;
     if (!endsInTime(request, upstream, firstToken, now)) {
         const EngineTimeModel &model = m_upstreams.model(request.service);
-        cost += toFractionalMs(firstToken
-                               + model.predictEvents(upstream.factor, request.responseEvents));
+        cost +=
+            toFractionalMs(firstToken + eventTime(model, upstream, request.responseEvents, now));
     }
     return cost;
 }
@@ -166,10 +183,13 @@
     choice.upstream = upstream;
     choice.freshTokens = static_cast<std::uint32_t>(freshShare * request.promptTokens);
     const EngineTimeModel &model = m_upstreams.model(request.service);
-    choice.predicted =
-        model.predict(upstream->factor, upstream->prefillTokens() + choice.freshTokens);
-    const double filled = static_cast<double>(upstream->inFlight()) / upstream->record.slots;
-    choice.costMs = toFractionalMs(choice.predicted) + filled * upstream->factor * fullEngineMs;
+    const double factor = upstream->factor * upstream->occupancy.slowness(now);
+    choice.predicted = model.predict(factor, upstream->prefillTokens() + choice.freshTokens);
+    const int slots = upstream->occupancy.slots(upstream->record.slots, now);
+    const double filled = static_cast<double>(upstream->requests(now)) / slots;
+    if (upstream->occupancy.hasReading())
+        choice.predicted += expectedWait(request, *upstream, factor, now);
+    choice.costMs = toFractionalMs(choice.predicted) + filled * factor * fullEngineMs;
     choice.costMs += lateCost(request, *upstream, choice.predicted, now);
     if (upstream->engine && upstream->factor <= speeds.fastFactor)
         choice.costMs += fastPlaceMs * speeds.fastTaken * speeds.fastTaken;
@@ -178,6 +198,24 @@
     return choice;
 }
 
+Duration UpstreamChooser::expectedWait(const QueuedRequest &request, const UpstreamState &upstream,
+                                       double factor, TimePoint now) const
+{
+    const int slots = upstream.occupancy.slots(upstream.record.slots, now);
+    const int freeSlots = slots - static_cast<int>(upstream.requests(now));
+    const int queued = std::max(0, 1 - freeSlots);
+    const double startsUnheard =
+        std::max(fewestStartsUnheard,
+                 m_upstreams.startsPerSecond(request.service, now) * reportDelaySeconds);
+    const std::uint32_t contenders =
+        upstream.rank.contenders(static_cast<std::uint32_t>(std::max(0, freeSlots)));
+    const double ahead = queued + contenders * std::min(1.0, startsUnheard);
+    const EngineTimeModel &model = m_upstreams.model(request.service);
+    const std::uint32_t events = std::min(request.responseEvents, mostEventsAhead);
+    const Duration each = model.predict(factor, 0) + model.predictEvents(factor, events);
+    return std::chrono::duration_cast<Duration>(each * (ahead / slots));
+}
+
 UpstreamKey UpstreamChooser::homeOf(std::uint64_t prefix, const std::vector<UpstreamPtr> &upstreams)
 {
     if (prefix == 0 || upstreams.empty())
--- a/src/serving/UpstreamChooser.h
+++ b/src/serving/UpstreamChooser.h
@@ -70,13 +70,17 @@
     /// Whether the running streams of the upstream are expected to meet their objective for the
     /// interval between events while the prompt is processed.
     bool keepsPauses(const QueuedRequest &request, const UpstreamState &upstream,
-                     double fastestFactor) const;
+                     double fastestFactor, TimePoint now) const;
     /// Whether the complete response is expected before the deadline, with a safety margin.
     bool endsInTime(const QueuedRequest &request, const UpstreamState &upstream,
                     Duration firstToken, TimePoint now) const;
     /// Penalty for a first token or a complete response that would be late.
     double lateCost(const QueuedRequest &request, const UpstreamState &upstream,
                     Duration firstToken, TimePoint now) const;
+    /// Time for which the request is expected to wait at an upstream that states its load, behind
+    /// what waits there and what other entries start there before this one hears of it.
+    Duration expectedWait(const QueuedRequest &request, const UpstreamState &upstream,
+                          double factor, TimePoint now) const;
     static UpstreamKey homeOf(std::uint64_t prefix, const std::vector<UpstreamPtr> &upstreams);
 
     const UpstreamTable &m_upstreams;
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -14,6 +14,9 @@
 /// Requests in flight allowed at a plain upstream, as a multiple of its slots. Its requests are
 /// shorter than the delay of load reports from other entries, so free slots cannot be observed.
 constexpr int plainQueueing = 3;
+/// Requests that a plain upstream which states its load may have beyond its slots, as a fraction of
+/// them, so that it does not run dry before the next statement.
+constexpr double statedQueueing = 0.5;
 /// Weight of a new sample in the failure share.
 constexpr double failureSampleShare = 0.2;
 /// An upstream with a failure share above this is unhealthy.
@@ -30,6 +33,16 @@
 /// How long the state of a gone upstream is kept; it is not expected to be listed again later.
 constexpr std::chrono::minutes goneRetention{10};
 
+/// Requests that the upstream should have at most, if nothing restricts it.
+int placesAt(const UpstreamState &upstream, TimePoint now)
+{
+    const int slots = upstream.occupancy.slots(upstream.record.slots, now);
+    if (upstream.engine)
+        return slots;
+    return upstream.occupancy.hasReading() ? slots + static_cast<int>(slots * statedQueueing)
+                                           : slots * plainQueueing;
+}
+
 /// Saturating subtraction.
 void subtractSaturating(std::uint32_t &value, std::uint32_t by)
 {
@@ -61,10 +74,13 @@
         const UpstreamKey key = upstreamKey(record);
         present.insert(key);
         UpstreamPtr &upstream = m_byKey[key];
-        if (!upstream)
+        const bool isNew = !upstream;
+        if (isNew)
             upstream = std::make_shared<UpstreamState>();
         upstream->record = record;
         upstream->key = key;
+        if (isNew)
+            rankEntries(*upstream);
         upstream->drained = upstream->drained || record.draining;
         upstream->gone = upstream->drained;
         upstream->engine = m_engines.contains(record.service);
@@ -251,6 +267,7 @@
 void UpstreamTable::started(UpstreamState &upstream, std::uint32_t promptTokens, TimePoint now)
 {
     upstream.terms.countSend(now);
+    m_services[upstream.record.service].starts.add(now);
     ++upstream.own.inFlight;
     upstream.own.prefillTokens += promptTokens;
 }
@@ -320,21 +337,77 @@
     const bool probing = upstream.failuresInRow > 0 && upstream.failureShare > troubledShare;
     if (probing)
         return 1;
-    const int places =
-        upstream.engine ? upstream.record.slots : upstream.record.slots * plainQueueing;
+    const int places = placesAt(upstream, now);
     // The share of a limit admits one request at a time.
-    return upstream.terms.isLimited() ? std::min(places, static_cast<int>(upstream.inFlight()) + 1)
-                                      : places;
+    return upstream.terms.isLimited()
+               ? std::min(places, static_cast<int>(upstream.requests(now)) + 1)
+               : places;
+}
+
+int UpstreamTable::freePlaces(const UpstreamState &upstream, TimePoint now)
+{
+    return std::max(0, limit(upstream, now) - static_cast<int>(upstream.requests(now)));
 }
 
 int UpstreamTable::freePlaces(std::string_view service, TimePoint now) const
 {
     const auto &upstreams = ofService(service);
-    return std::accumulate(upstreams.begin(), upstreams.end(), 0, [&](int sum, const auto &each) {
-        return sum + std::max(0, limit(*each, now) - static_cast<int>(each->inFlight()));
+    return std::accumulate(upstreams.begin(), upstreams.end(), 0, [now](int sum, const auto &each) {
+        return sum + freePlaces(*each, now);
     });
 }
 
+void UpstreamTable::recordOccupancy(UpstreamState &upstream, const UpstreamOccupancy &stated,
+                                    TimePoint now)
+{
+    upstream.occupancy.record(stated, now, upstream.inFlight(), true);
+}
+
+void UpstreamTable::applyOccupancies(
+    const std::vector<std::pair<ReportedOccupancy, TimePoint>> &received)
+{
+    for (const auto &[report, readAt] : received) {
+        const auto found = m_byKey.find(report.upstream);
+        if (found == m_byKey.end())
+            continue;
+        UpstreamState &upstream = *found->second;
+        upstream.occupancy.record(report.stated, readAt, upstream.inFlight(), false);
+    }
+}
+
+std::vector<ReportedOccupancy> UpstreamTable::occupancyReports(TimePoint now) const
+{
+    std::vector<ReportedOccupancy> reports;
+    for (const auto &[key, upstream] : m_byKey)
+        if (const auto report = upstream->occupancy.report(key, now))
+            reports.push_back(*report);
+    return reports;
+}
+
+void UpstreamTable::rankEntries(std::string_view own, const std::set<std::string> &others)
+{
+    if (own == m_rankedEntry && others == m_rankedOthers)
+        return;
+    m_rankedEntry = own;
+    m_rankedOthers = others;
+    for (const auto &[key, upstream] : m_byKey)
+        rankEntries(*upstream);
+}
+
+void UpstreamTable::rankEntries(UpstreamState &upstream) const
+{
+    const auto place = [&](std::string_view entry) { return mixBits(fnv1a(entry), upstream.key); };
+    const std::uint64_t own = place(m_rankedEntry);
+    upstream.rank.before = static_cast<std::uint32_t>(std::ranges::count_if(
+        m_rankedOthers, [&](const std::string &entry) { return place(entry) < own; }));
+}
+
+double UpstreamTable::startsPerSecond(std::string_view service, TimePoint now) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? 0 : found->second.starts.perSecond(now);
+}
+
 std::vector<std::pair<UpstreamKey, UpstreamLoad>> UpstreamTable::ownLoads() const
 {
     std::vector<std::pair<UpstreamKey, UpstreamLoad>> loads;
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "base/Time.h"
+#include "serving/DecayingCount.h"
 #include "serving/EngineTimeModel.h"
 #include "serving/LimitShare.h"
+#include "serving/OccupancyModel.h"
 #include "serving/StreamOrigin.h"
 #include "serving/UpstreamKey.h"
 #include "serving/UpstreamRecord.h"
@@ -79,6 +81,12 @@
     UpstreamTerms terms;
     /// Earliest time of the next health check, if one is needed.
     TimePoint nextHealthCheck{};
+    /// What it states of its load; without a reading unless the table uses such statements.
+    OccupancyModel occupancy;
+    /// This entry's rank among those that start requests there.
+    EntryRank rank;
+    /// It has stated a load that could not be parsed.
+    bool statedOddLoad = false;
     /// True for a model engine, which slows down with every request, false for a plain service.
     bool engine = false;
 
@@ -86,7 +94,13 @@
     bool isRestricted() const { return drained || !terms.isUnrestricted(); }
     /// Whether its report may tell this incarnation from another.
     bool reportsStart() const { return !reportsNoStart && record.born != 0; }
+    /// Requests there that the entries count.
     std::uint32_t inFlight() const { return own.inFlight + others.inFlight; }
+    /// Estimated number of requests there: `inFlight`, corrected by what the upstream states.
+    std::uint32_t requests(TimePoint now) const
+    {
+        return occupancy.requests(inFlight(), own.inFlight, now);
+    }
     std::uint32_t prefillTokens() const { return own.prefillTokens + others.prefillTokens; }
 };
 
@@ -140,6 +154,16 @@
     /// Replaces the terms reported by the other entries; returns the upstreams whose terms changed.
     std::vector<std::pair<UpstreamPtr, TermsChanges>>
     setReports(std::unordered_map<UpstreamKey, std::vector<ReceivedTerms>> reports);
+    /// Records what the upstream stated in an answer that this entry has just read.
+    static void recordOccupancy(UpstreamState &upstream, const UpstreamOccupancy &stated,
+                                TimePoint now);
+    /// Records what other entries have read; the newest statement of an upstream holds.
+    void applyOccupancies(const std::vector<std::pair<ReportedOccupancy, TimePoint>> &received);
+    /// Recent statements that this entry has read itself.
+    std::vector<ReportedOccupancy> occupancyReports(TimePoint now) const;
+    /// Ranks the entries at each upstream; `others` are those that may start requests besides.
+    void rankEntries(std::string_view own, const std::set<std::string> &others);
+
     /// Removes upstreams that have been gone for long enough.
     void removeGone(TimePoint now);
     /// Recomputes this entry's share of each limit.
@@ -167,6 +191,13 @@
 
     /// Maximum number of concurrent requests that the upstream should have.
     static int limit(const UpstreamState &upstream, TimePoint now);
+    /// Number of requests that may start at the upstream now.
+    static int freePlaces(const UpstreamState &upstream, TimePoint now);
+    /// Recent rate of this entry's starts at the service's upstreams.
+    double startsPerSecond(std::string_view service, TimePoint now) const;
+
+    /// An upstream at which more requests wait than this queues; others keep it from running dry.
+    static constexpr std::uint32_t fewWaiting = 3;
 
     /// Number of free places at the upstreams of the service.
     int freePlaces(std::string_view service, TimePoint now) const;
@@ -179,7 +210,12 @@
     {
         std::vector<UpstreamPtr> upstreams;
         EngineTimeModel model;
+        DecayingCount starts{startRateTime};
     };
+    /// Decay time of the start rate.
+    static constexpr milliseconds startRateTime{500};
+
+    void rankEntries(UpstreamState &upstream) const;
 
     template <std::predicate<const UpstreamTerms &> Holds>
     std::size_t countTerms(Holds holds) const;
@@ -192,6 +228,8 @@
     /// The incarnation last listed under each id.
     std::unordered_map<std::string, UpstreamPtr> m_lastListed;
     std::set<std::string> m_engines;
+    std::string m_rankedEntry;
+    std::set<std::string> m_rankedOthers;
 };
 
 } // namespace tamarack
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -120,8 +120,11 @@
     BOOST_TEST(answer.hasSignature);
     BOOST_TEST(answer.closing);
     BOOST_TEST(answer.keepAlive->count() == 5000);
-    BOOST_TEST(*answer.running == 3);
-    BOOST_TEST(*answer.waiting == 1);
+    BOOST_REQUIRE(answer.occupancy.has_value());
+    BOOST_TEST(answer.occupancy->running == 3);
+    BOOST_TEST(answer.occupancy->waiting == 1);
+    BOOST_TEST(answer.occupancy->slots == 8);
+    BOOST_TEST(!answer.occupancy->pace.has_value());
     BOOST_TEST(has(answer.forwarded, "X-Own"));
     BOOST_TEST(has(answer.forwarded, "Server-Signature"));
     BOOST_TEST(!has(answer.forwarded, "Keep-Alive"));
--- a/tests/support/QueueSimulation.cpp
+++ b/tests/support/QueueSimulation.cpp
@@ -1,5 +1,7 @@
 #include "support/QueueSimulation.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
 #include <numeric>
 #include <unordered_map>
@@ -43,13 +45,23 @@
     std::vector<UpstreamRecord> records;
     for (int i = 0; i < options.upstreams; ++i)
         records.push_back(engineRecord(i, options.slots));
-    for (int i = 0; i < options.upstreams; ++i)
-        m_engines[upstreamKey(records[i])].factor =
-            i < options.slowUpstreams ? options.slowFactor : 1;
+    for (int i = 0; i < options.upstreams; ++i) {
+        Engine &engine = m_engines[upstreamKey(records[i])];
+        engine.factor = i < options.slowUpstreams ? options.slowFactor : 1;
+        engine.number = static_cast<std::uint64_t>(i);
+    }
+    std::set<std::string> names;
+    for (int i = 0; i < options.entries; ++i)
+        names.insert(std::to_string(i));
     for (int i = 0; i < options.entries; ++i) {
         auto entry = std::make_unique<Entry>();
         entry->upstreams.setEngines({service});
         entry->upstreams.assign(records);
+        const std::string own = std::to_string(i);
+        std::set<std::string> others = names;
+        others.erase(own);
+        if (options.statesLoad)
+            entry->upstreams.rankEntries(own, others);
         entry->queue = std::make_unique<DispatchQueue>(entry->upstreams, "dc");
         m_entries.push_back(std::move(entry));
     }
@@ -143,12 +155,47 @@
     auto begin = [this, &entry, call, upstream, freshTokens] {
         execute(entry, call, upstream, freshTokens);
     };
-    if (static_cast<int>(engine.running.size()) >= m_options.slots)
+    countStart(engine);
+    if (!isFree(engine))
         engine.waiting.push_back(std::move(begin));
     else
         begin();
 }
 
+bool QueueSimulation::isFree(const Engine &engine) const
+{
+    return static_cast<int>(engine.running.size()) < m_options.slots;
+}
+
+void QueueSimulation::countStart(const Engine &engine)
+{
+    const bool anyFree =
+        std::ranges::any_of(m_engines, [this](const auto &item) { return isFree(item.second); });
+    ++m_starts.all;
+    m_starts.queuedBesideFree += anyFree && engine.waiting.size() > UpstreamTable::fewWaiting;
+}
+
+double QueueSimulation::slowness(const Engine &engine) const
+{
+    constexpr std::uint64_t steps = 1000;
+    const auto interval =
+        static_cast<std::uint64_t>(m_now.time_since_epoch() / m_options.slowdownInterval);
+    const double position =
+        static_cast<double>(mixBits(engine.number, interval) % steps) / double(steps);
+    return position < m_options.slowdownShare ? m_options.slowdown : 1;
+}
+
+void QueueSimulation::stateLoad(Entry &entry, UpstreamState &upstream, const Engine &engine)
+{
+    if (!m_options.statesLoad)
+        return;
+    const UpstreamOccupancy stated{static_cast<std::uint32_t>(engine.running.size()),
+                                   static_cast<std::uint32_t>(engine.waiting.size()),
+                                   static_cast<std::uint32_t>(m_options.slots), slowness(engine)};
+    UpstreamTable::recordOccupancy(upstream, stated, m_now);
+    applyDecisions(entry);
+}
+
 std::shared_ptr<QueueSimulation::Run> QueueSimulation::addRun(Engine &engine,
                                                               std::uint32_t freshTokens)
 {
@@ -164,12 +211,15 @@
     Engine &engine = m_engines[upstream->key];
     const auto run = addRun(engine, freshTokens);
     const LoadKind &kind = m_kinds[call.kind];
-    const Duration first = fromMs(firstTokenMs + engine.factor * promptTokenMs * freshTokens);
-    const Duration events = fromMs(engine.factor * eventMs * call.events);
+    const double factor = engine.factor * slowness(engine);
+    const Duration first =
+        fromMs(slowness(engine) * firstTokenMs + factor * promptTokenMs * freshTokens);
+    const Duration events = fromMs(factor * eventMs * call.events);
     const TimePoint firstAt = m_now + first;
-    schedule(first, [&entry, upstream, freshTokens, first] {
+    schedule(first, [this, &entry, &engine, upstream, freshTokens, first] {
         entry.upstreams.firstToken(*upstream, freshTokens);
         entry.upstreams.recordFirstToken(*upstream, freshTokens, first);
+        stateLoad(entry, *upstream, engine);
     });
     schedule(first + events, [this, &entry, &engine, &kind, call, upstream, firstAt, run, events] {
         const bool served = m_now <= call.deadlineAt;
@@ -204,6 +254,9 @@
 {
     entry.reportedLoads = entry.upstreams.ownLoads();
     entry.reportedDemand = entry.queue->demand(m_now);
+    entry.reportedOccupancies.clear();
+    for (const ReportedOccupancy &row : entry.upstreams.occupancyReports(m_now))
+        entry.reportedOccupancies.emplace_back(row, m_now - row.age);
     for (const auto &other : m_entries)
         if (other.get() != &entry)
             receiveLoads(*other);
@@ -226,6 +279,9 @@
         demand.insert(demand.end(), other->reportedDemand.begin(), other->reportedDemand.end());
     }
     entry.upstreams.setOthers(loads);
+    for (const auto &other : m_entries)
+        if (other.get() != &entry)
+            entry.upstreams.applyOccupancies(other->reportedOccupancies);
     entry.queue->setPeerDemand(demand);
     applyDecisions(entry);
 }
--- a/tests/support/QueueSimulation.h
+++ b/tests/support/QueueSimulation.h
@@ -59,6 +59,12 @@
     double slowFactor = 1;
     /// Interval at which an entry reports its loads and demand to the others.
     Duration reportInterval = milliseconds(70);
+    /// Engines state their load and pace with the first token.
+    bool statesLoad = false;
+    /// In each interval, this share of the engines needs `slowdown` times as long for new requests.
+    double slowdownShare = 0;
+    double slowdown = 1;
+    Duration slowdownInterval = milliseconds(600);
     std::uint64_t seed = 1;
 };
 
@@ -76,6 +82,15 @@
 
     const RequestCounts &count(std::size_t kind) const { return m_counts[kind]; }
     RequestCounts total() const;
+    /// Starts, and those at an engine where more than 3 requests wait while another stands free.
+    struct StartCounts
+    {
+        int all = 0;
+        int queuedBesideFree = 0;
+
+        double queuedShare() const { return all == 0 ? 0 : double(queuedBesideFree) / all; }
+    };
+    const StartCounts &starts() const { return m_starts; }
 
 private:
     struct Call
@@ -93,6 +108,7 @@
         std::map<Ticket, Call> calls;
         std::vector<std::pair<UpstreamKey, UpstreamLoad>> reportedLoads;
         std::vector<QueueDemand> reportedDemand;
+        std::vector<std::pair<ReportedOccupancy, TimePoint>> reportedOccupancies;
     };
     struct Run
     {
@@ -101,6 +117,7 @@
     struct Engine
     {
         double factor = 1;
+        std::uint64_t number = 0;
         std::set<std::shared_ptr<Run>> running;
         std::deque<std::function<void()>> waiting;
     };
@@ -110,6 +127,10 @@
     void submit(Call call);
     void applyDecisions(Entry &entry);
     void start(Entry &entry, const Assignment &assignment);
+    bool isFree(const Engine &engine) const;
+    void countStart(const Engine &engine);
+    double slowness(const Engine &engine) const;
+    void stateLoad(Entry &entry, UpstreamState &upstream, const Engine &engine);
     /// Adds the stream to the engine and delays the others that run there.
     static std::shared_ptr<Run> addRun(Engine &engine, std::uint32_t freshTokens);
     void execute(Entry &entry, const Call &call, const UpstreamPtr &upstream,
@@ -121,6 +142,7 @@
     QueueSimulationOptions m_options;
     std::vector<LoadKind> m_kinds;
     std::vector<RequestCounts> m_counts;
+    StartCounts m_starts;
     std::vector<std::unique_ptr<Entry>> m_entries;
     std::map<UpstreamKey, Engine> m_engines;
     std::multimap<TimePoint, std::function<void()>> m_events;
