--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -108,6 +108,8 @@
     milliseconds quotaWindow{0};
     /// Without these, orders to move a service to another software version are not read.
     std::optional<RolloutBounds> rollouts;
+    /// What upstreams state of their load counts when requests are placed.
+    bool usesOccupancy = false;
 };
 
 /// Settings of one process, read from one JSON document and fixed until it restarts,
--- a/src/direct/RolloutDesk.cpp
+++ b/src/direct/RolloutDesk.cpp
@@ -141,7 +141,7 @@
         const bool isUsable =
             std::ranges::find(watched, upstream->key) != watched.end()
             && std::ranges::find(request.excluded, upstream->key) == request.excluded.end()
-            && static_cast<int>(upstream->inFlight()) < UpstreamTable::limit(*upstream, at);
+            && UpstreamTable::freePlaces(*upstream, at) > 0;
         if (isUsable)
             free.push_back(upstream->key);
     }
