--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 #include "config/JsonObjectReader.h"
 #include "serving/RetryBudget.h"
+#include "serving/RolloutBounds.h"
 
 #include <cstddef>
 #include <optional>
@@ -107,6 +108,10 @@
     double hedgeShare = 0;
     /// Over which the quotas of workspaces are judged.
     milliseconds quotaWindow{0};
+    /// Without these, orders to move a service to another software version are not read.
+    std::optional<RolloutBounds> rollouts;
+    /// What upstreams state of their load counts when requests are placed.
+    bool usesOccupancy = false;
 };
 
 /// Settings of one process, read from one JSON document and fixed until it restarts,
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -102,7 +102,8 @@
     // The store may list another incarnation since the assignment, perhaps of another version.
     const bool replaced = m_state.upstreams.otherIncarnation(upstream) != nullptr;
     m_withheld = m_connection
-                 && (quarantined || replaced || !admitted || !upstream.terms.isOpen(steadyNow()));
+                 && (quarantined || replaced || !admitted || !upstream.terms.isOpen(steadyNow())
+                     || !m_state.rollouts.maySend(upstream));
     if (!m_connection || m_cancelled || m_withheld)
         co_return AttemptEnd::NotSent;
     m_sentAt = steadyNow();
@@ -222,9 +223,11 @@
         m_response.status = head->status;
         m_response.facts = platform::decodeAnswer(head->status, head->headers);
         if (isOwnResponse()) {
-            if (!m_response.facts.misdirected)
+            if (!m_response.facts.misdirected) {
                 m_state.applyStatement(*m_assignment.upstream, m_response.facts.statement,
                                        m_sentAt);
+                m_state.recordOccupancy(*m_assignment.upstream, m_response.facts, m_sentAt);
+            }
             const AttemptEnd headOutcome = classifyHead();
             const bool streams = m_request.streams && m_response.status == okStatus;
             if (headOutcome == AttemptEnd::Whole && streams)
--- a/src/serving/EntryLoad.h
+++ b/src/serving/EntryLoad.h
@@ -4,8 +4,10 @@
 #include "base/StorePosition.h"
 #include "serving/CrashLedger.h"
 #include "serving/DispatchQueue.h"
+#include "serving/OccupancyModel.h"
 #include "serving/PartCrash.h"
 #include "serving/QuotaLedger.h"
+#include "serving/RolloutReport.h"
 #include "serving/TermsReport.h"
 
 #include <cstdint>
@@ -35,6 +37,8 @@
     std::vector<ReportedPartCrash> partCrashes;
     std::vector<ReportedPartAnswer> partAnswers;
     std::vector<TermsReport> terms;
+    std::vector<RolloutReport> rollouts;
+    std::vector<ReportedOccupancy> occupancies;
     /// The entry is shutting down gracefully and takes no new requests.
     bool leaving = false;
 
