--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -44,6 +44,7 @@
     , rollouts(settings.direct.rollouts, upstreams, queue, metrics)
     , quotas(settings.direct.quotaWindow)
     , retries(settings.direct.retries, steadyNow())
+    , hedging(settings.direct.hedgeShare)
     , admission(freshness, crashes, partQuarantine, quotas)
     , peers(settings.name)
     , proofs(incarnation)
@@ -248,6 +249,17 @@
     pump();
 }
 
+void TrafficState::releasePlace(const Assignment &assignment, const std::string &service,
+                                QueueRank rank, bool prefilled)
+{
+    UpstreamState &upstream = *assignment.upstream;
+    if (!prefilled)
+        upstreams.firstToken(upstream, assignment.freshTokens);
+    upstreams.ended(upstream);
+    queue.ended(service, rank);
+    pump();
+}
+
 void TrafficState::pump()
 {
     applyDecisions(queue.decide(steadyNow()));
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -369,6 +369,13 @@
     return versions;
 }
 
+int UpstreamTable::places(std::string_view service, TimePoint now) const
+{
+    const auto &upstreams = ofService(service);
+    return std::accumulate(upstreams.begin(), upstreams.end(), 0,
+                           [now](int sum, const auto &each) { return sum + limit(*each, now); });
+}
+
 int UpstreamTable::freePlaces(std::string_view service, TimePoint now) const
 {
     const auto &upstreams = ofService(service);
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -207,6 +207,8 @@
     /// Software versions of the listed upstreams, by service.
     std::map<std::string, std::set<std::string>> versions() const;
 
+    /// Number of places at the upstreams of the service.
+    int places(std::string_view service, TimePoint now) const;
     /// Number of free places at the upstreams of the service, but for those of withheld versions.
     int freePlaces(std::string_view service, TimePoint now) const;
 
