--- a/tests/EntryMessageCodecTest.cpp
+++ b/tests/EntryMessageCodecTest.cpp
@@ -23,6 +23,8 @@
     load.crashes = {{{8, 9}, milliseconds(10)}};
     load.partCrashes = {{{31, 32, 2}, milliseconds(33)}};
     load.partAnswers = {{34, milliseconds(35), 36}};
+    load.occupancies = {{21, {5, 2, 5, 2.5}, milliseconds(40)},
+                        {22, {0, 0, 6, std::nullopt}, milliseconds(0)}};
     load.terms = {{21, LimitReport{3.9, milliseconds(450), milliseconds(250)}, false, 7},
                   {22, LimitReport{std::nullopt, milliseconds(9), milliseconds(1)}, true, 0},
                   {23, std::nullopt, false, 4}};
