Exchange: groups of entries beyond 40, far reports and digests between them

Change: beyond exchange.undividedEntries the entries and the upstreams of each service are divided into groups of about 30. Loads and demand stay in the group; between groups an entry tells what is urgent within 0.2 s and the rest each 4 s, and digests tell who is alive.

--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -1,5 +1,7 @@
 #include "config/Settings.h"
 
+#include "fleet/GroupDigest.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -191,6 +193,23 @@
     return bounds;
 }
 
+GroupBounds readGroups(JsonObjectReader &parent, Faults &faults)
+{
+    GroupBounds groups;
+    const auto *value = parent.child("exchange");
+    if (!value)
+        return groups;
+    constexpr std::int64_t mostEntries = 10'000;
+    JsonObjectReader reader(*value, "exchange", faults);
+    groups.undividedEntries = static_cast<std::size_t>(reader.integer(
+        "undividedEntries", static_cast<std::int64_t>(groups.undividedEntries), {0, mostEntries}));
+    groups.entriesPerGroup = static_cast<std::size_t>(
+        reader.integer("entriesPerGroup", static_cast<std::int64_t>(groups.entriesPerGroup),
+                       {4, static_cast<std::int64_t>(mostHeardEntries / 2)}));
+    reader.finish();
+    return groups;
+}
+
 void readDirectPart(JsonObjectReader &reader, Settings &settings, Faults &faults)
 {
     static const boost::json::value empty = boost::json::object{};
@@ -214,6 +233,7 @@
     const double quotaWindow = bounds.number("quotaWindowSeconds", defaultQuotaSeconds, 1, 3600);
     settings.direct.quotaWindow = milliseconds(static_cast<std::int64_t>(quotaWindow * 1000));
     bounds.finish();
+    settings.direct.groups = readGroups(reader, faults);
 }
 
 void readCommonPart(JsonObjectReader &reader, Settings &settings, Faults &faults)
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 #include "config/JsonObjectReader.h"
+#include "fleet/ExchangeGroups.h"
 #include "serving/RetryBudget.h"
 
 #include <cstddef>
@@ -105,6 +106,7 @@
     RetryBounds retries;
     /// Over which the quotas of workspaces are judged.
     milliseconds quotaWindow{0};
+    GroupBounds groups;
 };
 
 /// Settings of one process, read from one JSON document and fixed until it restarts,
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -45,6 +45,7 @@
     , retries(settings.direct.retries, steadyNow())
     , admission(freshness, crashes, partQuarantine, quotas)
     , peers(settings.name)
+    , groups(settings.name, settings.direct.groups)
     , proofs(incarnation)
     , origins(executor, incarnation)
     , healthChecker(executor, metrics)
@@ -218,6 +219,48 @@
 void TrafficState::applyKnownEntries(const std::set<std::string> &names)
 {
     peers.setKnown(names);
+    const std::pair before(groups.count(), groups.ownGroup());
+    groups.assignEntries(names);
+    metrics.set("tamarack_exchange_groups", "", groups.count());
+    metrics.set("tamarack_exchange_group_entries", "", groups.size());
+    if (before == std::pair(groups.count(), groups.ownGroup()))
+        return;
+    logEvent(LogLevel::Info, "exchange_group",
+             {{"group", groups.ownGroup()},
+              {"groups", groups.count()},
+              {"members", groups.size()},
+              {"entries", names.size()}});
+    upstreams.setGroups(groups.count(), groups.ownGroup());
+    pump();
+}
+
+void TrafficState::applyDigest(const GroupDigest &digest)
+{
+    const TimePoint now = steadyNow();
+    const std::size_t applied = peers.handleDigest(digest, now);
+    for (const HeardEntry &row : digest.heard)
+        quotas.recordAlive(row.incarnation, now - row.age);
+    metrics.add("tamarack_peer_digest_rows_total", "outcome=\"applied\"", applied);
+    metrics.add("tamarack_peer_digest_rows_total", "outcome=\"unknown\"",
+                digest.heard.size() - applied);
+}
+
+GroupDigest TrafficState::ownDigest(TimePoint now) const
+{
+    GroupDigest digest{incarnation, {{incarnation, milliseconds(0)}}};
+    const auto members =
+        peers.heard([this](const std::string &name) { return groups.isMember(name); }, now);
+    const std::size_t kept = std::min(members.size(), mostHeardEntries - 1);
+    digest.heard.insert(digest.heard.end(), members.begin(),
+                        members.begin() + static_cast<std::ptrdiff_t>(kept));
+    return digest;
+}
+
+FarReports::Urgent TrafficState::farState() const
+{
+    const UpdateVersions versions = updateVersions();
+    return {m_elected ? versions.configVersion : 0, versions.upstreamPosition, versions.statements,
+            m_ownCrashes, draining};
 }
 
 void TrafficState::enqueue(QueuedRequest request, std::shared_ptr<QueueWait> wait)
@@ -362,7 +405,10 @@
     for (FleetMember &member : peers.reachableMembers(now))
         if (!member.leaving)
             serving.push_back(std::move(member.name));
-    upstreams.shareLimits({settings.name, serving, peers.reachableShare(now)});
+    const double share = peers.reachableShare(now);
+    std::vector<std::string> group = serving;
+    std::erase_if(group, [this](const std::string &name) { return !groups.isMember(name); });
+    upstreams.shareLimits({settings.name, serving, share}, {settings.name, group, share});
 }
 
 void TrafficState::recordBrokenAttempt(const UpstreamPtr &upstream, RequestFingerprint fingerprint,
@@ -421,6 +467,7 @@
     const BrokenAttempts broken = std::move(found->second);
     m_brokenAttempts.erase(found);
     metrics.add("tamarack_upstream_crashes_total", "");
+    ++m_ownCrashes;
     logEvent(LogLevel::Warning, "upstream_crashed",
              {{"upstream", upstream.record.id},
               {"born", upstream.record.born},
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -6,6 +6,9 @@
 #include "direct/HealthChecker.h"
 #include "direct/OriginExchange.h"
 #include "direct/UpstreamPool.h"
+#include "fleet/ExchangeGroups.h"
+#include "fleet/FarReports.h"
+#include "fleet/GroupDigest.h"
 #include "fleet/OriginSaving.h"
 #include "fleet/ProofRelay.h"
 #include "fleet/UpstreamLog.h"
@@ -77,6 +80,12 @@
     void applyUpstreamsFollowed(const UpstreamDelta &delta, UpstreamSource source,
                                 BootTime currentAt);
     void applyKnownEntries(const std::set<std::string> &names);
+    /// Applies what a member of another exchange group tells about its group.
+    void applyDigest(const GroupDigest &digest);
+    /// What this entry tells other exchange groups about its own.
+    GroupDigest ownDigest(TimePoint now) const;
+    /// What other exchange groups must know soon.
+    FarReports::Urgent farState() const;
 
     /// Queues the request; `wait` is decided either immediately or later.
     void enqueue(QueuedRequest request, std::shared_ptr<QueueWait> wait);
@@ -166,6 +175,7 @@
     PartQuarantine partQuarantine;
     Admission admission;
     PeerRegistry peers;
+    ExchangeGroups groups;
     ProofRelay proofs;
     OriginExchange origins;
     AttemptAgeEstimator attemptAge;
@@ -227,6 +237,8 @@
     StorePosition m_upstreamPosition;
     TimePoint m_upstreamsFollowedAt{};
     std::uint64_t m_statements = 0;
+    /// Crashes that this entry has found itself.
+    std::uint64_t m_ownCrashes = 0;
     TimePoint m_refusalAt = TimePoint::max();
     Ticket m_lastTicket = 0;
 };
--- a/src/fleet/EntryMessage.h
+++ b/src/fleet/EntryMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/GroupDigest.h"
 #include "fleet/OriginMessages.h"
 #include "fleet/ProofRelay.h"
 #include "serving/EntryLoad.h"
@@ -10,6 +11,6 @@
 
 /// Messages between entries; one per datagram.
 using EntryMessage = std::variant<EntryLoad, ProofRequest, ProofResponse, StreamOrigin,
-                                  OriginRequest, OriginResponse>;
+                                  OriginRequest, OriginResponse, GroupDigest>;
 
 } // namespace tamarack
--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
@@ -174,6 +175,31 @@
         write(root.initOrigin(), *response.origin);
 }
 
+void write(wire::EntryMessage::Builder to, const GroupDigest &digest)
+{
+    auto root = to.initGroupDigest();
+    root.setTeller(digest.teller);
+    auto heard = root.initHeard(digest.heard.size());
+    auto ages = root.initAgesMs(digest.heard.size());
+    for (unsigned i = 0; i < digest.heard.size(); ++i) {
+        heard.set(i, digest.heard[i].incarnation);
+        const auto age = std::min<std::int64_t>(digest.heard[i].age.count(), UINT16_MAX);
+        ages.set(i, static_cast<std::uint16_t>(age));
+    }
+}
+
+Result<EntryMessage> read(wire::GroupDigest::Reader from)
+{
+    const auto heard = from.getHeard();
+    const auto ages = from.getAgesMs();
+    if (heard.size() != ages.size() || heard.size() > mostHeardEntries)
+        return failure(ErrorKind::BadRequest, "malformed digest of a group");
+    GroupDigest digest{from.getTeller(), {}};
+    for (unsigned i = 0; i < heard.size(); ++i)
+        digest.heard.push_back({heard[i], milliseconds(ages[i])});
+    return digest;
+}
+
 StreamOrigin read(wire::StreamOrigin::Reader from)
 {
     return {from.getStream(), stringOf(from.getUpstream()), from.getBorn(),
@@ -297,6 +323,8 @@
     }
     case wire::EntryMessage::ORIGIN_RESPONSE:
         return read(from.getOriginResponse());
+    case wire::EntryMessage::GROUP_DIGEST:
+        return read(from.getGroupDigest());
     }
     return failure(ErrorKind::BadRequest, "unknown kind of message");
 }
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -220,8 +220,11 @@
 struct WorkspaceUse {
 }
 
-# What the entries of one exchange group report together to the other groups.
+# What an entry tells other exchange groups about its own. The lists are of equal length.
 struct GroupDigest {
+    teller @0 :UInt64;
+    heard @1 :List(UInt64);
+    agesMs @2 :List(UInt16);
 }
 
 struct UpstreamChange {
--- a/src/serving/PeerRegistry.cpp
+++ b/src/serving/PeerRegistry.cpp
@@ -10,6 +10,7 @@
     std::erase_if(m_peers, [&](const auto &item) {
         return item.second.load.leaving && !names.contains(item.first);
     });
+    std::erase_if(m_nameOf, [&](const auto &item) { return !m_peers.contains(item.second); });
 }
 
 bool PeerRegistry::handleReport(const EntryLoad &load, TimePoint now)
@@ -20,12 +21,46 @@
     const bool known = peer.load.incarnation == load.incarnation;
     if (known && load.sequence <= peer.load.sequence)
         return false;
+    if (!known) {
+        m_nameOf.erase(peer.load.incarnation);
+        m_nameOf[load.incarnation] = load.name;
+        peer.heardAt = {};
+    }
     peer.load = load;
     peer.receivedAt = now;
     return true;
 }
 
+std::size_t PeerRegistry::handleDigest(const GroupDigest &digest, TimePoint now)
+{
+    std::size_t applied = 0;
+    for (const HeardEntry &row : digest.heard) {
+        const auto name = m_nameOf.find(row.incarnation);
+        const auto peer = name == m_nameOf.end() ? m_peers.end() : m_peers.find(name->second);
+        if (peer == m_peers.end())
+            continue;
+        peer->second.heardAt = std::max(peer->second.heardAt, now - row.age);
+        ++applied;
+    }
+    return applied;
+}
+
+bool PeerRegistry::isReachable(const Peer &peer, TimePoint now)
+{
+    const Duration age = now - peer.receivedAt;
+    return age < reportTimeout || (age < farReportTimeout && now - peer.heardAt < reportTimeout);
+}
+
 std::vector<const EntryLoad *> PeerRegistry::reachableLoads(TimePoint now) const
+{
+    std::vector<const EntryLoad *> loads;
+    for (const auto &[name, peer] : m_peers)
+        if (isReachable(peer, now))
+            loads.push_back(&peer.load);
+    return loads;
+}
+
+std::vector<const EntryLoad *> PeerRegistry::currentLoads(TimePoint now) const
 {
     std::vector<const EntryLoad *> loads;
     for (const auto &[name, peer] : m_peers)
@@ -37,7 +72,7 @@
 std::unordered_map<UpstreamKey, UpstreamLoad> PeerRegistry::loads(TimePoint now) const
 {
     std::unordered_map<UpstreamKey, UpstreamLoad> sums;
-    for (const EntryLoad *load : reachableLoads(now)) {
+    for (const EntryLoad *load : currentLoads(now)) {
         for (const auto &[key, upstream] : load->loads) {
             UpstreamLoad &sum = sums[key];
             sum.inFlight += upstream.inFlight;
@@ -50,7 +85,7 @@
 std::vector<QueueDemand> PeerRegistry::demand(TimePoint now) const
 {
     std::vector<QueueDemand> rows;
-    for (const EntryLoad *load : reachableLoads(now))
+    for (const EntryLoad *load : currentLoads(now))
         std::ranges::copy(load->demand, std::back_inserter(rows));
     return rows;
 }
--- a/src/serving/PeerRegistry.h
+++ b/src/serving/PeerRegistry.h
@@ -2,8 +2,12 @@
 
 #include "base/Time.h"
 #include "fleet/FleetMember.h"
+#include "fleet/GroupDigest.h"
 #include "serving/EntryLoad.h"
 
+#include <chrono>
+#include <concepts>
+#include <cstddef>
 #include <map>
 #include <set>
 #include <string>
@@ -16,7 +20,8 @@
 ///
 /// Entries may crash, freeze or be partitioned from one another. The requests of an unresponsive
 /// entry stop counting after `reportTimeout`; its share of quotas does not, since it may still be
-/// serving.
+/// serving. Entries of other exchange groups report rarely; members of their groups tell by digests
+/// that they are alive.
 class PeerRegistry
 {
 public:
@@ -30,7 +35,22 @@
     /// Handles a report; returns false if it is outdated, a duplicate or this entry's own.
     bool handleReport(const EntryLoad &load, TimePoint now);
 
-    /// Load of the reachable entries, summed by upstream.
+    /// Applies what a member of another exchange group tells about its group. Entries without a
+    /// report are ignored. Returns how many rows were applied.
+    std::size_t handleDigest(const GroupDigest &digest, TimePoint now);
+    /// The entries among `members` whose own reports arrive, with the ages of these.
+    template <std::predicate<const std::string &> IsMember>
+    std::vector<HeardEntry> heard(IsMember isMember, TimePoint now) const
+    {
+        std::vector<HeardEntry> rows;
+        for (const auto &[name, peer] : m_peers)
+            if (isMember(name) && now - peer.receivedAt < reportTimeout)
+                rows.push_back({peer.load.incarnation,
+                                std::chrono::ceil<milliseconds>(now - peer.receivedAt)});
+        return rows;
+    }
+
+    /// Load of the entries whose own reports arrive, summed by upstream.
     std::unordered_map<UpstreamKey, UpstreamLoad> loads(TimePoint now) const;
     std::vector<QueueDemand> demand(TimePoint now) const;
     /// Terms reported by the other entries, by upstream. Reports of unresponsive entries remain
@@ -50,19 +70,28 @@
 
     /// An entry without a report for this long is unresponsive; its requests count as ended.
     static constexpr milliseconds reportTimeout{1000};
+    /// An entry whose own last report is older than this is unresponsive whatever digests say:
+    /// reports between it and this entry are lost.
+    static constexpr milliseconds farReportTimeout{25'000};
 
 private:
     struct Peer
     {
         EntryLoad load;
         TimePoint receivedAt{};
+        /// When a member of its group last heard it, as far as digests tell.
+        TimePoint heardAt{};
     };
 
+    static bool isReachable(const Peer &peer, TimePoint now);
     std::vector<const EntryLoad *> reachableLoads(TimePoint now) const;
+    /// Those whose own reports arrive.
+    std::vector<const EntryLoad *> currentLoads(TimePoint now) const;
 
     std::string m_ownName;
     std::set<std::string> m_known;
     std::map<std::string, Peer> m_peers;
+    std::unordered_map<Incarnation, std::string> m_nameOf;
 };
 
 } // namespace tamarack
--- a/src/serving/QuotaLedger.cpp
+++ b/src/serving/QuotaLedger.cpp
@@ -11,6 +11,9 @@
 /// Part of a quota that may be used. The rest is a margin for requests that other entries have
 /// admitted but not reported yet.
 constexpr double usableShare = 0.97;
+/// Part of the burst that counts as room although the bucket is nearly empty: without it, each
+/// request of a workspace at its quota would be told at once.
+constexpr double leastRoomShare = 0.125;
 /// Resolution at which sent units are counted within a window.
 constexpr int slicesPerWindow = 32;
 /// Pending requests of an entry that has been unresponsive for this long are taken to have ended.
@@ -63,6 +66,8 @@
     if (bucket.rate > 0 && empty)
         return false;
     bucket.pending += cost;
+    bucket.untold += cost;
+    bucket.admitted += cost;
     deduct(bucket, cost);
     return true;
 }
@@ -116,6 +121,29 @@
         applyUse(peer, use);
 }
 
+void QuotaLedger::recordAlive(std::uint64_t entryIncarnation, TimePoint now)
+{
+    const auto peer = m_peers.find(entryIncarnation);
+    if (peer != m_peers.end())
+        peer->second.lastReportAt = std::max(peer->second.lastReportAt, now);
+}
+
+bool QuotaLedger::mustTell(std::size_t groups) const
+{
+    return std::ranges::any_of(m_buckets, [groups](const auto &item) {
+        const Bucket &bucket = item.second;
+        const double room = std::max(bucket.level, bucket.burst * leastRoomShare);
+        return bucket.rate > 0 && bucket.untold > 0
+               && bucket.admitted * static_cast<double>(groups) > room;
+    });
+}
+
+void QuotaLedger::markTold()
+{
+    for (auto &[name, bucket] : m_buckets)
+        bucket.untold = bucket.admitted = 0;
+}
+
 void QuotaLedger::applyUse(Peer &peer, const QuotaUse &use)
 {
     const auto [known, isNew] = peer.uses.try_emplace(use.workspace, use);
@@ -128,6 +156,7 @@
     const double pendingBefore = isNew ? 0 : before.pending;
     recordSent(bucket->second, sent);
     bucket->second.peersPending += use.pending - pendingBefore;
+    bucket->second.admitted += std::max(0.0, sent + use.pending - pendingBefore);
     deduct(bucket->second, sent + use.pending - pendingBefore);
 }
 
--- a/src/serving/QuotaLedger.h
+++ b/src/serving/QuotaLedger.h
@@ -67,6 +67,14 @@
     /// Deducts what another entry has admitted since its last report.
     void applyReport(std::uint64_t entryIncarnation, const std::vector<QuotaUse> &uses,
                      TimePoint now);
+    /// Another entry is alive although it has nothing new to report.
+    void recordAlive(std::uint64_t entryIncarnation, TimePoint now);
+    /// Whether this entry has admitted something that it has not told the other exchange groups,
+    /// and what all of `groups` may have admitted since `markTold`, if each admits as much as is
+    /// known here, could exhaust a quota.
+    bool mustTell(std::size_t groups) const;
+    /// All use so far is told to the other groups.
+    void markTold();
     /// Sets the share of the known entries that report, including this one.
     void setReportingShare(double share, TimePoint now);
 
@@ -92,6 +100,9 @@
         double peersPending = 0;
         std::deque<Slice> slices{};
         double sentInWindow = 0;
+        /// Units admitted here, and by the whole exchange as far as known, since `markTold`.
+        double untold = 0;
+        double admitted = 0;
     };
     struct Peer
     {
--- a/src/serving/UpstreamChooser.cpp
+++ b/src/serving/UpstreamChooser.cpp
@@ -51,7 +51,7 @@
 UpstreamChoice UpstreamChooser::choose(const QueuedRequest &request, Pacing pacing,
                                        TimePoint now) const
 {
-    const auto &upstreams = m_upstreams.ofService(request.service);
+    const auto &upstreams = m_upstreams.ofOwnGroup(request.service);
     const UpstreamKey home = homeOf(request.prefix, upstreams);
     const Speeds bySpeed = speeds(upstreams, now);
     UpstreamChoice best;
@@ -70,13 +70,15 @@
                                                    TimePoint now) const
 {
     std::vector<UpstreamPtr> open;
-    std::ranges::copy_if(
-        m_upstreams.ofService(request.service), std::back_inserter(open),
-        [&](const UpstreamPtr &each) {
-            return UpstreamTable::limit(*each, now) > 0
-                   && (!request.version || *request.version == each->record.version)
-                   && std::ranges::find(request.excluded, each->key) == request.excluded.end();
-        });
+    const auto isOpen = [&](const UpstreamPtr &each) {
+        return UpstreamTable::limit(*each, now) > 0
+               && (!request.version || *request.version == each->record.version)
+               && std::ranges::find(request.excluded, each->key) == request.excluded.end();
+    };
+    std::ranges::copy_if(m_upstreams.ofOwnGroup(request.service), std::back_inserter(open), isOpen);
+    if (open.empty())
+        std::ranges::copy_if(m_upstreams.ofService(request.service), std::back_inserter(open),
+                             isOpen);
     // Keeps only the upstreams that have the property, if there are any.
     const auto prefer = [&open](auto hasProperty) {
         if (std::ranges::any_of(open, hasProperty))
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -1,6 +1,7 @@
 #include "serving/UpstreamTable.h"
 
 #include "base/Hash.h"
+#include "fleet/ExchangeGroups.h"
 
 #include <algorithm>
 #include <numeric>
@@ -80,9 +81,37 @@
         return !present.contains(upstream.key) && upstream.own.inFlight == 0
                && !upstream.isRestricted();
     });
+    divide();
     return restricted;
 }
 
+void UpstreamTable::setGroups(std::size_t groups, std::size_t own)
+{
+    m_groups = groups;
+    m_ownGroup = own;
+    divide();
+}
+
+void UpstreamTable::divide()
+{
+    for (auto &[name, service] : m_services) {
+        const bool divided =
+            m_groups > 1 && service.upstreams.size() >= m_groups * leastUpstreamsPerGroup;
+        std::vector<GroupItem> items;
+        for (const UpstreamPtr &upstream : service.upstreams)
+            items.push_back({upstream->record.dataCentre, upstream->key});
+        const std::vector<std::size_t> groupOf = divideEvenly(items, divided ? m_groups : 1);
+        service.ofOwnGroup.clear();
+        for (std::size_t i = 0; i < items.size(); ++i) {
+            const UpstreamPtr &upstream = service.upstreams[i];
+            upstream->shared = !divided;
+            upstream->foreign = divided && groupOf[i] != m_ownGroup;
+            if (!upstream->foreign)
+                service.ofOwnGroup.push_back(upstream);
+        }
+    }
+}
+
 UpstreamPtr UpstreamTable::otherIncarnation(const UpstreamState &upstream) const
 {
     const auto listed = m_lastListed.find(upstream.record.id);
@@ -168,6 +197,13 @@
     return found == m_services.end() ? none : found->second.upstreams;
 }
 
+const std::vector<UpstreamPtr> &UpstreamTable::ofOwnGroup(std::string_view service) const
+{
+    static const std::vector<UpstreamPtr> none;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? none : found->second.ofOwnGroup;
+}
+
 std::vector<std::pair<UpstreamPtr, TermsChanges>>
 UpstreamTable::setReports(std::unordered_map<UpstreamKey, std::vector<ReceivedTerms>> reports)
 {
@@ -196,11 +232,17 @@
     });
 }
 
-void UpstreamTable::shareLimits(const LimitMembers &members)
+void UpstreamTable::shareLimits(const LimitMembers &members, const LimitMembers &group)
 {
-    for (const auto &[key, upstream] : m_byKey)
-        if (const auto limit = upstream->terms.limitPerSecond())
-            upstream->terms.setShare(limitShare(key, std::max(*limit, leastLimit), members));
+    // Only the members of a group send to its upstreams, so only they hold limits of these.
+    for (const auto &[key, upstream] : m_byKey) {
+        const auto limit = upstream->terms.limitPerSecond();
+        if (!limit)
+            continue;
+        const LimitMembers &sharing = upstream->shared ? members : group;
+        upstream->terms.setShare(
+            upstream->foreign ? 0 : limitShare(key, std::max(*limit, leastLimit), sharing));
+    }
 }
 
 std::vector<TermsReport> UpstreamTable::termsReports(TimePoint now) const
@@ -329,7 +371,7 @@
 
 int UpstreamTable::freePlaces(std::string_view service, TimePoint now) const
 {
-    const auto &upstreams = ofService(service);
+    const auto &upstreams = ofOwnGroup(service);
     return std::accumulate(upstreams.begin(), upstreams.end(), 0, [&](int sum, const auto &each) {
         return sum + std::max(0, limit(*each, now) - static_cast<int>(each->inFlight()));
     });
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -76,6 +76,10 @@
     bool reportsNoStart = false;
     /// When `removeGone` first saw it as gone.
     std::optional<TimePoint> goneSince;
+    /// It belongs to another exchange group, whose load on it is not known here.
+    bool foreign = false;
+    /// No exchange group has it for itself.
+    bool shared = true;
     UpstreamTerms terms;
     /// Earliest time of the next health check, if one is needed.
     TimePoint nextHealthCheck{};
@@ -131,6 +135,10 @@
     /// Listed upstreams that count as leaving until a health check shows that they are not.
     std::vector<UpstreamPtr> unconfirmed(TimePoint now) const;
 
+    /// Divides the upstreams of each service among the exchange groups, of which this entry belongs
+    /// to `own`. Services with few upstreams are not divided.
+    void setGroups(std::size_t groups, std::size_t own);
+
     /// Sets the services that are backed by model engines.
     void setEngines(const std::set<std::string> &services);
 
@@ -142,8 +150,9 @@
     setReports(std::unordered_map<UpstreamKey, std::vector<ReceivedTerms>> reports);
     /// Removes upstreams that have been gone for long enough.
     void removeGone(TimePoint now);
-    /// Recomputes this entry's share of each limit.
-    void shareLimits(const LimitMembers &members);
+    /// Recomputes this entry's share of each limit; `group`: those of its exchange group alone.
+    void shareLimits(const LimitMembers &members, const LimitMembers &group);
+    void shareLimits(const LimitMembers &members) { shareLimits(members, members); }
     /// Terms that this entry reports to the others.
     std::vector<TermsReport> termsReports(TimePoint now) const;
     /// Numbers of upstreams that state a limit, that have stated that they are leaving, and that
@@ -155,6 +164,8 @@
     std::optional<TimePoint> opensAt(std::string_view service, TimePoint now) const;
 
     const std::vector<UpstreamPtr> &ofService(std::string_view service) const;
+    /// Those that are not foreign.
+    const std::vector<UpstreamPtr> &ofOwnGroup(std::string_view service) const;
 
     void started(UpstreamState &upstream, std::uint32_t promptTokens, TimePoint now);
     void firstToken(UpstreamState &upstream, std::uint32_t promptTokens);
@@ -178,9 +189,12 @@
     struct ServiceState
     {
         std::vector<UpstreamPtr> upstreams;
+        std::vector<UpstreamPtr> ofOwnGroup;
         EngineTimeModel model;
     };
 
+    void divide();
+
     template <std::predicate<const UpstreamTerms &> Holds>
     std::size_t countTerms(Holds holds) const;
 
@@ -192,6 +206,8 @@
     /// The incarnation last listed under each id.
     std::unordered_map<std::string, UpstreamPtr> m_lastListed;
     std::set<std::string> m_engines;
+    std::size_t m_groups = 1;
+    std::size_t m_ownGroup = 0;
 };
 
 } // namespace tamarack
--- a/tests/PeerExchangeTest.cpp
+++ b/tests/PeerExchangeTest.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace tamarack;
 
 namespace {
@@ -32,8 +34,8 @@
 struct Entry
 {
     Entry(boost::asio::io_context &context, const std::string &name,
-          const std::shared_ptr<const ServingConfig> &config)
-        : state(settings(name), context.get_executor(), metrics)
+          const std::shared_ptr<const ServingConfig> &config, GroupBounds groups = {})
+        : state(settings(name, groups), context.get_executor(), metrics)
     {
         auto created = PeerExchange::makeExchange(state);
         BOOST_REQUIRE(created.has_value());
@@ -43,9 +45,10 @@
         state.applyKnownEntries({"entry-a", "entry-b"});
     }
 
-    static Settings settings(const std::string &name)
+    static Settings settings(const std::string &name, GroupBounds groups)
     {
         Settings settings;
+        settings.direct.groups = groups;
         settings.name = name;
         settings.peer = {"127.0.0.1", standin::freePort()};
         settings.peerKey = "0123456789abcdef";
@@ -76,6 +79,50 @@
     Entry b{context, "entry-b", config};
 };
 
+/// Eight entries in two groups.
+struct GroupsFixture
+{
+    GroupsFixture()
+    {
+        setLogLevel("off");
+        for (int i = 0; i < 8; ++i)
+            entries.push_back(std::make_unique<Entry>(context, "entry-" + std::to_string(i), config,
+                                                      GroupBounds{4, 4}));
+        listAll();
+        for (const auto &entry : entries) {
+            const bool isMember = entries[0]->state.groups.isMember(entry->state.settings.name);
+            (isMember ? members : strangers).push_back(entry.get());
+        }
+        runFor(milliseconds(1500));
+    }
+
+    /// Tells all entries who is listed.
+    void listAll()
+    {
+        std::set<std::string> names;
+        std::map<std::string, Endpoint> peers;
+        for (const auto &entry : entries) {
+            names.insert(entry->state.settings.name);
+            peers.emplace(entry->state.settings.name, entry->state.settings.peer);
+        }
+        for (const auto &entry : entries) {
+            auto others = peers;
+            others.erase(entry->state.settings.name);
+            entry->state.applyKnownEntries(names);
+            entry->exchange->setPeers(others);
+        }
+    }
+
+    void runFor(milliseconds time) { context.run_for(time); }
+
+    boost::asio::io_context context;
+    std::shared_ptr<const ServingConfig> config = configWithWorkspaces(64);
+    std::vector<std::unique_ptr<Entry>> entries;
+    /// Of the group of the first entry, and of the other one.
+    std::vector<Entry *> members;
+    std::vector<Entry *> strangers;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(PeerExchangeSuite, Fixture)
@@ -127,3 +174,73 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(GroupExchangeSuite, GroupsFixture)
+
+BOOST_AUTO_TEST_CASE(entriesOfOtherGroupsAreReachableBetweenTheirReports)
+{
+    BOOST_REQUIRE(members.size() == 4U);
+    for (int i = 0; i < 6; ++i) {
+        for (const auto &entry : entries)
+            BOOST_TEST(entry->state.peers.reachableCount(steadyNow()) == 8U);
+        runFor(milliseconds(300));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(loadsAndDemandStayInTheGroup)
+{
+    QueuedRequest request;
+    request.ticket = entries[0]->state.nextTicket();
+    request.service = "service";
+    request.refuseAt = steadyNow() + std::chrono::seconds(9);
+    entries[0]->state.enqueue(request, std::make_shared<QueueWait>(context.get_executor()));
+    runFor(milliseconds(600));
+    for (Entry *entry : members)
+        if (entry != entries[0].get())
+            BOOST_TEST(entry->state.peers.demand(steadyNow()).size() == 1U);
+    for (Entry *entry : strangers)
+        BOOST_TEST(entry->state.peers.demand(steadyNow()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(useThatMayExhaustAQuotaIsToldToOtherGroupsAtOnce)
+{
+    for (const Workspace &workspace : config->workspaces)
+        BOOST_REQUIRE(entries[0]->state.quotas.tryReserve(workspace.name, 1, steadyNow()));
+    runFor(milliseconds(800));
+    std::vector<std::int64_t> before;
+    for (const auto &entry : entries)
+        before.push_back(entry->state.quotas.level("workspace-3"));
+    BOOST_REQUIRE(entries[0]->state.quotas.tryReserve("workspace-3", 5000, steadyNow()));
+    runFor(milliseconds(500));
+    for (std::size_t i = 0; i < entries.size(); ++i)
+        BOOST_TEST(entries[i]->state.quotas.level("workspace-3") < before[i] - 3000);
+}
+
+BOOST_AUTO_TEST_CASE(plannedStopIsToldToOtherGroupsAtOnce)
+{
+    entries[0]->state.draining = true;
+    entries[0]->exchange->loadChanged();
+    runFor(milliseconds(400));
+    for (Entry *entry : strangers) {
+        const auto heard = entry->state.peers.reachableMembers(steadyNow());
+        BOOST_TEST(std::ranges::count_if(heard, &FleetMember::leaving) == 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(entryThatJoinsHearsAllSoon)
+{
+    BOOST_REQUIRE(entries[0]->state.quotas.tryReserve("workspace-3", 5, steadyNow()));
+    runFor(milliseconds(600));
+    entries.push_back(std::make_unique<Entry>(context, "entry-8", config, GroupBounds{4, 4}));
+    listAll();
+    runFor(milliseconds(700));
+    for (const auto &entry : entries)
+        BOOST_TEST(entry->state.peers.reachableCount(steadyNow()) == 9U);
+    // What was sent before it started may not count at it, what is sent from now on must.
+    const std::int64_t before = entries[8]->state.quotas.level("workspace-3");
+    BOOST_REQUIRE(entries[0]->state.quotas.tryReserve("workspace-3", 5000, steadyNow()));
+    runFor(milliseconds(500));
+    BOOST_TEST(entries[8]->state.quotas.level("workspace-3") < before - 3000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
