--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "fleet/FarQuota.h"
 #include "fleet/FollowerElection.h"
 #include "process/Timers.h"
 
@@ -559,7 +560,8 @@
 void TrafficState::tick(TimePoint now)
 {
     upstreamListAge.recordTick(bootNow());
-    quotas.setReportingShare(peers.reachableShare(now), now);
+    const double usable = groups.count() > 1 ? farQuotaShare : 1;
+    quotas.setReportingShare(peers.reachableShare(now) * usable, now);
     if (peers.isListKnown())
         retries.setEntries(peers.servingCount(now), now);
     shareLimits(now);
--- a/tests/ExchangeGroupsTest.cpp
+++ b/tests/ExchangeGroupsTest.cpp
@@ -1,6 +1,7 @@
 #include "fleet/ExchangeGroups.h"
 
 #include "base/Hash.h"
+#include "fleet/FarQuota.h"
 #include "fleet/FarReports.h"
 #include "fleet/GroupDigest.h"
 #include "peer/EntryMessageCodec.h"
@@ -196,6 +197,99 @@
     return (bytes + digests) / static_cast<double>(time.count());
 }
 
+/// Entries of ten groups that admit a workspace's requests as fast as its quota lets them, over
+/// links that lose messages. Members hear each other every 30 ms.
+struct QuotaFleet
+{
+    static constexpr int groups = 10;
+    static constexpr int size = 10;
+    static constexpr double rate = 1000;
+    static constexpr milliseconds step{10};
+
+    struct Entry
+    {
+        QuotaLedger ledger;
+        FarReports far;
+        std::vector<QuotaUse> told;
+    };
+
+    QuotaFleet()
+    {
+        ServingConfig config;
+        Workspace workspace;
+        workspace.name = "w";
+        workspace.rate = rate;
+        workspace.burst = rate;
+        config.workspaces.push_back(workspace);
+        for (Entry &entry : entries) {
+            entry.ledger.configure(config, now);
+            entry.ledger.setReportingShare(farQuotaShare, now);
+        }
+    }
+
+    bool isLost() { return std::uniform_int_distribution(0, 99)(random) < lossPercent; }
+
+    void tell(std::size_t from, const std::vector<QuotaUse> &uses, bool toOwnGroup)
+    {
+        for (std::size_t to = 0; to < entries.size(); ++to)
+            if (to != from && (to / size == from / size) == toOwnGroup && !isLost())
+                entries[to].ledger.applyReport(from + 1, uses, now);
+    }
+
+    /// Each entry asks for `perSecond` units in requests of 10.
+    void runFor(Duration time, double perSecond)
+    {
+        for (const TimePoint end = now + time; now < end; now += step, ++steps) {
+            for (std::size_t i = 0; i < entries.size(); ++i) {
+                const double chance = perSecond / 10 * 0.01;
+                const bool asks = std::uniform_real_distribution(0.0, 1.0)(random) < chance;
+                if (asks && entries[i].ledger.tryReserve("w", 10, now)) {
+                    entries[i].ledger.commit("w", 10, now);
+                    sent.emplace_back(now, 10.0);
+                }
+                if ((steps + i) % 3 == 0)
+                    tell(i, entries[i].ledger.uses(), true);
+                if ((steps + i) % 10 == 0)
+                    tellOthers(i);
+            }
+        }
+    }
+
+    void tellOthers(std::size_t i)
+    {
+        Entry &entry = entries[i];
+        if (!entry.far.isDue({}, entry.ledger.mustTell(groups), false, now))
+            return;
+        EntryLoad load;
+        load.quotas = entry.ledger.uses();
+        tell(i, entry.far.makeReport(load, {}, now).quotas, false);
+        entry.ledger.markTold();
+        ++reports;
+    }
+
+    /// Most units sent in any 8 s.
+    double mostInWindow() const
+    {
+        double most = 0;
+        double sum = 0;
+        for (auto first = sent.begin(), last = sent.begin(); last != sent.end(); ++last) {
+            sum += last->second;
+            for (; last->first - first->first >= seconds(8); ++first)
+                sum -= first->second;
+            most = std::max(most, sum);
+        }
+        return most;
+    }
+
+    std::mt19937_64 random{11};
+    int lossPercent = 0;
+    TimePoint now = TimePoint{} + seconds(100);
+    std::size_t steps = 0;
+    std::size_t reports = 0;
+    std::vector<Entry> entries = std::vector<Entry>(groups * size);
+    std::vector<std::pair<TimePoint, double>> sent;
+};
+
 constexpr auto all = [](auto...) { return true; };
 
 } // namespace
@@ -298,6 +392,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(quotaHoldsOverAllGroups)
+{
+    for (const int loss : {0, 3, 20}) {
+        QuotaFleet fleet;
+        fleet.lossPercent = loss;
+        // Little use fills the bucket; then 7.5 times the rate comes at once.
+        constexpr double share = QuotaFleet::rate / (QuotaFleet::groups * QuotaFleet::size);
+        fleet.runFor(seconds(20), share * 0.3);
+        fleet.runFor(seconds(20), share * 7.5);
+        const double most = fleet.mostInWindow();
+        BOOST_TEST_MESSAGE("loss " << loss << " %: " << most << " units in 8 s, " << fleet.reports
+                                   << " far reports of 100 entries in 40 s");
+        BOOST_TEST(most <= QuotaFleet::rate * 9);
+        BOOST_TEST(most > QuotaFleet::rate * 7);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(digestsKeepAGroupReachableUnderLoss)
 {
     DistantGroup group;
