--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 #include "config/JsonObjectReader.h"
+#include "fleet/ExchangeGroups.h"
 #include "serving/RetryBudget.h"
 #include "serving/RolloutBounds.h"
 
@@ -112,6 +113,7 @@
     std::optional<RolloutBounds> rollouts;
     /// What upstreams state of their load counts when requests are placed.
     bool usesOccupancy = false;
+    GroupBounds groups;
 };
 
 /// Settings of one process, read from one JSON document and fixed until it restarts,
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -78,6 +78,10 @@
     bool reportsNoStart = false;
     /// When `removeGone` first saw it as gone.
     std::optional<TimePoint> goneSince;
+    /// It belongs to another exchange group, whose load on it is not known here.
+    bool foreign = false;
+    /// No exchange group has it for itself.
+    bool shared = true;
     UpstreamTerms terms;
     /// Its software version is not for all requests.
     bool versionWithheld = false;
@@ -147,6 +151,10 @@
     /// Listed upstreams that count as leaving until a health check shows that they are not.
     std::vector<UpstreamPtr> unconfirmed(TimePoint now) const;
 
+    /// Divides the upstreams of each service among the exchange groups, of which this entry belongs
+    /// to `own`. Services with few upstreams are not divided.
+    void setGroups(std::size_t groups, std::size_t own);
+
     /// Sets the services that are backed by model engines.
     void setEngines(const std::set<std::string> &services);
 
@@ -168,8 +176,9 @@
 
     /// Removes upstreams that have been gone for long enough.
     void removeGone(TimePoint now);
-    /// Recomputes this entry's share of each limit.
-    void shareLimits(const LimitMembers &members);
+    /// Recomputes this entry's share of each limit; `group`: those of its exchange group alone.
+    void shareLimits(const LimitMembers &members, const LimitMembers &group);
+    void shareLimits(const LimitMembers &members) { shareLimits(members, members); }
     /// Terms that this entry reports to the others.
     std::vector<TermsReport> termsReports(TimePoint now) const;
     /// Numbers of upstreams that state a limit, that have stated that they are leaving, and that
@@ -181,6 +190,8 @@
     std::optional<TimePoint> opensAt(std::string_view service, TimePoint now) const;
 
     const std::vector<UpstreamPtr> &ofService(std::string_view service) const;
+    /// Those that are not foreign.
+    const std::vector<UpstreamPtr> &ofOwnGroup(std::string_view service) const;
 
     void started(UpstreamState &upstream, std::uint32_t promptTokens, TimePoint now);
     void firstToken(UpstreamState &upstream, std::uint32_t promptTokens);
@@ -219,6 +230,7 @@
     struct ServiceState
     {
         std::vector<UpstreamPtr> upstreams;
+        std::vector<UpstreamPtr> ofOwnGroup;
         EngineTimeModel model;
         DecayingCount starts{startRateTime};
     };
@@ -227,6 +239,8 @@
 
     void rankEntries(UpstreamState &upstream) const;
 
+    void divide();
+
     template <std::predicate<const UpstreamTerms &> Holds>
     std::size_t countTerms(Holds holds) const;
 
@@ -240,6 +254,8 @@
     std::set<std::string> m_engines;
     std::string m_rankedEntry;
     std::set<std::string> m_rankedOthers;
+    std::size_t m_groups = 1;
+    std::size_t m_ownGroup = 0;
 };
 
 } // namespace tamarack
