--- a/src/fleet/ExchangeGroups.cpp
+++ b/src/fleet/ExchangeGroups.cpp
@@ -44,7 +44,9 @@
     std::set<std::string> all = names;
     all.insert(m_ownName);
     const bool divided = m_bounds.undividedEntries > 0 && all.size() > m_bounds.undividedEntries;
-    m_count = divided ? std::max<std::size_t>(1, all.size() / m_bounds.entriesPerGroup) : 1;
+    const std::size_t nearest =
+        (all.size() + m_bounds.entriesPerGroup / 2) / m_bounds.entriesPerGroup;
+    m_count = divided ? std::max<std::size_t>(2, nearest) : 1;
     std::vector<GroupItem> items;
     items.reserve(all.size());
     for (const std::string &name : all)
--- a/tests/ExchangeGroupsTest.cpp
+++ b/tests/ExchangeGroupsTest.cpp
@@ -303,6 +303,9 @@
     BOOST_TEST(groups.count() == 1U);
     BOOST_TEST(groups.isMember("entry-39"));
     BOOST_TEST(groups.isMember("not listed yet"));
+    groups.assignEntries(namesUpTo(41));
+    BOOST_TEST(groups.count() == 2U);
+    BOOST_TEST((groups.size() == 20U || groups.size() == 21U));
     groups.assignEntries(namesUpTo(61));
     BOOST_TEST(groups.count() == 2U);
     ExchangeGroups never("entry-0", {0, 30});
