--- a/src/serving/OccupancyModel.cpp
+++ b/src/serving/OccupancyModel.cpp
@@ -12,6 +12,8 @@
 constexpr double fasterWeight = 0.3;
 constexpr double slowerWeight = 0.01;
 constexpr double maxSlowness = 20;
+/// Requests that are counted but on their way, so that the upstream does not state them.
+constexpr double mostOnTheirWay = 2;
 
 /// Part of a fact that still holds at this age, if it is wholly superseded after `life`.
 double remaining(Duration age, Duration life)
@@ -30,7 +32,8 @@
     m_stated = stated;
     m_readAt = readAt;
     m_readHere = own;
-    m_correction = static_cast<double>(stated.requests()) - counted;
+    const double excess = static_cast<double>(stated.requests()) - counted;
+    m_correction = excess < 0 ? std::min(0.0, excess + mostOnTheirWay) : excess;
     if (stated.pace)
         learnUsualPace(*stated.pace);
     return true;
