--- a/tools/model/UpstreamServer.cpp
+++ b/tools/model/UpstreamServer.cpp
@@ -104,6 +104,7 @@
         co_await stream(exchange, std::move(response.headers));
         co_return;
     }
+    response.body.append(answerBytes, 'x');
     co_await pause(milliseconds(workMs));
     if (now == UpstreamMode::AbortsConnection) {
         exchange.abort();
--- a/tools/model/UpstreamServer.h
+++ b/tools/model/UpstreamServer.h
@@ -62,6 +62,8 @@
     std::atomic<int> eventPauseMs{0};
     /// Delay before a response that is not a stream.
     std::atomic<int> workMs{0};
+    /// Bytes that are appended to the body of a response that is not a stream.
+    std::atomic<std::size_t> answerBytes{0};
     /// Version of its software, which the events of its streams name; empty: they do not. Set on
     /// the server's thread.
     std::string softwareVersion;
--- a/tools/soak/EntryProcess.cpp
+++ b/tools/soak/EntryProcess.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstring>
 #include <fstream>
+#include <iterator>
 #include <string_view>
 
 #include <fcntl.h>
@@ -84,4 +85,12 @@
     return 0;
 }
 
+std::size_t EntryProcess::openDescriptors() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(m_pid) + "/fd",
+                                                      error);
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 } // namespace tamarack::soak
--- a/tools/soak/EntryProcess.h
+++ b/tools/soak/EntryProcess.h
@@ -28,6 +28,8 @@
     bool running();
     /// The most resident memory that the running process has had, in bytes.
     std::size_t peakMemory() const;
+    /// Descriptors that the running process has open.
+    std::size_t openDescriptors() const;
     /// How the process ended last: its exit code, or 128 and the signal's number.
     int exitCode() const { return m_exitCode; }
 
