Clients: one budget for memory and connections that clients hold; no part as a whole response

Nothing bounded what all clients hold together; bodies were read before the route was known; connections took every descriptor. A response without a length that ended in order under an upload, and statuses that HTTP does not define, reached clients.

Change: ConnectionBudget decides who goes; sessions of HttpServer report what they hold. Bodies that nobody needs are not read. readFinalHead for all heads of upstreams and the store; an unframed response needs its request to have arrived.

--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -20,6 +20,10 @@
 
 constexpr std::int64_t hourMs = 3'600'000;
 constexpr std::int64_t mebibyte = 1 << 20;
+constexpr double smallestHostMb = 88;
+constexpr double leastMemoryMb = 32;
+constexpr double mostMemoryMb = 1 << 20;
+constexpr double mostDescriptors = 1e7;
 constexpr std::size_t digestHexDigits = 64;
 constexpr std::size_t minimumPeerKeyBytes = 16;
 
@@ -137,6 +141,9 @@
     limits.readTimeout = milliseconds(reader.integer("readTimeoutMs", 30000, {1, hourMs}));
     limits.keptAnswerBytes = static_cast<std::size_t>(
         reader.integer("keptAnswerBytes", 64 * mebibyte, {mebibyte, 1024 * mebibyte}));
+    limits.memoryBytes = static_cast<std::size_t>(
+        reader.number("memoryMb", smallestHostMb, leastMemoryMb, mostMemoryMb) * mebibyte);
+    limits.descriptors = static_cast<std::size_t>(reader.number("maxFds", 0, 0, mostDescriptors));
     reader.finish();
     return limits;
 }
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -76,6 +76,10 @@
     std::size_t connections = 0;
     milliseconds readTimeout{0};
     std::size_t keptAnswerBytes = 0;
+    /// Memory of the host; clients may hold a part of it.
+    std::size_t memoryBytes = 0;
+    /// Descriptors that the process may open; 0: as many as the system allows it.
+    std::size_t descriptors = 0;
 };
 
 struct TimingSettings
--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -1,6 +1,7 @@
 #include "direct/DirectProcess.h"
 
 #include "base/AsioPch.h"
+#include "base/ConnectionBudget.h"
 #include "base/Log.h"
 #include "base/Metrics.h"
 #include "direct/PeerExchange.h"
@@ -15,8 +16,11 @@
 #include <algorithm>
 #include <atomic>
 #include <iterator>
+#include <limits>
 #include <ranges>
 
+#include <sys/resource.h>
+
 namespace tamarack {
 
 namespace asio = boost::asio;
@@ -34,6 +38,37 @@
 constexpr int readyStatus = 200;
 constexpr int notReadyStatus = 503;
 constexpr int notFoundStatus = 404;
+/// Part of the host's memory that clients may hold. The others are for the process itself, and for
+/// what upstreams send.
+constexpr std::size_t clientMemoryDivisor = 4;
+/// Part of the descriptors that is kept for upstreams, other entries, the store and files.
+constexpr std::size_t keptDescriptorsDivisor = 4;
+constexpr milliseconds budgetReportInterval{1000};
+
+std::size_t descriptorLimit(std::size_t configured)
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return configured;
+    const auto allowed = static_cast<std::size_t>(limit.rlim_cur);
+    return configured == 0 ? allowed : std::min(configured, allowed);
+}
+
+/// A limit that is 0 in the settings does not hold.
+ConnectionBudget::Limits connectionLimits(const LimitSettings &settings)
+{
+    constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
+    const auto limitOr = [](std::size_t limit) { return limit == 0 ? unlimited : limit; };
+    const std::size_t descriptors = limitOr(descriptorLimit(settings.descriptors));
+    const std::size_t connections = descriptors - descriptors / keptDescriptorsDivisor;
+    return {limitOr(settings.memoryBytes) / clientMemoryDivisor,
+            std::min(limitOr(settings.connections), connections)};
+}
+
+bool needsNoBody(std::string_view /*host*/, std::string_view /*path*/)
+{
+    return false;
+}
 
 } // namespace
 
@@ -44,6 +79,7 @@
         , contexts(processContexts)
         , traffic(*contexts.traffic().front())
         , state(settings, traffic.get_executor(), metrics)
+        , clients(std::make_shared<ConnectionBudget>(connectionLimits(settings.limits)))
         , supervisor(contexts.control().get_executor(),
                      [this](const std::string &) { contexts.stop(); })
         , storeFollower(contexts.control().get_executor(), settings, listener())
@@ -156,23 +192,31 @@
         const HttpLimits limits;
         asio::io_context *trafficContext = &traffic;
         asio::io_context *control = &contexts.control();
+        const BodyFilter hasRoute = [this](std::string_view host, std::string_view path) {
+            return isRouted(host, path);
+        };
         if (auto opened = listen(callerServer, settings.caller, limits, trafficContext,
-                                 [this](HttpExchange &request) { return serveCaller(request); });
+                                 [this](HttpExchange &request) { return serveCaller(request); },
+                                 {clients, hasRoute});
             !opened)
             return opened;
         if (auto opened = listen(readinessServer, settings.direct.readiness, limits, control,
-                                 [this](HttpExchange &request) { return serveReadiness(request); });
+                                 [this](HttpExchange &request) { return serveReadiness(request); },
+                                 {clients, needsNoBody});
             !opened)
             return opened;
         return listen(adminServer, settings.admin, limits, control,
-                      [this](HttpExchange &request) { return serveMetrics(request); });
+                      [this](HttpExchange &request) { return serveMetrics(request); },
+                      {clients, needsNoBody});
     }
 
     static Result<void> listen(std::unique_ptr<HttpServer> &server,
                                const ListenerSettings &listener, const HttpLimits &limits,
-                               asio::io_context *context, HttpHandler handler)
+                               asio::io_context *context, HttpHandler handler,
+                               ListenerGuards guards)
     {
-        auto created = HttpServer::makeServer(listener, limits, {&context, 1}, std::move(handler));
+        auto created = HttpServer::makeServer(listener, limits, {&context, 1}, std::move(handler),
+                                              std::move(guards));
         if (!created)
             return tl::unexpected(created.error());
         server = std::move(*created);
@@ -185,6 +229,38 @@
         co_await flow->run();
     }
 
+    bool isRouted(std::string_view host, std::string_view path) const
+    {
+        const ServingConfig *config = state.config.get();
+        return config && config->route(host.substr(0, host.find(':')), path);
+    }
+
+    /// Logs evictions and refusals, at most once per interval.
+    void reportClients(TimePoint now)
+    {
+        if (now < nextClientReport)
+            return;
+        const ConnectionBudget::Usage usage = clients->usage();
+        if (usage.evicted == reportedClients.evicted && usage.refused == reportedClients.refused)
+            return;
+        logEvent(LogLevel::Warning, "clients_over_budget",
+                 {{"evicted", usage.evicted - reportedClients.evicted},
+                  {"refused", usage.refused - reportedClients.refused},
+                  {"bytes", usage.bytes},
+                  {"connections", usage.connections}});
+        reportedClients = usage;
+        nextClientReport = now + budgetReportInterval;
+    }
+
+    void recordClients()
+    {
+        const ConnectionBudget::Usage usage = clients->usage();
+        metrics.set("tamarack_client_evictions_total", "", usage.evicted);
+        metrics.set("tamarack_client_refusals_total", "", usage.refused);
+        metrics.gauge("tamarack_client_bytes", "", static_cast<double>(usage.bytes));
+        metrics.gauge("tamarack_client_connections", "", static_cast<double>(usage.connections));
+    }
+
     asio::awaitable<void> serveReadiness(HttpExchange &request)
     {
         const bool ready = hasConfig && hasUpstreams && !draining && proof.isFresh(bootNow());
@@ -200,6 +276,7 @@
             co_return;
         }
         metrics.set("tamarack_store_calls_total", "", storeFollower.calls());
+        recordClients();
         HttpResponse response{readyStatus, {{"Content-Type", "text/plain; version=0.0.4"}}, ""};
         response.body = metrics.prometheusText();
         co_await request.respond(std::move(response));
@@ -217,6 +294,7 @@
             if (now < nextTick)
                 continue;
             state.tick(now);
+            reportClients(now);
             nextTick = now + tickInterval;
         }
     }
@@ -248,6 +326,10 @@
     asio::io_context &traffic;
     Metrics metrics;
     TrafficState state;
+    /// Shared by all listeners.
+    std::shared_ptr<ConnectionBudget> clients;
+    ConnectionBudget::Usage reportedClients;
+    TimePoint nextClientReport{};
     Supervisor supervisor;
     StoreFollower storeFollower;
     std::unique_ptr<PeerExchange> exchange;
--- a/src/direct/UpstreamConnection.cpp
+++ b/src/direct/UpstreamConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "base/AsioPch.h"
 #include "http/HeaderCopy.h"
+#include "http/ResponseHead.h"
 #include "http/SocketOptions.h"
 
 #include <array>
@@ -27,7 +28,6 @@
 /// Bytes that may be read without a complete element, such as a head, the size of a chunk with its
 /// extensions, or a trailer.
 constexpr std::size_t unparsedBytes = 128 << 10;
-constexpr int firstFinalStatus = 200;
 
 } // namespace
 
@@ -37,6 +37,14 @@
         : stream(executor)
     {}
 
+    /// Whether the whole request has arrived when the connection has ended. Its last packet
+    /// acknowledges what came before it. A failed write takes the error of a reset, so that the
+    /// reset reads like an end in order.
+    bool requestArrived()
+    {
+        return !writing && !failed && unacknowledgedBytes(stream.socket()) == 0;
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer{unparsedBytes};
     http::request<http::string_body> message;
@@ -92,27 +100,23 @@
 asio::awaitable<Result<UpstreamHead>> UpstreamConnection::readHead()
 {
     auto &p = *m_private;
-    while (true) {
-        p.parser.emplace();
-        p.parser->header_limit(headBytes);
-        p.parser->body_limit(boost::none);
-        p.parser->skip(p.headRequest);
-        const auto [error, size] =
-            co_await http::async_read_header(p.stream, p.buffer, *p.parser, useTuple);
-        if (error) {
-            p.failed = true;
-            const bool malformed =
-                error.category() == beast::error_code(http::error::bad_version).category()
-                && error != http::error::end_of_stream && error != http::error::partial_message;
-            co_return failure(malformed ? ErrorKind::UpstreamFailed : ErrorKind::UpstreamLost,
-                              error.message());
-        }
-        const int status = static_cast<int>(p.parser->get().result_int());
-        if (status < firstFinalStatus)
-            continue;
-        p.endsWithConnection = p.parser->need_eof();
-        co_return UpstreamHead{status, toHeaders(p.parser->get())};
+    const auto prepare = [&p](auto &parser) {
+        parser.header_limit(headBytes);
+        parser.body_limit(boost::none);
+        parser.skip(p.headRequest);
+    };
+    const beast::error_code error = co_await readFinalHead(p.stream, p.buffer, p.parser, prepare);
+    if (error) {
+        p.failed = true;
+        const bool malformed =
+            error.category() == beast::error_code(http::error::bad_version).category()
+            && error != http::error::end_of_stream && error != http::error::partial_message;
+        co_return failure(malformed ? ErrorKind::UpstreamFailed : ErrorKind::UpstreamLost,
+                          error.message());
     }
+    p.endsWithConnection = p.parser->need_eof();
+    co_return UpstreamHead{static_cast<int>(p.parser->get().result_int()),
+                           toHeaders(p.parser->get())};
 }
 
 asio::awaitable<Result<std::string_view>> UpstreamConnection::readBody()
@@ -132,6 +136,10 @@
         if (got > 0)
             co_return std::string_view(p.piece.data(), got);
     }
+    if (p.endsWithConnection && !p.requestArrived()) {
+        p.failed = true;
+        co_return failure(ErrorKind::UpstreamLost, "response ended before the request was read");
+    }
     co_return std::string_view();
 }
 
--- a/src/direct/UpstreamConnection.h
+++ b/src/direct/UpstreamConnection.h
@@ -38,10 +38,12 @@
     /// Starts sending the request. Does not wait for completion, because the upstream may respond
     /// before it has read the whole request.
     void send(HttpRequest request);
-    /// Reads the head of the next response, skipping interim (1xx) responses.
+    /// Reads the head of the next response, skipping interim (1xx) responses. Fails with
+    /// `UpstreamFailed` if the status is none of HTTP.
     boost::asio::awaitable<Result<UpstreamHead>> readHead();
     /// Reads the next bytes of the body, valid until the next call; empty at the regular end of the
-    /// body.
+    /// body. Only the end of the connection ends a response without a length: it is no regular end
+    /// unless the whole request has arrived by then.
     boost::asio::awaitable<Result<std::string_view>> readBody();
 
     /// Whether only the end of the connection ends the current response.
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -2,10 +2,12 @@
 
 #include "base/AsioPch.h"
 #include "http/HeaderCopy.h"
+#include "http/ResponseHead.h"
 #include "http/SocketOptions.h"
 
 #include <algorithm>
 #include <map>
+#include <optional>
 
 namespace tamarack {
 
@@ -114,16 +116,21 @@
     if (writeError)
         co_return tl::unexpected(toError(writeError, "write"));
     beast::flat_buffer buffer(unparsedBytes);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(largestAnswerBytes);
-    const auto [readError, size] = co_await http::async_read(*connection, buffer, parser, useTuple);
+    std::optional<http::response_parser<http::string_body>> parser;
+    const auto prepare = [](auto &fresh) { fresh.body_limit(largestAnswerBytes); };
+    beast::error_code readError = co_await readFinalHead(*connection, buffer, parser, prepare);
+    if (!readError) {
+        const auto [bodyError, size] =
+            co_await http::async_read(*connection, buffer, *parser, useTuple);
+        readError = bodyError;
+    }
     if (readError) {
         // What made this connection silent may have made the idle ones silent, too.
         if (readError == beast::error::timeout)
             m_private->idle.erase(name);
         co_return tl::unexpected(toError(readError, "read"));
     }
-    auto &reply = parser.get();
+    auto &reply = parser->get();
     HttpResponse response{static_cast<int>(reply.result_int()), toHeaders(reply), reply.body()};
     auto &list = m_private->idle[name];
     if (reply.keep_alive() && list.size() < idleConnectionsPerServer) {
@@ -137,13 +144,12 @@
 {
     explicit Private(const asio::any_io_executor &executor)
         : stream(executor)
-    {
-        parser.body_limit(boost::none);
-    }
+    {}
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer{unparsedBytes};
-    http::response_parser<http::buffer_body> parser;
+    /// Set from the head on.
+    std::optional<http::response_parser<http::buffer_body>> parser;
     std::string piece;
 };
 
@@ -164,27 +170,28 @@
     const auto [writeError, written] = co_await http::async_write(p.stream, message, useTuple);
     if (writeError)
         co_return tl::unexpected(toError(writeError, "write"));
-    const auto [readError, size] =
-        co_await http::async_read_header(p.stream, p.buffer, p.parser, useTuple);
+    const auto prepare = [](auto &fresh) { fresh.body_limit(boost::none); };
+    const beast::error_code readError =
+        co_await readFinalHead(p.stream, p.buffer, p.parser, prepare);
     if (readError)
         co_return tl::unexpected(toError(readError, "read"));
-    co_return HttpResponse{static_cast<int>(p.parser.get().result_int()), toHeaders(p.parser.get()),
-                           ""};
+    co_return HttpResponse{static_cast<int>(p.parser->get().result_int()),
+                           toHeaders(p.parser->get()), ""};
 }
 
 asio::awaitable<Result<std::optional<std::string>>> HttpStream::read(Duration timeout)
 {
     auto &p = *m_private;
-    while (!p.parser.is_done()) {
+    while (p.parser && !p.parser->is_done()) {
         p.piece.resize(readBytes);
-        p.parser.get().body().data = p.piece.data();
-        p.parser.get().body().size = p.piece.size();
+        p.parser->get().body().data = p.piece.data();
+        p.parser->get().body().size = p.piece.size();
         p.stream.expires_after(timeout);
         const auto [error, size] =
-            co_await http::async_read_some(p.stream, p.buffer, p.parser, useTuple);
+            co_await http::async_read_some(p.stream, p.buffer, *p.parser, useTuple);
         if (error && error != http::error::need_buffer)
             co_return tl::unexpected(toError(error, "read"));
-        const std::size_t got = readBytes - p.parser.get().body().size;
+        const std::size_t got = readBytes - p.parser->get().body().size;
         if (got > 0) {
             p.piece.resize(got);
             co_return std::optional<std::string>(std::move(p.piece));
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -8,6 +8,18 @@
 
 namespace tamarack {
 
+/// Whether HTTP defines the class of the status: 100 to 599.
+constexpr bool isHttpStatus(int status)
+{
+    return status >= 100 && status <= 599;
+}
+
+/// Whether a final response follows.
+constexpr bool isInterimStatus(int status)
+{
+    return status >= 100 && status < 200;
+}
+
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
 /// Value of a header by case-insensitive name.
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "config/Settings.h"
 #include "http/HttpMessage.h"
+#include "http/ListenerGuards.h"
 #include "tamarackseam/Error.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -50,7 +51,8 @@
     /// Binds at once; fails when the address is taken or a certificate is unreadable.
     static Result<std::unique_ptr<HttpServer>>
     makeServer(const ListenerSettings &listener, HttpLimits limits,
-               std::span<boost::asio::io_context *const> contexts, HttpHandler handler);
+               std::span<boost::asio::io_context *const> contexts, HttpHandler handler,
+               ListenerGuards guards = {});
 
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
--- a/src/http/SocketOptions.cpp
+++ b/src/http/SocketOptions.cpp
@@ -1,7 +1,9 @@
 #include "http/SocketOptions.h"
 
 #include <algorithm>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
@@ -41,4 +43,12 @@
     return error ? Peeked::End : Peeked::Bytes;
 }
 
+std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket &socket)
+{
+    int bytes = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes < 0)
+        return 0;
+    return static_cast<std::size_t>(bytes);
+}
+
 } // namespace tamarack
