Clients: requests that wait hold no read buffer

Cause: a request with a body of some kilobytes kept 64 KB to read with while it waited for an upstream, so that a few hundred would have filled the budget.

Change: the buffer is freed once the request has been read.

Result, one run each beside other load: MisbehavingClientsSuite no errors; HttpServer, HttpGuards, ConnectionBudget, DirectProcess, Settings, Drain, Answer, BrokenStream and HealthChecker suites no errors (68 cases).

--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -247,6 +247,19 @@
         return m_share->tryHold(bytes, steadyNow());
     }
 
+    /// Requests that wait for an upstream hold no memory to read with.
+    void releaseBuffer()
+    {
+        const std::size_t unused = m_buffer.capacity();
+        if (m_buffer.size() > 0 || unused <= freeBytes)
+            return;
+        m_buffer.shrink_to_fit();
+        if (!m_share || m_held == 0)
+            return;
+        m_held -= std::min(m_held, unused);
+        m_share->hold(m_held, steadyNow());
+    }
+
     void releaseRequest()
     {
         m_request = {};
@@ -291,6 +304,7 @@
         if (!error)
             error = co_await readBody(*parser, *limits);
         if (!error && !m_evicted) {
+            releaseBuffer();
             serve();
             m_version = parser->get().version();
             m_keepAlive = parser->get().keep_alive() && parser->is_done();
