Queue: a view of the fleet, and appointments for refused clients

Cause: a refusal rested on the start rate of one entry and on a fixed part of the running requests as reserve; nobody kept count of who was told to return when, so returners were served a third as often as first attempts.

Change: FleetRoom judges waits and reserves by the demand and rates of all entries (QueueDemand carries rates and how many wait for a suitable upstream); ReturnBook makes Retry-After a time with room, shared as EntryLoad::returns, and who keeps it goes first in its rank.

--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -191,6 +191,21 @@
     return bounds;
 }
 
+SchedulingOptions readScheduling(JsonObjectReader &parent, Faults &faults)
+{
+    static const boost::json::value empty = boost::json::object{};
+    const auto *value = parent.child("scheduling");
+    JsonObjectReader reader(value ? *value : empty, "scheduling", faults);
+    SchedulingOptions options;
+    options.fleetView = reader.boolean("fleetView", options.fleetView);
+    options.lateIsServed = reader.boolean("lateIsServed", options.lateIsServed);
+    options.appointments = reader.boolean("appointments", options.appointments);
+    if (options.appointments && !options.fleetView)
+        reader.fault("appointments", "needs fleetView");
+    reader.finish();
+    return options;
+}
+
 void readDirectPart(JsonObjectReader &reader, Settings &settings, Faults &faults)
 {
     static const boost::json::value empty = boost::json::object{};
@@ -214,6 +229,7 @@
     const double quotaWindow = bounds.number("quotaWindowSeconds", defaultQuotaSeconds, 1, 3600);
     settings.direct.quotaWindow = milliseconds(static_cast<std::int64_t>(quotaWindow * 1000));
     bounds.finish();
+    settings.direct.scheduling = readScheduling(reader, faults);
 }
 
 void readCommonPart(JsonObjectReader &reader, Settings &settings, Faults &faults)
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 #include "config/JsonObjectReader.h"
 #include "serving/RetryBudget.h"
+#include "serving/SchedulingOptions.h"
 
 #include <cstddef>
 #include <optional>
@@ -105,6 +106,7 @@
     RetryBounds retries;
     /// Over which the quotas of workspaces are judged.
     milliseconds quotaWindow{0};
+    SchedulingOptions scheduling;
 };
 
 /// Settings of one process, read from one JSON document and fixed until it restarts,
--- a/src/direct/PeerExchange.cpp
+++ b/src/direct/PeerExchange.cpp
@@ -174,7 +174,7 @@
         if (peers.empty() || scheduledAt <= next)
             return;
         const bool changed = state.upstreams.ownLoads() != sentLoads
-                             || state.queue.demand(steadyNow()) != sentDemand
+                             || !sameNumbers(state.queue.demand(steadyNow()), sentDemand)
                              || state.updateVersions() != sentUpdateVersions;
         if (changed)
             scheduleSend(next);
--- a/src/direct/RequestFlow.cpp
+++ b/src/direct/RequestFlow.cpp
@@ -26,25 +26,6 @@
 constexpr milliseconds unknownStreamRetryAfter{300};
 constexpr int okStatus = 200;
 
-std::string_view endName(AttemptEnd end)
-{
-    switch (end) {
-    case AttemptEnd::NotSent:
-        return "not_sent";
-    case AttemptEnd::NotExecuted:
-        return "not_executed";
-    case AttemptEnd::Broken:
-        return "broken";
-    case AttemptEnd::Spoiled:
-        return "spoiled";
-    case AttemptEnd::Failed:
-        return "failed";
-    case AttemptEnd::Whole:
-        return "whole";
-    }
-    return "unknown";
-}
-
 std::string fractionalSeconds(Duration duration)
 {
     return fmt::format("{:.2f}", std::chrono::duration<double>(duration).count());
@@ -231,11 +212,12 @@
     if (m_admitted.route.affinity && !m_facts.promptParts.empty())
         request.prefix = m_facts.promptParts.back().id;
     request.arrived = m_arrivedAt - m_sinceFirstAttempt;
+    request.queuedAt = steadyNow();
     request.objectiveAt = request.arrived + m_admitted.route.objective;
     request.pauseObjective = m_admitted.route.eventGapObjective;
-    request.refuseAt =
-        refusalTime({steadyNow(), m_admitted.route.objective, m_admitted.route.eventGapObjective,
-                     isStream(), timeLeft(), m_sinceFirstAttempt});
+    request.refuseAt = refusalTime(
+        {steadyNow(), m_admitted.route.objective, m_admitted.route.eventGapObjective, isStream(),
+         timeLeft(), m_sinceFirstAttempt, m_state.settings.direct.scheduling.lateIsServed});
     if (m_origin)
         request.version = m_origin->version;
     request.excluded = m_tried;
@@ -313,6 +295,10 @@
               {"kept", facts.reserved},
               {"ahead", facts.ahead},
               {"starts_per_s", facts.startsPerSecond},
+              {"fleet_ahead", facts.fleetAhead},
+              {"view_age_ms", facts.viewAge ? toMs(*facts.viewAge) : -1},
+              {"too_late", facts.appointment && facts.appointment->tooLate},
+              {"expected_then", facts.appointment ? facts.appointment->expected : 0},
               {"retry_after_ms", toMs(refusal.retryAfter)}});
 }
 
@@ -576,6 +562,7 @@
               {"factor", m_assignment ? m_assignment->upstream->factor : 0.0},
               {"predicted_ms", m_assignment ? toMs(m_assignment->predicted) : -1},
               {"raised", m_assignment && m_assignment->promoted},
+              {"kept_return", m_assignment && m_assignment->keptReturn},
               {"sends", m_sends},
               {"peers_heard", m_state.peers.reachableCount(now)},
               {"cost", m_admitted.cost},
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -40,7 +40,7 @@
     , incarnation(randomBits64())
     , freshness(settings.direct.revokeBound, proofMargin)
     , upstreamListAge(settings.direct.drainBound + longestWatchPause)
-    , queue(upstreams, settings.dataCentre)
+    , queue(upstreams, settings.dataCentre, settings.direct.scheduling)
     , quotas(settings.direct.quotaWindow)
     , retries(settings.direct.retries, steadyNow())
     , admission(freshness, crashes, partQuarantine, quotas)
@@ -211,7 +211,8 @@
         shareLimits(now);
     for (const auto &[upstream, changes] : changed)
         logTermsChanges(*upstream, changes, "entries");
-    queue.setPeerDemand(peers.demand(now));
+    queue.setPeerDemand(peers.demand(now), now);
+    queue.setPeerReturns(peers.returns(now));
     pump();
 }
 
@@ -496,6 +497,7 @@
     load.partCrashes = partQuarantine.crashes(steadyNow());
     load.partAnswers = partQuarantine.answers(steadyNow());
     load.terms = upstreams.termsReports(steadyNow());
+    load.returns = queue.returnSlots(steadyNow());
     load.leaving = draining;
     return load;
 }
--- a/src/peer/EntryMessageCodec.cpp
+++ b/src/peer/EntryMessageCodec.cpp
@@ -41,6 +41,15 @@
         loads[i].setInFlight(load.loads[i].second.inFlight);
         loads[i].setPrefillTokens(load.loads[i].second.prefillTokens);
     }
+    auto returns = to.initReturns(load.returns.size());
+    for (unsigned i = 0; i < load.returns.size(); ++i) {
+        const ReturnSlots &row = load.returns[i];
+        returns[i].setService(textOf(row.service));
+        returns[i].setRank(row.rank);
+        auto counts = returns[i].initCounts(row.counts.size());
+        for (unsigned j = 0; j < row.counts.size(); ++j)
+            counts.set(j, row.counts[j]);
+    }
     auto demand = to.initDemand(load.demand.size());
     for (unsigned i = 0; i < load.demand.size(); ++i) {
         demand[i].setService(textOf(load.demand[i].service));
@@ -48,6 +57,9 @@
         demand[i].setWaiting(load.demand[i].waiting);
         demand[i].setRunning(load.demand[i].running);
         demand[i].setLate(load.demand[i].late);
+        demand[i].setSelective(load.demand[i].selective);
+        demand[i].setArrivalsPerSecond(static_cast<float>(load.demand[i].arrivalsPerSecond));
+        demand[i].setStartsPerSecond(static_cast<float>(load.demand[i].startsPerSecond));
     }
     auto quotas = to.initQuotas(load.quotas.size());
     for (unsigned i = 0; i < load.quotas.size(); ++i) {
@@ -244,6 +256,23 @@
     return told;
 }
 
+/// A rate per second; 0 if it is odd.
+double rateOf(float value)
+{
+    constexpr float highest = 1e6F;
+    return std::isfinite(value) && value >= 0 && value <= highest ? value : 0;
+}
+
+ReturnSlots read(wire::ReturnSlot::Reader from)
+{
+    ReturnSlots row{stringOf(from.getService()), from.getRank(), {}};
+    const auto counts = from.getCounts();
+    const auto length = std::min<unsigned>(counts.size(), ReturnBook::slotCount);
+    for (unsigned i = 0; i < length; ++i)
+        row.counts.push_back(counts[i]);
+    return row;
+}
+
 EntryLoad read(wire::EntryLoad::Reader from)
 {
     EntryLoad load;
@@ -259,7 +288,12 @@
                                 UpstreamLoad{row.getInFlight(), row.getPrefillTokens()});
     for (const auto row : from.getDemand())
         load.demand.push_back({stringOf(row.getService()), row.getRank(), row.getWaiting(),
-                               row.getRunning(), std::min(row.getLate(), row.getWaiting())});
+                               row.getRunning(), std::min(row.getLate(), row.getWaiting()),
+                               std::min(row.getSelective(), row.getWaiting()),
+                               rateOf(row.getArrivalsPerSecond()),
+                               rateOf(row.getStartsPerSecond())});
+    for (const auto row : from.getReturns())
+        load.returns.push_back(read(row));
     for (const auto row : from.getQuotas())
         load.quotas.push_back({stringOf(row.getWorkspace()), row.getSent(), row.getPending()});
     for (const auto row : from.getCrashes())
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -144,6 +144,10 @@
     running @3 :UInt32;
     # The part of `waiting` that can no longer meet its objective.
     late @4 :UInt32;
+    # The part of `waiting` that waits for a suitable upstream.
+    selective @5 :UInt32;
+    arrivalsPerSecond @6 :Float32;
+    startsPerSecond @7 :Float32;
 }
 
 struct QuotaUse {
@@ -214,6 +218,10 @@
 
 # Refused requests that are expected back.
 struct ReturnSlot {
+    service @0 :Text;
+    rank @1 :UInt16;
+    # Clients by slot of 250 ms; the first slot is that of the message.
+    counts @2 :List(UInt16);
 }
 
 # What a workspace that is not at rest uses of a service.
--- a/src/serving/AttemptPolicy.cpp
+++ b/src/serving/AttemptPolicy.cpp
@@ -53,4 +53,23 @@
     return {NextStep::Refuse, refusal};
 }
 
+std::string_view endName(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::NotSent:
+        return "not_sent";
+    case AttemptEnd::NotExecuted:
+        return "not_executed";
+    case AttemptEnd::Broken:
+        return "broken";
+    case AttemptEnd::Spoiled:
+        return "spoiled";
+    case AttemptEnd::Failed:
+        return "failed";
+    case AttemptEnd::Whole:
+        return "whole";
+    }
+    return "unknown";
+}
+
 } // namespace tamarack
--- a/src/serving/AttemptPolicy.h
+++ b/src/serving/AttemptPolicy.h
@@ -4,6 +4,7 @@
 #include "tamarackseam/ErrorKind.h"
 
 #include <cstdint>
+#include <string_view>
 
 namespace tamarack {
 
@@ -23,6 +24,9 @@
     Whole,
 };
 
+/// Its name in log lines and metrics.
+std::string_view endName(AttemptEnd end);
+
 /// State of a request when one of its attempts has ended.
 struct AttemptFacts
 {
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -14,19 +14,38 @@
 constexpr double reservedFraction = 0.1;
 /// Number of requests of a rank that may queue at an entry regardless of the start rate.
 constexpr double minQueueLength = 2;
-/// Decay time of the start rate: shorter than a burst, longer than the interval between starts of
-/// one rank at one entry.
-constexpr milliseconds startRateDecayTime{700};
 /// `Retry-After` is spread evenly over a range of the time left to the client's deadline, given as
 /// fractions of it. Clients honour a `Retry-After` of up to a third of that time.
 constexpr double minRetryFraction = 0.15;
 constexpr double retryFractionSpread = 0.17;
 constexpr milliseconds minRetryAfter{200};
+/// Part of its time after which a client's return is told from a first attempt by its deadline.
+constexpr double minReturnAge = 0.19;
+/// Ranks with lower rates per second are not reported unless they have requests.
+constexpr double leastReportedRate = 0.1;
+
+/// Rows without requests only carry rates.
+bool hasRequests(const QueueDemand &row)
+{
+    return row.waiting > 0 || row.running > 0;
+}
 
 } // namespace
 
-DispatchQueue::DispatchQueue(UpstreamTable &upstreams, std::string dataCentre)
+bool sameNumbers(const std::vector<QueueDemand> &a, const std::vector<QueueDemand> &b)
+{
+    const auto numbers = [](const QueueDemand &row) {
+        return std::tuple(std::string_view(row.service), row.rank, row.waiting, row.running,
+                          row.late, row.selective);
+    };
+    return std::ranges::equal(a | std::views::filter(hasRequests),
+                              b | std::views::filter(hasRequests), {}, numbers, numbers);
+}
+
+DispatchQueue::DispatchQueue(UpstreamTable &upstreams, std::string dataCentre,
+                             SchedulingOptions options)
     : m_upstreams(upstreams)
+    , m_options(options)
     , m_chooser(upstreams, std::move(dataCentre))
 {}
 
@@ -38,6 +57,9 @@
     if (request.isFirstAttempt) {
         queue.shares.countArrival(routeTierOf(request.rank), engineTime(request), request.arrived);
     }
+    if (m_options.fleetView && request.excluded.empty()) {
+        queue.history[request.rank].arrivals.add(request.queuedAt);
+    }
     queue.waiting.emplace(position, std::move(request));
 }
 
@@ -71,8 +93,10 @@
     return decisions;
 }
 
-void DispatchQueue::setPeerDemand(const std::vector<QueueDemand> &demand)
+void DispatchQueue::setPeerDemand(const std::vector<QueueDemand> &demand,
+                                  std::optional<TimePoint> toldAt)
 {
+    m_peersToldAt = toldAt;
     for (auto &[service, queue] : m_serviceQueues)
         queue.peerDemand.clear();
     for (const QueueDemand &row : demand) {
@@ -80,6 +104,9 @@
         sum.waiting += row.waiting;
         sum.running += row.running;
         sum.late += row.late;
+        sum.selective += row.selective;
+        sum.arrivalsPerSecond += row.arrivalsPerSecond;
+        sum.startsPerSecond += row.startsPerSecond;
     }
 }
 
@@ -89,14 +116,22 @@
     int free = m_upstreams.freePlaces(service, now);
     std::vector<Ticket> ended;
     std::map<QueueRank, RankState> ranks;
-    for (const auto &[request, effectiveRank, late] : startOrder(service, queue, now)) {
+    std::optional<FleetRoom> fleet;
+    if (m_options.fleetView)
+        fleet = fleetRoom(queue, now);
+    const FleetRoom *room = fleet ? &*fleet : nullptr;
+    for (const auto &[request, effectiveRank, late, keptReturn] : startOrder(service, queue, now)) {
         const bool promoted = effectiveRank != request->rank;
         const auto [rank, isNew] = ranks.try_emplace(request->rank);
         RankState &view = rank->second;
         if (isNew)
-            view = rankState(request->rank, queue, now);
-        const int reserved = reserve(effectiveRank, late, queue);
-        const bool refusable = cannotStartInTime(*request, view, now);
+            view = rankState(request->rank, queue, room, now);
+        if (isNew && m_options.appointments)
+            view.due = m_returns.dueNow(service, request->rank, now);
+        const int reserved =
+            room ? room->reserve(effectiveRank, late) : reserve(effectiveRank, late, queue);
+        const bool refusable =
+            cannotStartInTime(*request, view, keptReturn ? 0 : view.due, room, now);
         const auto pacing =
             refusable ? UpstreamChooser::Pacing::Ignore : UpstreamChooser::Pacing::Keep;
         UpstreamChoice choice;
@@ -105,18 +140,52 @@
         if (choice.upstream) {
             assign(*request, choice, now, decisions);
             decisions.assignments.back().promoted = promoted;
+            decisions.assignments.back().keptReturn = keptReturn;
             --free;
         } else if (refusable) {
-            decisions.refusals.push_back(refuse(*request, view, free, reserved, now));
+            QueueRefusal refusal = refuse(*request, view, free, reserved, now);
+            if (room)
+                refusal.details.fleetAhead = room->ahead(request->rank, view.ahead);
+            decisions.refusals.push_back(refusal);
             ++view.ahead;
         } else {
             ++view.ahead;
+            view.selective += free > reserved ? 1 : 0;
             continue;
         }
         ended.push_back(request->ticket);
     }
     for (const Ticket ticket : ended)
         remove(ticket);
+    if (!room)
+        return;
+    for (auto &[rank, history] : queue.history)
+        history.selective = 0;
+    for (const auto &[rank, view] : ranks)
+        queue.history[rank].selective = view.selective;
+}
+
+FleetRoom DispatchQueue::fleetRoom(const ServiceQueue &queue, TimePoint now)
+{
+    std::map<QueueRank, RankRoom> ranks;
+    for (const auto &[position, request] : queue.waiting)
+        ++ranks[position.rank].ownWaiting;
+    for (const auto &[rank, starts] : queue.starts)
+        ranks[rank].startsPerSecond += starts.perSecond(now);
+    for (const auto &[rank, history] : queue.history) {
+        RankRoom &room = ranks[rank];
+        room.ownSelective = std::min(history.selective, room.ownWaiting);
+        room.arrivalsPerSecond += history.arrivals.perSecond(now);
+    }
+    for (const auto &[rank, demand] : queue.peerDemand) {
+        RankRoom &room = ranks[rank];
+        room.peerWaiting += demand.waiting;
+        room.peerLate += demand.late;
+        room.peerSelective += demand.selective;
+        room.arrivalsPerSecond += demand.arrivalsPerSecond;
+        room.startsPerSecond += demand.startsPerSecond;
+    }
+    return FleetRoom(std::move(ranks));
 }
 
 void DispatchQueue::refuseWhileClosed(const ServiceQueue &queue, TimePoint opensAt, TimePoint now,
@@ -126,9 +195,11 @@
     for (const auto &[position, request] : queue.waiting) {
         if (request.refuseAt > opensAt)
             continue;
-        QueueRefusal refusal = refuse(request, {}, 0, 0, now);
-        refusal.retryAfter += opensAt - now;
-        decisions.refusals.push_back(refusal);
+        // Not an appointment: the room is known to return at `opensAt`.
+        RefusalDetails details;
+        details.waitExpired = now >= request.refuseAt;
+        decisions.refusals.push_back(
+            {request.ticket, retryAfter(request, now) + (opensAt - now), details});
         refused.push_back(request.ticket);
     }
     for (const Ticket ticket : refused)
@@ -136,11 +207,13 @@
 }
 
 DispatchQueue::RankState DispatchQueue::rankState(QueueRank rank, const ServiceQueue &queue,
-                                                  TimePoint now)
+                                                  const FleetRoom *room, TimePoint now)
 {
+    if (room)
+        return {room->roomPerSecond(rank)};
     const auto starts = queue.starts.find(rank);
     const double perSecond = starts == queue.starts.end() ? 0 : starts->second.perSecond(now);
-    return {perSecond, 0};
+    return {perSecond};
 }
 
 std::vector<DispatchQueue::Candidate> DispatchQueue::startOrder(const std::string &service,
@@ -151,9 +224,14 @@
     std::vector<Candidate> order;
     order.reserve(queue.waiting.size());
     for (const auto &[position, request] : queue.waiting)
-        order.push_back({&request, request.rank, now + firstToken > request.objectiveAt});
+        order.push_back({&request, request.rank, now + firstToken > request.objectiveAt,
+                         isKeptReturn(request, now)});
+    // Those who were told to return yield to nobody of their rank.
+    for (Candidate &each : order)
+        each.late = each.late && !each.keptReturn;
     std::ranges::stable_sort(order, {}, [&](const Candidate &each) {
-        return std::tuple(each.effectiveRank, each.late, engineTime(*each.request));
+        return std::tuple(each.effectiveRank, !each.keptReturn, each.late,
+                          engineTime(*each.request));
     });
     promoteUnderserved(order, queue.shares, now);
     std::ranges::stable_sort(order, {}, [](const Candidate &each) {
@@ -184,10 +262,13 @@
 }
 
 bool DispatchQueue::cannotStartInTime(const QueuedRequest &request, const RankState &view,
-                                      TimePoint now)
+                                      double due, const FleetRoom *room, TimePoint now)
 {
     if (now >= request.refuseAt)
         return true;
+    if (room)
+        return room->ahead(request.rank, view.ahead) >= minQueueLength
+               && room->expectedWait(request.rank, view.ahead, due) > request.refuseAt - now;
     const double secondsLeft = std::chrono::duration<double>(request.refuseAt - now).count();
     return static_cast<double>(view.ahead)
            >= std::max(minQueueLength, view.startsPerSecond * secondsLeft);
@@ -196,9 +277,43 @@
 QueueRefusal DispatchQueue::refuse(const QueuedRequest &request, const RankState &view,
                                    int freePlaces, int reserved, TimePoint now)
 {
-    const RefusalDetails details{now >= request.refuseAt, freePlaces, reserved, view.ahead,
-                                 view.startsPerSecond};
-    return {request.ticket, retryAfter(request, now), details};
+    RefusalDetails details;
+    details.waitExpired = now >= request.refuseAt;
+    details.freePlaces = freePlaces;
+    details.reserved = reserved;
+    details.ahead = view.ahead;
+    details.startsPerSecond = view.startsPerSecond;
+    if (m_peersToldAt)
+        details.viewAge = now - *m_peersToldAt;
+    if (!m_options.appointments)
+        return {request.ticket, retryAfter(request, now), details};
+    details.appointment = appoint(request, view.startsPerSecond, now);
+    return {request.ticket, details.appointment->delay, details};
+}
+
+ReturnBook::Appointment DispatchQueue::appoint(const QueuedRequest &request, double roomPerSecond,
+                                               TimePoint now)
+{
+    const Duration whole = request.deadlineAt - request.arrived;
+    const Duration known =
+        std::chrono::duration_cast<Duration>(whole * minReturnAge) - (now - request.arrived);
+    const Duration left = std::max(Duration::zero(), request.deadlineAt - now);
+    ReturnBook::Terms terms;
+    terms.earliest = std::max<Duration>(minRetryAfter, known);
+    terms.latest =
+        std::chrono::duration_cast<Duration>(left * (minRetryFraction + retryFractionSpread));
+    terms.roomPerSecond = roomPerSecond;
+    terms.seed = mixBits(request.ticket, request.prefix);
+    // Clients return once; one that returned already has no use for another appointment.
+    if (!request.isFirstAttempt)
+        terms.roomPerSecond = 0;
+    return m_returns.book(request.service, request.rank, terms, now);
+}
+
+bool DispatchQueue::isKeptReturn(const QueuedRequest &request, TimePoint now) const
+{
+    return m_options.appointments && !request.isFirstAttempt && request.excluded.empty()
+           && m_returns.dueNow(request.service, request.rank, now) > 0;
 }
 
 void DispatchQueue::assign(const QueuedRequest &request, const UpstreamChoice &choice,
@@ -210,7 +325,7 @@
     m_upstreams.started(*choice.upstream, choice.freshTokens, now);
     ServiceQueue &queue = m_serviceQueues[request.service];
     ++queue.running[request.rank];
-    queue.starts.try_emplace(request.rank, startRateDecayTime).first->second.add(now);
+    queue.starts.try_emplace(request.rank, rateDecayTime).first->second.add(now);
     if (request.excluded.empty())
         queue.shares.countStart(routeTierOf(request.rank), now);
     m_chooser.recordStart(request, *choice.upstream);
@@ -267,8 +382,19 @@
         }
         for (const auto &[rank, count] : queue.running)
             byRank[rank].running = count;
-        for (const auto &[rank, row] : byRank)
-            rows.push_back({service, rank, row.waiting, row.running, row.late});
+        for (const auto &[rank, history] : queue.history)
+            byRank[rank].arrivalsPerSecond = history.arrivals.perSecond(now);
+        for (const auto &[rank, starts] : queue.starts)
+            byRank[rank].startsPerSecond = m_options.fleetView ? starts.perSecond(now) : 0;
+        for (const auto &[rank, history] : queue.history)
+            byRank[rank].selective = std::min(history.selective, byRank[rank].waiting);
+        for (auto &[rank, row] : byRank) {
+            row.service = service;
+            row.rank = rank;
+            if (hasRequests(row)
+                || row.arrivalsPerSecond + row.startsPerSecond >= leastReportedRate)
+                rows.push_back(std::move(row));
+        }
     }
     return rows;
 }
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -2,15 +2,20 @@
 
 #include "base/Time.h"
 #include "serving/DecayingCount.h"
+#include "serving/FleetRoom.h"
 #include "serving/KindShares.h"
 #include "serving/QueueRank.h"
 #include "serving/QueuedRequest.h"
+#include "serving/ReturnBook.h"
+#include "serving/SchedulingOptions.h"
 #include "serving/UpstreamChooser.h"
 #include "serving/UpstreamTable.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -31,6 +36,8 @@
     Duration predicted{};
     /// Started ahead of more urgent kinds because its own kind was below its guaranteed share.
     bool promoted = false;
+    /// Started ahead of new requests of its rank, as its client was told to return.
+    bool keptReturn = false;
 };
 
 /// Queue state that led to a refusal, for the log.
@@ -44,8 +51,15 @@
     int reserved = 0;
     /// Requests of the same rank that are queued ahead of it at this entry.
     std::size_t ahead = 0;
-    /// Recent start rate of its rank at this entry.
+    /// Recent start rate of its rank at this entry, or the one that the rank can expect of all.
     double startsPerSecond = 0;
+    /// Requests that were expected to start before it, over all entries. 0 without a fleet view.
+    double fleetAhead = 0;
+    /// Time since the demand of the other entries was last told; none if it never was.
+    std::optional<Duration> viewAge;
+    /// When the client is told to return, and how many others are expected then; none without
+    /// appointments.
+    std::optional<ReturnBook::Appointment> appointment;
 };
 
 /// A request that is refused because it has waited too long or would have to.
@@ -72,10 +86,18 @@
     std::uint32_t running = 0;
     /// The part of `waiting` that can no longer meet its objective.
     std::uint32_t late = 0;
+    /// The part of `waiting` that waits for a suitable upstream rather than for any place.
+    std::uint32_t selective = 0;
+    /// Recent rates at the entry; 0 unless it judges by a view of the fleet.
+    double arrivalsPerSecond = 0;
+    double startsPerSecond = 0;
 
     bool operator==(const QueueDemand &) const = default;
 };
 
+/// Whether the numbers of requests are equal; rates change all the time.
+bool sameNumbers(const std::vector<QueueDemand> &a, const std::vector<QueueDemand> &b);
+
 /// Queue of the requests of one entry that wait for capacity at an upstream. Requests are bound to
 /// an upstream late, when one can start them, in order of rank.
 ///
@@ -92,7 +114,7 @@
 class DispatchQueue
 {
 public:
-    DispatchQueue(UpstreamTable &upstreams, std::string dataCentre);
+    DispatchQueue(UpstreamTable &upstreams, std::string dataCentre, SchedulingOptions options = {});
 
     void push(QueuedRequest request);
     /// Returns false if the ticket is not queued.
@@ -101,7 +123,15 @@
     void ended(std::string_view service, QueueRank rank);
 
     /// Replaces the demand that the other entries reported last.
-    void setPeerDemand(const std::vector<QueueDemand> &demand);
+    void setPeerDemand(const std::vector<QueueDemand> &demand,
+                       std::optional<TimePoint> toldAt = std::nullopt);
+
+    /// Replaces the appointments that the other entries reported last, with the time of receipt.
+    void setPeerReturns(std::span<const std::pair<ReturnSlots, TimePoint>> rows)
+    {
+        m_returns.setPeers(rows);
+    }
+    std::vector<ReturnSlots> returnSlots(TimePoint now) const { return m_returns.rows(now); }
 
     /// Decides which requests start and which are refused now. Assigned requests count as started.
     QueueDecisions decide(TimePoint now);
@@ -125,6 +155,16 @@
         std::uint32_t waiting = 0;
         std::uint32_t running = 0;
         std::uint32_t late = 0;
+        std::uint32_t selective = 0;
+        double arrivalsPerSecond = 0;
+        double startsPerSecond = 0;
+    };
+    /// What the fleet view needs to know of a rank at this entry.
+    struct RankHistory
+    {
+        DecayingCount arrivals{rateDecayTime};
+        /// Queued requests that had a place at the last decision, but no suitable upstream.
+        std::uint32_t selective = 0;
     };
     struct ServiceQueue
     {
@@ -135,7 +175,9 @@
         KindShares shares;
         /// Demand at the other entries, by rank.
         std::map<QueueRank, RankDemand> peerDemand;
+        std::map<QueueRank, RankHistory> history;
     };
+    static FleetRoom fleetRoom(const ServiceQueue &queue, TimePoint now);
     void decideService(const std::string &service, ServiceQueue &queue, TimePoint now,
                        QueueDecisions &decisions);
     /// Expected time for which the request occupies a slot of an average engine.
@@ -148,7 +190,10 @@
         QueueRank effectiveRank = 0;
         /// It can no longer meet its objective.
         bool late = false;
+        /// Its client was told to return about now.
+        bool keptReturn = false;
     };
+    bool isKeptReturn(const QueuedRequest &request, TimePoint now) const;
     /// Queued requests in the order in which they may start.
     std::vector<Candidate> startOrder(const std::string &service, const ServiceQueue &queue,
                                       TimePoint now) const;
@@ -163,13 +208,23 @@
         double startsPerSecond = 0;
         /// Requests of the rank examined so far that did not start.
         std::size_t ahead = 0;
+        /// Those of them that had a place, but no suitable upstream.
+        std::uint32_t selective = 0;
+        /// Clients that were told to return within the next slot.
+        double due = 0;
     };
-    static RankState rankState(QueueRank rank, const ServiceQueue &queue, TimePoint now);
+    /// `room`: null without a view of the fleet.
+    static RankState rankState(QueueRank rank, const ServiceQueue &queue, const FleetRoom *room,
+                               TimePoint now);
     /// Whether the request cannot be expected to start in time behind those of its rank.
-    static bool cannotStartInTime(const QueuedRequest &request, const RankState &view,
-                                  TimePoint now);
-    static QueueRefusal refuse(const QueuedRequest &request, const RankState &view, int freePlaces,
-                               int reserved, TimePoint now);
+    /// `due`: clients that will return and go ahead of it.
+    static bool cannotStartInTime(const QueuedRequest &request, const RankState &view, double due,
+                                  const FleetRoom *room, TimePoint now);
+    QueueRefusal refuse(const QueuedRequest &request, const RankState &view, int freePlaces,
+                        int reserved, TimePoint now);
+    /// Makes an appointment with the client of a refused request.
+    ReturnBook::Appointment appoint(const QueuedRequest &request, double roomPerSecond,
+                                    TimePoint now);
     /// Refuses requests whose `refuseAt` is not after `opensAt`, when the first upstream accepts
     /// requests again.
     void refuseWhileClosed(const ServiceQueue &queue, TimePoint opensAt, TimePoint now,
@@ -180,7 +235,13 @@
     static int reserve(QueueRank rank, bool late, const ServiceQueue &queue);
     static Duration retryAfter(const QueuedRequest &request, TimePoint now);
 
+    /// Shorter than a burst, longer than the interval between starts of one rank at one entry.
+    static constexpr milliseconds rateDecayTime{700};
+
     UpstreamTable &m_upstreams;
+    SchedulingOptions m_options;
+    ReturnBook m_returns;
+    std::optional<TimePoint> m_peersToldAt;
     std::map<std::string, ServiceQueue, std::less<>> m_serviceQueues;
     std::unordered_map<Ticket, std::pair<std::string, QueuePosition>> m_positions;
     UpstreamChooser m_chooser;
--- a/src/serving/EntryLoad.h
+++ b/src/serving/EntryLoad.h
@@ -6,6 +6,7 @@
 #include "serving/DispatchQueue.h"
 #include "serving/PartCrash.h"
 #include "serving/QuotaLedger.h"
+#include "serving/ReturnSlots.h"
 #include "serving/TermsReport.h"
 
 #include <cstdint>
@@ -35,6 +36,7 @@
     std::vector<ReportedPartCrash> partCrashes;
     std::vector<ReportedPartAnswer> partAnswers;
     std::vector<TermsReport> terms;
+    std::vector<ReturnSlots> returns;
     /// The entry is shutting down gracefully and takes no new requests.
     bool leaving = false;
 
--- a/src/serving/PeerRegistry.cpp
+++ b/src/serving/PeerRegistry.cpp
@@ -55,6 +55,16 @@
     return rows;
 }
 
+std::vector<std::pair<ReturnSlots, TimePoint>> PeerRegistry::returns(TimePoint now) const
+{
+    std::vector<std::pair<ReturnSlots, TimePoint>> rows;
+    for (const auto &[name, peer] : m_peers)
+        if (now - peer.receivedAt < reportTimeout)
+            for (const ReturnSlots &row : peer.load.returns)
+                rows.emplace_back(row, peer.receivedAt);
+    return rows;
+}
+
 std::unordered_map<UpstreamKey, std::vector<ReceivedTerms>> PeerRegistry::terms(TimePoint now) const
 {
     std::unordered_map<UpstreamKey, std::vector<ReceivedTerms>> rows;
--- a/src/serving/PeerRegistry.h
+++ b/src/serving/PeerRegistry.h
@@ -33,6 +33,8 @@
     /// Load of the reachable entries, summed by upstream.
     std::unordered_map<UpstreamKey, UpstreamLoad> loads(TimePoint now) const;
     std::vector<QueueDemand> demand(TimePoint now) const;
+    /// Appointments of the reachable entries, with the time of receipt.
+    std::vector<std::pair<ReturnSlots, TimePoint>> returns(TimePoint now) const;
     /// Terms reported by the other entries, by upstream. Reports of unresponsive entries remain
     /// valid for `UpstreamTerms::window`, since requests that they sent may still arrive.
     std::unordered_map<UpstreamKey, std::vector<ReceivedTerms>> terms(TimePoint now) const;
--- a/src/serving/QueuedRequest.h
+++ b/src/serving/QueuedRequest.h
@@ -28,6 +28,8 @@
     std::uint64_t prefix = 0;
     /// Time of the client's first attempt.
     TimePoint arrived{};
+    /// When this attempt of the client was queued.
+    TimePoint queuedAt{};
     /// Latest time at which the first token meets the objective.
     TimePoint objectiveAt{};
     /// Latency objective for the interval between two events; 0: none.
--- a/src/serving/WaitPolicy.cpp
+++ b/src/serving/WaitPolicy.cpp
@@ -40,7 +40,7 @@
     if (facts.stream)
         wait = std::min(
             wait, share(clientIdleTimeout(facts.objective, facts.pauseBound), idleTimeoutShare));
-    if (!isRetry)
+    if (!isRetry && !facts.lateIsServed)
         wait = std::min(wait, share(facts.objective, firstAttemptShare));
     return facts.now + wait;
 }
--- a/src/serving/WaitPolicy.h
+++ b/src/serving/WaitPolicy.h
@@ -21,6 +21,8 @@
     Duration timeLeft{};
     /// Time since the client's first attempt; 0 if this is the first.
     Duration elapsed{};
+    /// Being served counts also after the objective.
+    bool lateIsServed = false;
 };
 
 /// How long the client of a stream waits for an event before it gives up, according to the
@@ -32,7 +34,7 @@
 ///
 /// Designed for bursts that exceed the capacity. A first attempt is refused once it is bound to
 /// miss its objective, with time left to retry. A retry after a refusal may wait longer, but not
-/// until its client gives up.
+/// until its client gives up. The same holds for first attempts where late is served.
 TimePoint refusalTime(const WaitFacts &facts);
 
 /// Detects retries by their deadline: a retry has less time left than first attempts on its route.
--- a/tests/DispatchQueueTest.cpp
+++ b/tests/DispatchQueueTest.cpp
@@ -482,4 +482,46 @@
     BOOST_TEST(queue.decide(now + milliseconds(2000)).assignments.size() == 1U);
 }
 
+// The time at which upstreams reopen is known, so that their service makes no appointments.
+BOOST_AUTO_TEST_CASE(closedServiceMakesNoAppointments)
+{
+    DispatchQueue appointing{upstreams, "dc", {true, false, true}};
+    upstreams.assign({upstream("a")});
+    UpstreamStatement closed;
+    closed.closedFor = milliseconds(500);
+    upstreams.ofService("models").front()->terms.handleStatement(closed, now, now);
+    appointing.push(request(1));
+    const QueueDecisions decisions = appointing.decide(now);
+    BOOST_REQUIRE(decisions.refusals.size() == 1U);
+    BOOST_TEST((decisions.refusals[0].retryAfter >= milliseconds(500)));
+    BOOST_TEST((decisions.refusals[0].retryAfter <= milliseconds(2200)));
+    BOOST_TEST(appointing.returnSlots(now).empty());
+}
+
+// Entries of earlier versions and deployments without a view of the fleet get the reports as
+// before.
+BOOST_AUTO_TEST_CASE(ratesAreReportedOnlyWithAViewOfTheFleet)
+{
+    DispatchQueue viewing{upstreams, "dc", {true, false, false}};
+    upstreams.assign({upstream("a", 1)});
+    for (const Ticket ticket : {1, 2}) {
+        QueuedRequest next = request(ticket);
+        next.queuedAt = now;
+        queue.push(next);
+        viewing.push(next);
+    }
+    queue.decide(now);
+    viewing.decide(now);
+    const auto plain = queue.demand(now);
+    const auto rated = viewing.demand(now);
+    BOOST_REQUIRE(plain.size() == 1U);
+    BOOST_REQUIRE(rated.size() == 1U);
+    BOOST_TEST(plain[0].arrivalsPerSecond == 0);
+    BOOST_TEST(plain[0].startsPerSecond == 0);
+    BOOST_TEST(rated[0].arrivalsPerSecond > 0);
+    // Rates alone are no reason for a message.
+    BOOST_TEST(sameNumbers(rated, viewing.demand(now + milliseconds(100))));
+    BOOST_TEST((rated != viewing.demand(now + milliseconds(100))));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/EntryMessageCodecTest.cpp
+++ b/tests/EntryMessageCodecTest.cpp
@@ -18,7 +18,8 @@
     load.sequence = 12;
     load.configVersion = 13;
     load.loads = {{1, {2, 300}}, {4, {5, 0}}};
-    load.demand = {{"models", queueRank(1, 2), 7, 3, 2}};
+    load.demand = {{"models", queueRank(1, 2), 7, 3, 2, 4, 12.5, 0.25}};
+    load.returns = {{"models", queueRank(1, 2), {0, 3, 65535}}};
     load.quotas = {{"w", 12345.5, 17.5}};
     load.crashes = {{{8, 9}, milliseconds(10)}};
     load.partCrashes = {{{31, 32, 2}, milliseconds(33)}};
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -152,6 +152,31 @@
     BOOST_TEST(parseSettings(json::serialize(validUpstream())).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(schedulingIsOffUnlessItIsAskedFor)
+{
+    const auto listener = [](const char *address) { return json::object{{"address", address}}; };
+    json::object document{{"role", "direct"},
+                          {"name", "entry-0"},
+                          {"dataCentre", "dc"},
+                          {"caller", listener("127.0.0.1:1")},
+                          {"readiness", listener("127.0.0.1:2")},
+                          {"admin", listener("127.0.0.1:3")},
+                          {"peer", "127.0.0.1:4"},
+                          {"peerKey", "0123456789abcdef"},
+                          {"store", "127.0.0.1:5"}};
+    const auto plain = parseSettings(json::serialize(document));
+    BOOST_REQUIRE(plain.has_value());
+    BOOST_TEST((plain->direct.scheduling == SchedulingOptions{}));
+    document["scheduling"] = {{"fleetView", true}, {"lateIsServed", true}, {"appointments", true}};
+    const auto all = parseSettings(json::serialize(document));
+    BOOST_REQUIRE(all.has_value());
+    BOOST_TEST((all->direct.scheduling == SchedulingOptions{true, true, true}));
+    document["scheduling"] = {{"appointments", true}};
+    const auto faulty = parseSettings(json::serialize(document));
+    BOOST_REQUIRE(!faulty.has_value());
+    BOOST_TEST(faulty.error().front().message == "needs fleetView");
+}
+
 BOOST_AUTO_TEST_CASE(eachBadDocumentNamesItsFault)
 {
     BOOST_REQUIRE_GE(badSettings().size(), 25U);
--- a/tests/support/QueueSimulation.cpp
+++ b/tests/support/QueueSimulation.cpp
@@ -34,6 +34,17 @@
 
 } // namespace
 
+RequestCounts &RequestCounts::operator+=(const RequestCounts &other)
+{
+    arrivals += other.arrivals;
+    served += other.served;
+    onTime += other.onTime;
+    returned += other.returned;
+    returnsServed += other.returnsServed;
+    heldInVain += other.heldInVain;
+    return *this;
+}
+
 QueueSimulation::QueueSimulation(QueueSimulationOptions options, std::vector<LoadKind> kinds)
     : m_options(options)
     , m_kinds(std::move(kinds))
@@ -50,7 +61,7 @@
         auto entry = std::make_unique<Entry>();
         entry->upstreams.setEngines({service});
         entry->upstreams.assign(records);
-        entry->queue = std::make_unique<DispatchQueue>(entry->upstreams, "dc");
+        entry->queue = std::make_unique<DispatchQueue>(entry->upstreams, "dc", options.scheduling);
         m_entries.push_back(std::move(entry));
     }
 }
@@ -73,13 +84,9 @@
 
 RequestCounts QueueSimulation::total() const
 {
-    return std::accumulate(m_counts.begin(), m_counts.end(), RequestCounts{},
-                           [](RequestCounts sum, const RequestCounts &each) {
-                               sum.arrivals += each.arrivals;
-                               sum.served += each.served;
-                               sum.onTime += each.onTime;
-                               return sum;
-                           });
+    return std::accumulate(
+        m_counts.begin(), m_counts.end(), RequestCounts{},
+        [](RequestCounts sum, const RequestCounts &each) { return sum += each; });
 }
 
 void QueueSimulation::schedule(Duration delay, std::function<void()> action)
@@ -92,17 +99,25 @@
     if (m_now >= m_arrivalsEnd)
         return;
     const LoadKind &load = m_kinds[kind];
-    std::exponential_distribution<double> pause(load.perSecond / 1000);
+    const double factor = isPeak() ? m_options.peakFactor : 1;
+    std::exponential_distribution<double> pause(factor * load.perSecond / 1000);
     std::exponential_distribution<double> length(1 / load.events);
     schedule(fromMs(pause(m_random)), [this, kind] { arrive(kind); });
     ++m_counts[kind].arrivals;
     const auto events = static_cast<std::uint32_t>(1 + length(m_random));
-    submit({kind, events, m_now, m_now + load.deadline, false});
+    submit({kind, events, m_now, m_now, m_now + load.deadline, false});
+}
+
+bool QueueSimulation::isPeak() const
+{
+    return m_options.peakEvery > Duration::zero()
+           && (m_now - m_start) % m_options.peakEvery < m_options.peakLength;
 }
 
 void QueueSimulation::submit(Call call)
 {
     Entry &entry = *m_entries[m_random() % m_entries.size()];
+    call.queuedAt = m_now;
     const LoadKind &kind = m_kinds[call.kind];
     QueuedRequest request;
     request.ticket = ++m_lastTicket;
@@ -111,12 +126,14 @@
     request.promptTokens = kind.promptTokens;
     request.responseEvents = call.events;
     request.arrived = call.arrivedAt;
+    request.queuedAt = m_now;
     request.objectiveAt = call.arrivedAt + kind.objective;
     request.pauseObjective = kind.pauseObjective;
     request.deadlineAt = call.deadlineAt;
     request.isFirstAttempt = !call.isRetry;
-    request.refuseAt = refusalTime(
-        {m_now, kind.objective, pauseBound, true, call.deadlineAt - m_now, m_now - call.arrivedAt});
+    request.refuseAt =
+        refusalTime({m_now, kind.objective, pauseBound, true, call.deadlineAt - m_now,
+                     m_now - call.arrivedAt, m_options.scheduling.lateIsServed});
     schedule(request.refuseAt - m_now, [this, &entry] { applyDecisions(entry); });
     entry.calls.emplace(request.ticket, call);
     entry.queue->push(std::move(request));
@@ -130,7 +147,10 @@
         start(entry, assignment);
     for (const QueueRefusal &refusal : decisions.refusals) {
         auto refused = entry.calls.extract(refusal.ticket);
-        scheduleRetry(refused.mapped(), refusal.retryAfter);
+        const Call &call = refused.mapped();
+        RequestCounts &count = m_counts[call.kind];
+        count.heldInVain += m_now - call.queuedAt > m_kinds[call.kind].objective / 2 ? 1 : 0;
+        scheduleRetry(call, refusal.retryAfter);
     }
 }
 
@@ -177,6 +197,7 @@
             kind.pauseObjective == Duration::zero() || run->longestPause <= kind.pauseObjective;
         RequestCounts &count = m_counts[call.kind];
         count.served += served;
+        count.returnsServed += served && call.isRetry;
         count.onTime += served && paced && firstAt <= call.arrivedAt + kind.objective;
         entry.upstreams.recordEvents(*upstream, call.events, events);
         entry.upstreams.ended(*upstream);
@@ -197,6 +218,7 @@
     if (call.isRetry || retryAfter > left * maxRetryAfterFraction)
         return;
     call.isRetry = true;
+    ++m_counts[call.kind].returned;
     schedule(retryAfter, [this, call] { submit(call); });
 }
 
@@ -204,6 +226,7 @@
 {
     entry.reportedLoads = entry.upstreams.ownLoads();
     entry.reportedDemand = entry.queue->demand(m_now);
+    entry.reportedReturns = {entry.queue->returnSlots(m_now), m_now};
     for (const auto &other : m_entries)
         if (other.get() != &entry)
             receiveLoads(*other);
@@ -216,6 +239,7 @@
 {
     std::unordered_map<UpstreamKey, UpstreamLoad> loads;
     std::vector<QueueDemand> demand;
+    std::vector<std::pair<ReturnSlots, TimePoint>> returns;
     for (const auto &other : m_entries) {
         if (other.get() == &entry)
             continue;
@@ -223,10 +247,13 @@
             loads[key].inFlight += load.inFlight;
             loads[key].prefillTokens += load.prefillTokens;
         }
+        for (const ReturnSlots &row : other->reportedReturns.first)
+            returns.emplace_back(row, other->reportedReturns.second);
         demand.insert(demand.end(), other->reportedDemand.begin(), other->reportedDemand.end());
     }
     entry.upstreams.setOthers(loads);
-    entry.queue->setPeerDemand(demand);
+    entry.queue->setPeerDemand(demand, m_now);
+    entry.queue->setPeerReturns(returns);
     applyDecisions(entry);
 }
 
--- a/tests/support/QueueSimulation.h
+++ b/tests/support/QueueSimulation.h
@@ -38,6 +38,22 @@
     int arrivals = 0;
     int served = 0;
     int onTime = 0;
+    /// Clients that came back after a refusal, and those of them that were served.
+    int returned = 0;
+    int returnsServed = 0;
+    /// Refusals after more than half of the objective.
+    int heldInVain = 0;
+
+    /// Share of all first attempts that were served.
+    double servedAtOnceShare() const
+    {
+        return arrivals == 0 ? 1 : static_cast<double>(served - returnsServed) / arrivals;
+    }
+    double returnsServedShare() const
+    {
+        return returned == 0 ? 1 : static_cast<double>(returnsServed) / returned;
+    }
+    RequestCounts &operator+=(const RequestCounts &other);
 
     double servedShare() const
     {
@@ -59,6 +75,11 @@
     double slowFactor = 1;
     /// Interval at which an entry reports its loads and demand to the others.
     Duration reportInterval = milliseconds(70);
+    /// Peaks in which `peakFactor` times as many requests arrive.
+    Duration peakEvery{};
+    Duration peakLength{};
+    double peakFactor = 1;
+    SchedulingOptions scheduling;
     std::uint64_t seed = 1;
 };
 
@@ -83,6 +104,7 @@
         std::size_t kind = 0;
         std::uint32_t events = 0;
         TimePoint arrivedAt;
+        TimePoint queuedAt;
         TimePoint deadlineAt;
         bool isRetry = false;
     };
@@ -93,6 +115,7 @@
         std::map<Ticket, Call> calls;
         std::vector<std::pair<UpstreamKey, UpstreamLoad>> reportedLoads;
         std::vector<QueueDemand> reportedDemand;
+        std::pair<std::vector<ReturnSlots>, TimePoint> reportedReturns;
     };
     struct Run
     {
@@ -107,6 +130,7 @@
 
     void schedule(Duration delay, std::function<void()> action);
     void arrive(std::size_t kind);
+    bool isPeak() const;
     void submit(Call call);
     void applyDecisions(Entry &entry);
     void start(Entry &entry, const Assignment &assignment);
@@ -125,7 +149,8 @@
     std::map<UpstreamKey, Engine> m_engines;
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::mt19937_64 m_random;
-    TimePoint m_now{std::chrono::seconds(1000)};
+    TimePoint m_start{std::chrono::seconds(1000)};
+    TimePoint m_now = m_start;
     TimePoint m_arrivalsEnd;
     Ticket m_lastTicket = 0;
 };
