--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -233,6 +233,21 @@
     return groups;
 }
 
+SchedulingOptions readScheduling(JsonObjectReader &parent, Faults &faults)
+{
+    static const boost::json::value empty = boost::json::object{};
+    const auto *value = parent.child("scheduling");
+    JsonObjectReader reader(value ? *value : empty, "scheduling", faults);
+    SchedulingOptions options;
+    options.fleetView = reader.boolean("fleetView", options.fleetView);
+    options.lateIsServed = reader.boolean("lateIsServed", options.lateIsServed);
+    options.appointments = reader.boolean("appointments", options.appointments);
+    if (options.appointments && !options.fleetView)
+        reader.fault("appointments", "needs fleetView");
+    reader.finish();
+    return options;
+}
+
 void readDirectPart(JsonObjectReader &reader, Settings &settings, Faults &faults)
 {
     static const boost::json::value empty = boost::json::object{};
@@ -263,6 +278,7 @@
     settings.direct.usesOccupancy = occupancy.boolean("use", false);
     occupancy.finish();
     settings.direct.groups = readGroups(reader, faults);
+    settings.direct.scheduling = readScheduling(reader, faults);
 }
 
 void readCommonPart(JsonObjectReader &reader, Settings &settings, Faults &faults)
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -5,6 +5,7 @@
 #include "fleet/ExchangeGroups.h"
 #include "serving/RetryBudget.h"
 #include "serving/RolloutBounds.h"
+#include "serving/SchedulingOptions.h"
 
 #include <cstddef>
 #include <optional>
@@ -118,6 +119,7 @@
     /// What upstreams state of their load counts when requests are placed.
     bool usesOccupancy = false;
     GroupBounds groups;
+    SchedulingOptions scheduling;
 };
 
 /// Settings of one process, read from one JSON document and fixed until it restarts,
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -41,7 +41,7 @@
     , incarnation(randomBits64())
     , freshness(settings.direct.revokeBound, proofMargin)
     , upstreamListAge(settings.direct.drainBound + longestWatchPause)
-    , queue(upstreams, settings.dataCentre)
+    , queue(upstreams, settings.dataCentre, settings.direct.scheduling)
     , rollouts(settings.direct.rollouts, upstreams, queue, metrics)
     , quotas(settings.direct.quotaWindow)
     , retries(settings.direct.retries, steadyNow())
@@ -222,7 +222,8 @@
         shareLimits(now);
     for (const auto &[upstream, changes] : changed)
         logTermsChanges(*upstream, changes, "entries");
-    queue.setPeerDemand(peers.demand(now));
+    queue.setPeerDemand(peers.demand(now), now);
+    queue.setPeerReturns(peers.returns(now));
     pump();
 }
 
@@ -618,6 +619,7 @@
     load.rollouts = rollouts.reports();
     if (settings.direct.usesOccupancy)
         load.occupancies = upstreams.occupancyReports(steadyNow());
+    load.returns = queue.returnSlots(steadyNow());
     load.leaving = draining;
     return load;
 }
--- a/src/serving/EntryLoad.h
+++ b/src/serving/EntryLoad.h
@@ -7,6 +7,7 @@
 #include "serving/OccupancyModel.h"
 #include "serving/PartCrash.h"
 #include "serving/QuotaLedger.h"
+#include "serving/ReturnSlots.h"
 #include "serving/RolloutReport.h"
 #include "serving/TermsReport.h"
 
@@ -39,6 +40,7 @@
     std::vector<TermsReport> terms;
     std::vector<RolloutReport> rollouts;
     std::vector<ReportedOccupancy> occupancies;
+    std::vector<ReturnSlots> returns;
     /// The entry is shutting down gracefully and takes no new requests.
     bool leaving = false;
 
