--- a/src/fleet/ExchangeGroups.h
+++ b/src/fleet/ExchangeGroups.h
@@ -14,7 +14,7 @@
 struct GroupBounds
 {
     /// Fleets of up to this many entries are one group; 0: never divided.
-    std::size_t undividedEntries = 40;
+    std::size_t undividedEntries = 32;
     std::size_t entriesPerGroup = 30;
 };
 
