Review: faults of the parts, found by reading

Cause (two reviewers who wrote none of it): a hedge could outlive its request while it connects; a stream without an event could win; the place of a beaten attempt was kept until the winner ended; an attempt that broke off beside a hedge was not recorded as a crash; slow requests counted twice, sends too; a withdrawn version that is the only one left was withheld; an own group without a usable upstream hid the places of others; streams pinned to a withheld version waited for places of another; an entry that becomes a member of the own group was not told all quotas; ranks could be inverted by the view of the fleet and by appointments; the check showed no removed engine.

--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -23,7 +23,7 @@
 constexpr std::int64_t hourMs = 3'600'000;
 constexpr std::int64_t mebibyte = 1 << 20;
 constexpr double smallestHostMb = 88;
-constexpr double leastMemoryMb = 32;
+constexpr double leastMemoryMb = 64;
 constexpr double mostMemoryMb = 1 << 20;
 constexpr double mostDescriptors = 1e7;
 constexpr std::size_t digestHexDigits = 64;
--- a/src/direct/AttemptRace.h
+++ b/src/direct/AttemptRace.h
@@ -14,6 +14,8 @@
     /// Whether the attempt may deliver: the first that asks may, and the others are cancelled.
     bool tryWin(UpstreamAttempt &attempt);
     const UpstreamAttempt *winner() const { return m_winner; }
+    /// Whether another attempt may still deliver instead.
+    bool isContested() const { return !m_winner && m_attempts.size() > 1; }
 
 private:
     std::vector<UpstreamAttempt *> m_attempts;
--- a/src/direct/HedgedAttempt.cpp
+++ b/src/direct/HedgedAttempt.cpp
@@ -77,6 +77,15 @@
     return m_second && m_race.winner() == &m_second->attempt;
 }
 
+UpstreamPtr HedgedAttempt::otherBroken() const
+{
+    if (!m_second)
+        return nullptr;
+    const Lane &other = hedgeWon() ? *m_first : *m_second;
+    const bool broke = other.end == AttemptEnd::Broken && !other.attempt.cancelled();
+    return broke ? other.assignment.upstream : nullptr;
+}
+
 void HedgedAttempt::cancel()
 {
     m_over = true;
@@ -124,7 +133,6 @@
         return;
     const std::string &service = m_request.service;
     const TimePoint now = steadyNow();
-    m_state.hedging.recordSlow(service, m_first->assignment.predicted, m_delay);
     const HedgeLoad load{m_state.queue.waitingEverywhere(service),
                          m_state.upstreams.freePlaces(service, now),
                          m_state.upstreams.places(service, now)};
@@ -145,9 +153,12 @@
     request.first = false;
     m_second = std::make_unique<Lane>(m_state, *assignment, m_relay, std::move(request));
     m_race.add(m_second->attempt);
+    m_state.hedging.recordSlow(service, m_first->assignment.predicted, m_delay);
     logHedge("sent", load);
     asio::co_spawn(
-        m_state.executor, [self = shared_from_this()] { return self->runHedge(); }, asio::detached);
+        m_state.executor,
+        [self = shared_from_this(), owner = m_terms->owner.lock()] { return self->runHedge(); },
+        asio::detached);
 }
 
 std::optional<Assignment> HedgedAttempt::assignHedge()
@@ -176,13 +187,18 @@
     const bool mayWin = m_race.winner() != &m_first->attempt;
     if (!mayWin)
         m_second->attempt.cancel();
+    // The response of the second may go on for long after the first has ended.
+    const bool wonBefore = hedgeWon();
+    if (wonBefore)
+        releasePlace(*m_first);
     if (mayWin && !m_second->end)
         co_await m_secondEnded.async_wait(asio::as_tuple(asio::use_awaitable));
     const bool won = hedgeWon();
     m_state.metrics.add("tamarack_hedges_total", won ? "outcome=\"won\"" : "outcome=\"lost\"");
     if (!won)
         co_return end;
-    releasePlace(*m_first);
+    if (!wonBefore)
+        releasePlace(*m_first);
     co_return *m_second->end;
 }
 
--- a/src/direct/HedgedAttempt.h
+++ b/src/direct/HedgedAttempt.h
@@ -27,6 +27,8 @@
         QueuedRequest queued;
         /// Whether it may still be sent: it is not held back and its client waits.
         std::function<bool()> maySend;
+        /// Keeps what the attempts refer to alive while one of them runs.
+        std::weak_ptr<const void> owner;
     };
 
     HedgedAttempt(TrafficState &state, const Assignment &assignment, ResponseRelay &relay,
@@ -43,6 +45,8 @@
     /// Key of the second upstream, if the request was sent to one.
     std::optional<UpstreamKey> hedgedAt() const;
     bool hedgeWon() const;
+    /// The upstream of the attempt that does not count, if it broke off by itself.
+    UpstreamPtr otherBroken() const;
 
 private:
     struct Lane;
--- a/src/direct/PeerExchange.cpp
+++ b/src/direct/PeerExchange.cpp
@@ -205,12 +205,12 @@
         const auto isUnlisted = [&](const auto &item) { return !listed.contains(item.first); };
         std::erase_if(newPeers, isUnlisted);
         std::erase_if(heardIncarnations, isUnlisted);
+        const auto formerFar = std::exchange(farPeers, {});
         peers.clear();
-        farPeers.clear();
         for (const auto &[name, peer] : all)
             (state.groups.isMember(name) ? peers : farPeers).emplace(name, peer);
         for (const auto &[name, peer] : all)
-            if (!before.contains(name))
+            if (!before.contains(name) || (formerFar.contains(name) && peers.contains(name)))
                 addNew(name);
         if (!farPeers.empty() && !farScheduled)
             scheduleFar();
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -69,6 +69,8 @@
     std::optional<HedgedAttempt::Terms> hedgeTerms() const;
     /// Takes over the outcome of a hedge.
     void recordHedge();
+    /// Records that the attempt that does not count broke off at this upstream.
+    void recordBroken(const UpstreamPtr &upstream);
     /// Updates the upstream's health, crash and failure records from the ended attempt.
     void recordAttempt(AttemptEnd end);
     /// Records what the ended attempt shows of the upstream's software version.
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -93,6 +93,8 @@
 asio::awaitable<AttemptEnd> UpstreamAttempt::sendAndRead()
 {
     m_connection = co_await connect();
+    if (m_cancelled)
+        co_return AttemptEnd::NotSent;
     bool admitted = true;
     if (m_connection && needsIdentity())
         admitted = co_await admitsProcess();
@@ -299,7 +301,12 @@
     bool delivers = false;
     while (true) {
         const auto piece = co_await m_connection->readBody();
-        if (!piece || !mayDeliver())
+        if (!piece)
+            co_return AttemptEnd::Broken;
+        // A response without an event must not win.
+        if (piece->empty() && !delivers && m_request.race && m_request.race->isContested())
+            co_return AttemptEnd::Spoiled;
+        if (!mayDeliver())
             co_return AttemptEnd::Broken;
         if (!std::exchange(delivers, true))
             m_relay.startResponse();
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -63,6 +63,7 @@
     /// requests, another incarnation was listed or found, a part of the prompt has been
     /// quarantined, or its software version has been withheld.
     bool withheld() const { return m_withheld; }
+    bool cancelled() const { return m_cancelled; }
     bool reusedConnection() const { return m_reusedConnection; }
     bool clientGone() const { return m_clientGone; }
     /// When the first event, or the complete response of another kind, had been received.
--- a/src/serving/ConfigCheck.cpp
+++ b/src/serving/ConfigCheck.cpp
@@ -171,14 +171,14 @@
         services +=
             fmt::format("{}{}:{}", services.empty() ? "" : " ", share.service, share.weight);
     return {{"host", route.host},
-            {"pathPrefix", route.pathPrefix},
+            {"path prefix", route.pathPrefix},
             {"kind", std::string(kindName(route.kind))},
             {"timeout", msText(route.timeout)},
             {"objective", msText(route.objective)},
             {"eventGapObjective", msText(route.eventGapObjective)},
             {"tier", std::to_string(route.tier)},
             {"services", services},
-            {"maxAttempts", std::to_string(route.maxAttempts)},
+            {"attempts", std::to_string(route.maxAttempts)},
             {"public", fmt::format("{}", route.isPublic)},
             {"affinity", fmt::format("{}", route.affinity)},
             {"resumable", fmt::format("{}", route.resumable)}};
@@ -186,11 +186,11 @@
 
 Values valuesOf(const Service &service)
 {
-    Values values{{"maxConnections", std::to_string(service.maxConnections)},
+    Values values{{"connections", std::to_string(service.maxConnections)},
                   {"healthCheckPath", service.healthCheckPath}};
     if (service.engine) {
         values["slots"] = std::to_string(service.engine->slots);
-        values["kvTokens"] = std::to_string(service.engine->kvTokens);
+        values["KV tokens"] = std::to_string(service.engine->kvTokens);
         values["tokensPerEvent"] = std::to_string(service.engine->tokensPerEvent);
     }
     return values;
@@ -270,9 +270,14 @@
             continue;
         }
         Values &was = old[name];
-        for (const auto &[key, value] : current[name])
-            if (key != "keys" && was[key] != value)
-                differences.push_back({name + "." + key, was[key], value});
+        Values &is = current[name];
+        std::set<std::string> keys;
+        for (const Values *values : {&was, &is})
+            for (const auto &[key, value] : *values)
+                keys.insert(key);
+        for (const std::string &key : keys)
+            if (key != "keys" && was[key] != is[key])
+                differences.push_back({name + "." + key, was[key], is[key]});
     }
     compareKeys(before, after, differences);
     return differences;
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -141,7 +141,7 @@
         if (isNew)
             view = rankState(request->rank, queue, room, now);
         if (isNew && m_options.appointments)
-            view.due = m_returns.dueNow(service, request->rank, now);
+            view.due = m_returns.dueUpTo(service, request->rank, now);
         const int reserved =
             room ? room->reserve(effectiveRank, late) : reserve(effectiveRank, late, queue);
         const bool refusable =
@@ -150,7 +150,9 @@
             refusable ? UpstreamChooser::Pacing::Ignore : UpstreamChooser::Pacing::Keep;
         UpstreamChoice choice;
         // Its place is not among those that others may use.
-        const bool isBound = !request->onlyAt.empty();
+        const bool isBound =
+            !request->onlyAt.empty()
+            || (request->version && m_upstreams.isWithheld(service, *request->version));
         if (free > reserved || isBound)
             choice = m_chooser.choose(*request, pacing, now);
         if (choice.upstream) {
--- a/src/serving/FleetRoom.cpp
+++ b/src/serving/FleetRoom.cpp
@@ -46,7 +46,8 @@
     for (const auto &[other, room] : m_ranks) {
         starts += room.startsPerSecond;
         arrivingAbove += other < rank ? room.arrivalsPerSecond : 0;
-        own += other == rank ? room.startsPerSecond : 0;
+        // What lower ranks start, this one may start before them.
+        own += other >= rank ? room.startsPerSecond : 0;
     }
     return std::max(own, starts - arrivingAbove);
 }
--- a/src/serving/ReturnBook.cpp
+++ b/src/serving/ReturnBook.cpp
@@ -122,6 +122,18 @@
     }
 }
 
+double ReturnBook::dueUpTo(std::string_view service, QueueRank rank, TimePoint now) const
+{
+    const auto books = m_services.find(service);
+    if (books == m_services.end())
+        return 0;
+    double due = 0;
+    for (auto book = books->second.begin(); book != books->second.end() && book->first <= rank;
+         ++book)
+        due += dueNow(service, book->first, now);
+    return due;
+}
+
 double ReturnBook::dueNow(std::string_view service, QueueRank rank, TimePoint now) const
 {
     const auto books = m_services.find(service);
--- a/src/serving/ReturnBook.h
+++ b/src/serving/ReturnBook.h
@@ -57,6 +57,8 @@
     /// Replaces the appointments of the other entries, by row and time of receipt.
     void setPeers(std::span<const std::pair<ReturnSlots, TimePoint>> rows);
 
+    /// The same for the rank and all above it.
+    double dueUpTo(std::string_view service, QueueRank rank, TimePoint now) const;
     /// Clients of the rank that are expected in the present slot or one beside it, at any entry.
     double dueNow(std::string_view service, QueueRank rank, TimePoint now) const;
 
--- a/src/serving/RolloutControl.cpp
+++ b/src/serving/RolloutControl.cpp
@@ -49,8 +49,12 @@
         }
         std::set<std::string> &established = m_established[service];
         std::erase_if(established, [&](const auto &name) { return !names.contains(name); });
-        if (names.size() == 1)
-            established.insert(*names.begin());
+        if (names.size() != 1)
+            continue;
+        established.insert(*names.begin());
+        // A service's only version is the one in use, whatever became of the order for it.
+        if (const auto withdrawn = m_withdrawn.find(service); withdrawn != m_withdrawn.end())
+            withdrawn->second.erase(*names.begin());
     }
     m_versions = std::move(listed);
     std::erase_if(m_established, [&](const auto &item) { return !versions.contains(item.first); });
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -411,16 +411,33 @@
     return versions;
 }
 
+bool UpstreamTable::isWithheld(std::string_view service, std::string_view version) const
+{
+    return std::ranges::any_of(ofService(service), [version](const UpstreamPtr &upstream) {
+        return upstream->versionWithheld && upstream->record.version == version;
+    });
+}
+
+const std::vector<UpstreamPtr> &UpstreamTable::withPlaces(std::string_view service,
+                                                          TimePoint now) const
+{
+    const auto &own = ofOwnGroup(service);
+    const bool isUsable = std::ranges::any_of(own, [now](const UpstreamPtr &upstream) {
+        return !upstream->versionWithheld && limit(*upstream, now) > 0;
+    });
+    return isUsable ? own : ofService(service);
+}
+
 int UpstreamTable::places(std::string_view service, TimePoint now) const
 {
-    const auto &upstreams = ofOwnGroup(service);
+    const auto &upstreams = withPlaces(service, now);
     return std::accumulate(upstreams.begin(), upstreams.end(), 0,
                            [now](int sum, const auto &each) { return sum + limit(*each, now); });
 }
 
 int UpstreamTable::freePlaces(std::string_view service, TimePoint now) const
 {
-    const auto &upstreams = ofOwnGroup(service);
+    const auto &upstreams = withPlaces(service, now);
     return std::accumulate(upstreams.begin(), upstreams.end(), 0, [now](int sum, const auto &each) {
         return sum + (each->versionWithheld ? 0 : freePlaces(*each, now));
     });
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -215,6 +215,7 @@
     /// Withholds the versions of the service from requests in general; returns whether that changed
     /// anything.
     bool withholdVersions(std::string_view service, const std::set<std::string> &versions);
+    bool isWithheld(std::string_view service, std::string_view version) const;
     /// Software versions of the listed upstreams, by service.
     std::map<std::string, std::set<std::string>> versions() const;
 
@@ -240,6 +241,8 @@
     void rankEntries(UpstreamState &upstream) const;
 
     void divide();
+    /// The upstreams whose places count: those of the own group, or all if none of these is usable.
+    const std::vector<UpstreamPtr> &withPlaces(std::string_view service, TimePoint now) const;
 
     template <std::predicate<const UpstreamTerms &> Holds>
     std::size_t countTerms(Holds holds) const;
