--- a/src/serving/ConfigCheck.cpp
+++ b/src/serving/ConfigCheck.cpp
@@ -277,7 +277,7 @@
                 keys.insert(key);
         for (const std::string &key : keys)
             if (key != "keys" && was[key] != is[key])
-                differences.push_back({name + "." + key, was[key], is[key]});
+                differences.push_back({fmt::format("{}.{}", name, key), was[key], is[key]});
     }
     compareKeys(before, after, differences);
     return differences;
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -114,6 +114,7 @@
         const bool divided =
             m_groups > 1 && service.upstreams.size() >= m_groups * leastUpstreamsPerGroup;
         std::vector<GroupItem> items;
+        items.reserve(service.upstreams.size());
         for (const UpstreamPtr &upstream : service.upstreams)
             items.push_back({upstream->record.dataCentre, upstream->key});
         const std::vector<std::size_t> groupOf = divideEvenly(items, divided ? m_groups : 1);
