--- a/tools/unit-tests.sh
+++ b/tools/unit-tests.sh
@@ -6,7 +6,10 @@
 
 program=$1
 mapfile -t red < <(sed -n 's|^test: \([A-Za-z0-9_/]*\).*|\1|p' KNOWN-RED.txt)
-"$program" --log_level=test_suite "${red[@]/#/--run_test=!}"
+# Runs by itself: it lowers the limit on descriptors, of which the other tests leave many open.
+apart=MisbehavingClientsSuite
+"$program" --log_level=test_suite "${red[@]/#/--run_test=!}" --run_test="!$apart"
+"$program" --log_level=test_suite --run_test="$apart"
 for test in "${red[@]}"; do
     output=$("$program" --run_test="$test" 2>&1) && status=0 || status=$?
     if [ "$status" = 0 ] || grep -q 'no test cases matching' <<<"$output"; then
