--- a/src/direct/PeerExchange.cpp
+++ b/src/direct/PeerExchange.cpp
@@ -86,7 +86,7 @@
 
     void apply(const EntryLoad &load)
     {
-        // A process that was restarted knows nothing of what was told before.
+        // A process that was restarted has none of the reports sent before.
         const bool isNew = heardIncarnations[load.name] != load.incarnation;
         if (isNew)
             addNew(load.name);
@@ -337,7 +337,7 @@
     std::size_t firstQuotaRow = 0;
     TimePoint digestAt{};
     TimePoint firstReportsAt{};
-    /// Last incarnation heard of each listed entry.
+    /// Last incarnation that each listed entry reported.
     std::map<std::string, Incarnation> heardIncarnations;
     std::uint64_t sequence = 0;
     std::vector<std::pair<UpstreamKey, UpstreamLoad>> sentLoads;
--- a/src/direct/RolloutDesk.cpp
+++ b/src/direct/RolloutDesk.cpp
@@ -37,21 +37,6 @@
     return "open";
 }
 
-std::string_view stateName(RolloutState state)
-{
-    switch (state) {
-    case RolloutState::Completed:
-        return "completed";
-    case RolloutState::RolledBack:
-        return "rolled back";
-    case RolloutState::Running:
-        return "running";
-    case RolloutState::Ordered:
-        break;
-    }
-    return "ordered";
-}
-
 } // namespace
 
 RolloutDesk::RolloutDesk(std::optional<RolloutBounds> bounds, UpstreamTable &upstreams,
@@ -276,7 +261,7 @@
                   {"to", view.order.to},
                   {"created", view.order.created},
                   {"revision", view.order.revision},
-                  {"state", stateName(view.order.state)},
+                  {"state", rolloutStateName(view.order.state)},
                   {"verdict", verdictName(view.verdict)},
                   {"age_ms", view.age.count()},
                   {"duration_ms", view.order.duration.count()},
--- a/src/direct/RolloutFollower.cpp
+++ b/src/direct/RolloutFollower.cpp
@@ -28,21 +28,6 @@
 /// Orders of a store beyond this number are ignored.
 constexpr std::size_t maxOrders = 256;
 
-std::string_view stateName(RolloutState state)
-{
-    switch (state) {
-    case RolloutState::Completed:
-        return "completed";
-    case RolloutState::RolledBack:
-        return "rolled back";
-    case RolloutState::Running:
-        return "running";
-    case RolloutState::Ordered:
-        break;
-    }
-    return "ordered";
-}
-
 } // namespace
 
 struct RolloutFollower::Private : std::enable_shared_from_this<RolloutFollower::Private>
@@ -160,7 +145,7 @@
         logEvent(written ? LogLevel::Info : LogLevel::Warning, "rollout_status_written",
                  {{"service", due.order.service},
                   {"to", due.order.to},
-                  {"state", stateName(due.state)},
+                  {"state", rolloutStateName(due.state)},
                   {"revision", due.order.revision},
                   {"outcome", written ? std::string_view("written")
                                       : std::string_view(written.error().message)}});
--- a/src/fleet/FarReports.cpp
+++ b/src/fleet/FarReports.cpp
@@ -24,7 +24,7 @@
         if (m_sent)
             load.quotas = usesNotAtRest(std::move(load.quotas));
     } else {
-        // Each change is told twice, in case one message is lost.
+        // Each change is sent twice, in case one message is lost.
         load.quotas = changedUses(m_formerUses, all);
     }
     load.quotas = nextQuotaRows(load.quotas, m_firstRow);
--- a/src/fleet/FarReports.h
+++ b/src/fleet/FarReports.h
@@ -14,8 +14,8 @@
 /// Decides when an entry reports to the entries of other exchange groups, and what.
 ///
 /// Answers a fleet in which reports between groups are most of all messages: what is at rest is
-/// told every few seconds only. Loads and demand stay in the group, whose upstreams the others do
-/// not choose. What bounds the whole fleet is told within a tenth of a second or two: the use of a
+/// sent every few seconds only. Loads and demand stay in the group, whose upstreams the others do
+/// not choose. What bounds the whole fleet is sent within a tenth of a second or two: the use of a
 /// quota that may soon be exhausted, statements of upstreams, a planned stop, and the positions of
 /// a store follower.
 class FarReports
@@ -29,7 +29,7 @@
         StorePosition upstreamPosition;
         std::uint64_t statements = 0;
         /// Crashes and statements of upstreams that this entry has met itself; those that it was
-        /// told of are told by the entries that met them.
+        /// received are reported by the entries that met them.
         std::uint64_t crashes = 0;
         bool leaving = false;
 
@@ -48,7 +48,7 @@
     static constexpr milliseconds restInterval{4000};
     /// The same with rows about upstreams that limit themselves, whose recent sends must be known.
     static constexpr milliseconds termsInterval{800};
-    /// All quotas of which anything was used are told this often, for entries that missed a change.
+    /// All quotas of which anything was used are sent this often, for entries that missed a change.
     static constexpr milliseconds fullInterval{16'000};
 
 private:
@@ -56,7 +56,7 @@
     TimePoint m_sentAt{};
     TimePoint m_fullAt{};
     Urgent m_state;
-    /// Uses told in the last report and in the one before.
+    /// Uses sent in the last report and in the one before.
     std::vector<QuotaUse> m_uses;
     std::vector<QuotaUse> m_formerUses;
     std::size_t m_firstRow = 0;
--- a/src/fleet/GroupDigest.h
+++ b/src/fleet/GroupDigest.h
@@ -9,7 +9,7 @@
 
 namespace tamarack {
 
-/// When an entry last heard another one of its exchange group.
+/// When an entry last received a report of another one of its exchange group.
 struct HeardEntry
 {
     Incarnation incarnation = 0;
@@ -19,7 +19,7 @@
 };
 
 /// What an entry tells those of other exchange groups about who is alive in its own, including
-/// itself. Ages are kept, so that hearing a digest late or twice revives nobody.
+/// itself. Ages are kept, so that a late or repeated digest makes no entry reachable.
 struct GroupDigest
 {
     Incarnation teller = 0;
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -415,7 +415,7 @@
         return 2 * size + m_buffer.capacity() + fieldBytes * count;
     }
 
-    /// Reads the body unless the connection was evicted, or nobody needs the body. A body that is
+    /// Reads the body unless the connection was evicted, or the body is not needed. A body that is
     /// not read ends the connection with the answer.
     Awaitable<ErrorCode> readBody(Parser &parser, const HttpLimits &limits)
     {
@@ -532,7 +532,7 @@
     HttpRequest m_request;
     std::function<void()> m_gone;
     ErrorCode m_ignored;
-    /// What the request holds besides what each connection holds, as told to the budget.
+    /// What the request holds besides what each connection holds, as reported to the budget.
     std::size_t m_held = 0;
     /// Parsed bytes of the head that is being read.
     std::size_t m_headBytes = 0;
--- a/src/serving/DispatchQueue.cpp
+++ b/src/serving/DispatchQueue.cpp
@@ -19,7 +19,7 @@
 constexpr double minRetryFraction = 0.15;
 constexpr double retryFractionSpread = 0.17;
 constexpr milliseconds minRetryAfter{200};
-/// Part of its time after which a client's return is told from a first attempt by its deadline.
+/// Part of its time after which a client's return differs from a first attempt by its deadline.
 constexpr double minReturnAge = 0.19;
 /// Ranks with lower rates per second are not reported unless they have requests.
 constexpr double leastReportedRate = 0.1;
@@ -244,7 +244,7 @@
     for (const auto &[position, request] : queue.waiting)
         order.push_back({&request, request.rank, now + firstToken > request.objectiveAt,
                          isKeptReturn(request, now)});
-    // Those who were told to return yield to nobody of their rank.
+    // Clients that keep an appointment go first in their rank.
     for (Candidate &each : order)
         each.late = each.late && !each.keptReturn;
     std::ranges::stable_sort(order, {}, [&](const Candidate &each) {
--- a/src/serving/DispatchQueue.h
+++ b/src/serving/DispatchQueue.h
@@ -36,7 +36,7 @@
     Duration predicted{};
     /// Started ahead of more urgent kinds because its own kind was below its guaranteed share.
     bool promoted = false;
-    /// Started ahead of new requests of its rank, as its client was told to return.
+    /// Started ahead of new requests of its rank, as its client keeps an appointment.
     bool keptReturn = false;
 };
 
@@ -55,9 +55,9 @@
     double startsPerSecond = 0;
     /// Requests that were expected to start before it, over all entries. 0 without a fleet view.
     double fleetAhead = 0;
-    /// Time since the demand of the other entries was last told; none if it never was.
+    /// Time since the demand of the other entries was last reported; none if it never was.
     std::optional<Duration> viewAge;
-    /// When the client is told to return, and how many others are expected then; none without
+    /// When the client should return, and how many others are expected then; none without
     /// appointments.
     std::optional<ReturnBook::Appointment> appointment;
 };
@@ -199,7 +199,7 @@
         QueueRank effectiveRank = 0;
         /// It can no longer meet its objective.
         bool late = false;
-        /// Its client was told to return about now.
+        /// Its client has an appointment about now.
         bool keptReturn = false;
     };
     bool isKeptReturn(const QueuedRequest &request, TimePoint now) const;
@@ -219,7 +219,7 @@
         std::size_t ahead = 0;
         /// Those of them that had a place, but no suitable upstream.
         std::uint32_t selective = 0;
-        /// Clients that were told to return within the next slot.
+        /// Clients with an appointment in the next slot.
         double due = 0;
     };
     /// `room`: null without a view of the fleet.
--- a/src/serving/PeerRegistry.h
+++ b/src/serving/PeerRegistry.h
@@ -84,7 +84,7 @@
     {
         EntryLoad load;
         TimePoint receivedAt{};
-        /// When a member of its group last heard it, as far as digests tell.
+        /// When a member of its group last received a report of it, by the digests.
         TimePoint heardAt{};
     };
 
--- a/src/serving/QuotaLedger.cpp
+++ b/src/serving/QuotaLedger.cpp
@@ -12,7 +12,7 @@
 /// admitted but not reported yet.
 constexpr double usableShare = 0.97;
 /// Part of the burst that counts as room although the bucket is nearly empty: without it, each
-/// request of a workspace at its quota would be told at once.
+/// request of a workspace at its quota would be reported at once.
 constexpr double leastRoomShare = 0.125;
 /// Resolution at which sent units are counted within a window.
 constexpr int slicesPerWindow = 32;
--- a/src/serving/QuotaLedger.h
+++ b/src/serving/QuotaLedger.h
@@ -69,11 +69,11 @@
                      TimePoint now);
     /// Another entry is alive although it has nothing new to report.
     void recordAlive(std::uint64_t entryIncarnation, TimePoint now);
-    /// Whether this entry has admitted something that it has not told the other exchange groups,
-    /// and what all of `groups` may have admitted since `markTold`, if each admits as much as is
-    /// known here, could exhaust a quota.
+    /// Whether this entry has admitted something that it has not reported to the other exchange
+    /// groups, and what all of `groups` may have admitted since `markTold`, if each admits as much
+    /// as is known here, could exhaust a quota.
     bool mustTell(std::size_t groups) const;
-    /// All use so far is told to the other groups.
+    /// All use so far has been reported to the other groups.
     void markTold();
     /// Sets the share of the known entries that report, including this one.
     void setReportingShare(double share, TimePoint now);
--- a/src/serving/ReturnBook.cpp
+++ b/src/serving/ReturnBook.cpp
@@ -12,7 +12,7 @@
 
 /// Part of the expected starts that may be promised; the others are for new requests.
 constexpr double promisedShare = 0.6;
-/// Clients return up to this many slots beside the one that they were told.
+/// Clients return up to this many slots beside their own.
 constexpr std::int64_t slotTolerance = 1;
 constexpr std::uint64_t spreadSteps = 1 << 16;
 
--- a/src/serving/ReturnBook.h
+++ b/src/serving/ReturnBook.h
@@ -18,7 +18,7 @@
 
 /// Appointments of refused clients at all entries: who is expected back when.
 ///
-/// Designed for peaks of 3 to 10 s. Clients that are all told to return after some part of their
+/// Designed for peaks of 3 to 10 s. Clients that all return after some part of their
 /// time return into the peak that refused them or into the next one, and fare worse than those that
 /// come for the first time.
 class ReturnBook
@@ -30,7 +30,8 @@
     /// When a refused client can return.
     struct Terms
     {
-        /// Shortest delay: when there may be room, and the return is told from a first attempt.
+        /// Shortest delay: when there may be room, and the return can be distinguished from a first
+        /// attempt.
         Duration earliest{};
         /// Longest delay that the client honours.
         Duration latest{};
--- a/src/serving/ReturnSlots.h
+++ b/src/serving/ReturnSlots.h
@@ -8,7 +8,7 @@
 
 namespace tamarack {
 
-/// Clients of one service and rank that were told to return, by time.
+/// Clients of one service and rank with appointments, by time.
 struct ReturnSlots
 {
     std::string service;
--- a/src/serving/RolloutControl.cpp
+++ b/src/serving/RolloutControl.cpp
@@ -18,7 +18,7 @@
 constexpr double completeFraction = 0.92;
 /// Answers of the new version within the judge's window without which the watch goes on.
 constexpr std::uint64_t leastRecent = 5;
-/// With fewer entries heard, what the others saw is not known.
+/// With fewer entries reachable, what the others saw is not known.
 constexpr double leastReachable = 0.5;
 /// Time for which a writer is waited for before the next one writes.
 constexpr milliseconds writerPatience{700};
--- a/src/serving/RolloutControl.h
+++ b/src/serving/RolloutControl.h
@@ -39,7 +39,7 @@
 /// What the decisions on a roll-out need to know of the fleet.
 struct RolloutFleetView
 {
-    /// Fraction of all possibly serving entries that are heard.
+    /// Fraction of all possibly serving entries that are reachable.
     double reachableShare = 1;
     /// This entry's place among those that write the status; 0 writes first, none does not write.
     std::optional<std::size_t> writerRank;
--- a/src/serving/RolloutOrder.h
+++ b/src/serving/RolloutOrder.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace tamarack {
 
@@ -15,6 +16,9 @@
     return state == RolloutState::Completed || state == RolloutState::RolledBack;
 }
 
+/// Name for the log.
+std::string_view rolloutStateName(RolloutState state);
+
 /// The operator's order to move a service to upstreams of another software version.
 struct RolloutOrder
 {
