--- a/review/standins-2/Lab.h
+++ b/review/standins-2/Lab.h
@@ -633,6 +633,14 @@
     Entry &operator=(const Entry &) = delete;
 
     unsigned short port() const { return m_front; }
+    void kill()
+    {
+        ::kill(m_pid, SIGKILL);
+        ::waitpid(m_pid, nullptr, 0);
+        m_pid = -1;
+    }
+    /// Starts the process with the settings that it had. Call from the thread that made the entry.
+    void restart() { start(); }
     void signal(int number) const
     {
         if (m_pid > 0)
