--- a/review/standins-2/Lab.h
+++ b/review/standins-2/Lab.h
@@ -639,6 +639,7 @@
         ::waitpid(m_pid, nullptr, 0);
         m_pid = -1;
     }
+    pid_t pid() const { return m_pid; }
     /// Starts the process with the settings that it had. Call from the thread that made the entry.
     void restart() { start(); }
     void signal(int number) const
