Store listings and readiness are logged and counted

`tamarack_store_listings_total{kind,outcome}` and `tamarack_ready` count the same. No decision changes.

--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -18,10 +18,14 @@
 #include <atomic>
 #include <iterator>
 #include <limits>
+#include <optional>
 #include <ranges>
+#include <utility>
 
 #include <sys/resource.h>
 
+#include <spdlog/fmt/fmt.h>
+
 namespace tamarack {
 
 namespace asio = boost::asio;
@@ -127,6 +131,10 @@
             if (settings.direct.rollouts)
                 rolloutFollower.read();
         };
+        listener.listingEnded = [this](std::string_view kind, std::string_view outcome) {
+            metrics.add("tamarack_store_listings_total",
+                        fmt::format("kind=\"{}\",outcome=\"{}\"", kind, outcome));
+        };
         listener.entriesChanged = [this](std::map<std::string, Endpoint> entries) {
             asio::post(traffic, [this, entries = std::move(entries)] { applyEntries(entries); });
         };
@@ -286,10 +294,37 @@
         metrics.gauge("tamarack_client_connections", "", static_cast<double>(usage.connections));
     }
 
+    /// What readiness depends on.
+    struct ReadinessInputs
+    {
+        bool config = false;
+        bool upstreams = false;
+        bool proof = false;
+        bool draining = false;
+
+        bool operator==(const ReadinessInputs &) const = default;
+        bool ready() const { return config && upstreams && proof && !draining; }
+    };
+
+    /// Logs the readiness if what it depends on has changed since the last check.
+    void reportReadiness(const ReadinessInputs &inputs)
+    {
+        metrics.gauge("tamarack_ready", "", inputs.ready() ? 1 : 0);
+        if (std::exchange(reportedReadiness, inputs) == inputs)
+            return;
+        logEvent(LogLevel::Info, "readiness_changed",
+                 {{"ready", inputs.ready()},
+                  {"config_read", inputs.config},
+                  {"upstreams_read", inputs.upstreams},
+                  {"proof_fresh", inputs.proof},
+                  {"draining", inputs.draining}});
+    }
+
     asio::awaitable<void> serveReadiness(HttpExchange &request)
     {
-        const bool ready = hasConfig && hasUpstreams && !draining && proof.isFresh(bootNow());
-        HttpResponse response{ready ? readyStatus : notReadyStatus, {}, ""};
+        const ReadinessInputs inputs{hasConfig, hasUpstreams, proof.isFresh(bootNow()), draining};
+        reportReadiness(inputs);
+        HttpResponse response{inputs.ready() ? readyStatus : notReadyStatus, {}, ""};
         co_await request.respond(std::move(response));
     }
 
@@ -370,6 +405,7 @@
     bool hasConfig = false;
     bool hasUpstreams = false;
     bool draining = false;
+    std::optional<ReadinessInputs> reportedReadiness;
 };
 
 DirectProcess::DirectProcess(std::shared_ptr<Private> p)
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -52,6 +52,8 @@
 /// After a restore of the store, entries that rely on followers list the upstreams within this
 /// time.
 constexpr milliseconds relistSpread{700};
+/// A listing that fails again for the same reason is logged once in this time.
+constexpr milliseconds failureLogInterval{5000};
 /// A listing that is seconds old suffices to discover entries; state changes are exchanged directly
 /// between entries in datagrams.
 constexpr auto maxEntryAge = platform::StoreClient::Freshness::MaybeStale;
@@ -165,6 +167,44 @@
         return result.has_value();
     }
 
+    /// Lists the kind, counts the outcome and logs it.
+    asio::awaitable<Result<platform::StoreListing>>
+    list(const std::string &kind, std::string_view call,
+         platform::StoreClient::Freshness freshness = platform::StoreClient::Freshness::Latest)
+    {
+        const TimePoint start = steadyNow();
+        auto listing = co_await store.list(kind, freshness);
+        const bool read = recordResult(listing, call);
+        listener.listingEnded(kind, read ? "whole" : "failed");
+        if (read)
+            logEvent(LogLevel::Info, "listing_read",
+                     {{"kind", kind},
+                      {"pages", listing->pages},
+                      {"objects", listing->objects.size()},
+                      {"era", listing->position.era},
+                      {"revision", listing->position.revision},
+                      {"took_ms", toMs(steadyNow() - start)}});
+        else
+            logFailedListing(kind, listing.error().message, steadyNow() - start);
+        co_return listing;
+    }
+
+    void logFailedListing(const std::string &kind, const std::string &reason, Duration took)
+    {
+        const TimePoint now = steadyNow();
+        FailedListings &failed = failedListings[kind];
+        ++failed.count;
+        if (reason == failed.reason && now < failed.logAt)
+            return;
+        failed.reason = reason;
+        failed.logAt = now + failureLogInterval;
+        logEvent(LogLevel::Warning, "listing_failed",
+                 {{"kind", kind},
+                  {"reason", reason},
+                  {"failures", failed.count},
+                  {"took_ms", toMs(took)}});
+    }
+
     static asio::awaitable<void> pauseAfterFailure(milliseconds shortest)
     {
         co_await pause(shortest + randomDuration(shortest));
@@ -174,8 +214,8 @@
     {
         while (true) {
             const BootTime callStart = bootNow();
-            const auto listing = co_await store.list(platform::configKind());
-            if (!recordResult(listing, "list_config")) {
+            const auto listing = co_await list(platform::configKind(), "list_config");
+            if (!listing) {
                 co_await pauseAfterFailure(configRetry);
                 continue;
             }
@@ -254,9 +294,9 @@
             readingUpstreams = true;
             const BootTime callStart = bootNow();
             const std::uint64_t knownEra = era;
-            const auto listing = co_await store.list(platform::upstreamKind());
+            const auto listing = co_await list(platform::upstreamKind(), "list_upstreams");
             readingUpstreams = false;
-            if (!recordResult(listing, "list_upstreams")) {
+            if (!listing) {
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
@@ -418,8 +458,8 @@
     asio::awaitable<void> originLoop()
     {
         while (!originsRead) {
-            const auto listing = co_await store.list(originKind);
-            originsRead = recordResult(listing, "list_origins");
+            const auto listing = co_await list(originKind, "list_origins");
+            originsRead = listing.has_value();
             if (!originsRead) {
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
@@ -454,8 +494,8 @@
     {
         co_await registerEntry();
         while (true) {
-            const auto listing = co_await store.list(entryKind, maxEntryAge);
-            if (!recordResult(listing, "list_entries")) {
+            const auto listing = co_await list(entryKind, "list_entries", maxEntryAge);
+            if (!listing) {
                 co_await pauseAfterFailure(entryRetry);
                 continue;
             }
@@ -608,6 +648,14 @@
     std::optional<BootTime> provedAt;
     /// Revisions of the listed entries that describe no usable upstream.
     std::map<std::string, platform::Revision> ignoredEntries;
+    /// Listings of a kind that failed since the start, and what was logged of them last.
+    struct FailedListings
+    {
+        std::uint64_t count = 0;
+        std::string reason;
+        TimePoint logAt{};
+    };
+    std::map<std::string, FailedListings> failedListings;
     /// Identifies this start of the process.
     std::uint64_t incarnation = randomBits64();
     /// Where this entry's registration was written last.
