--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -1,4 +1,3 @@
-#include "support/Eventually.h"
 #include "support/SmallFleet.h"
 
 #include <string>
@@ -7,7 +6,6 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace tamarack;
-using tamarack::harness::eventually;
 using tamarack::harness::SmallFleet;
 
 namespace {
@@ -41,19 +39,6 @@
     };
 }
 
-/// Lists the upstream `next` in place of `former`. Returns whether the entry follows.
-bool followsTheList(SmallFleet &fleet, std::size_t entry, std::size_t former, std::size_t next)
-{
-    fleet.list(next, {});
-    fleet.unlist(former);
-    int number = 0;
-    return eventually([&] {
-        const std::string id = std::to_string(entry) + "-" + std::to_string(++number);
-        const std::string answer = fleet.get(entry, "/read/x", id);
-        return answer.find("signed-by-" + SmallFleet::upstreamName(next)) != std::string::npos;
-    });
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(OddEntrySuite)
@@ -65,7 +50,7 @@
     for (const std::string &odd : oddEntries()) {
         next = 1 - next;
         fleet.listOdd(odd);
-        BOOST_TEST(followsTheList(fleet, 0, 1 - next, next), odd.substr(0, 100));
+        BOOST_TEST(fleet.entryFollowsList(0, 1 - next, next), odd.substr(0, 100));
     }
 }
 
@@ -75,7 +60,7 @@
     for (const std::string &odd : oddEntries())
         fleet.listOdd(odd);
     const std::size_t entry = fleet.startEntry();
-    BOOST_TEST(followsTheList(fleet, entry, 0, 1));
+    BOOST_TEST(fleet.entryFollowsList(entry, 0, 1));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/SmallFleet.cpp
+++ b/tests/support/SmallFleet.cpp
@@ -122,6 +122,18 @@
     });
 }
 
+bool SmallFleet::entryFollowsList(std::size_t entry, std::size_t former, std::size_t next)
+{
+    list(next, {});
+    unlist(former);
+    int number = 0;
+    return eventually([&] {
+        const std::string id = std::to_string(entry) + "-" + std::to_string(++number);
+        const std::string answer = get(entry, "/read/x", id);
+        return answer.find("signed-by-" + upstreamName(next)) != std::string::npos;
+    });
+}
+
 void SmallFleet::silenceStoreConnections(std::size_t entry)
 {
     asio::post(m_context, [this, entry] { m_links.at(entry)->swallow(); });
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -57,6 +57,9 @@
     void unlist(std::size_t upstream);
     /// Lists one more entry of another writer, whose content is `text`.
     void listOdd(const std::string &text);
+    /// Lists the upstream `next` in place of `former`. Returns whether the entry sends requests to
+    /// it soon.
+    bool entryFollowsList(std::size_t entry, std::size_t former, std::size_t next);
 
     /// Makes the open connections of the entry to the store swallow bytes; new ones work.
     void silenceStoreConnections(std::size_t entry);
--- a/tools/model/PlatformStore.cpp
+++ b/tools/model/PlatformStore.cpp
@@ -17,12 +17,13 @@
     return {{"metadata", metadata}, {"spec", object.spec}, {"status", object.status}};
 }
 
-PlatformStore::Answer PlatformStore::list(const std::string &kind, const std::string &after) const
+PlatformStore::Answer PlatformStore::list(const std::string &kind,
+                                          const std::optional<std::string> &after) const
 {
     json::array entries;
     bool more = false;
     if (const auto objects = m_kinds.find(kind); objects != m_kinds.end()) {
-        auto it = objects->second.upper_bound(after);
+        auto it = after ? objects->second.upper_bound(*after) : objects->second.begin();
         for (; it != objects->second.end() && entries.size() < m_pageSize; ++it)
             entries.push_back(encode(it->first, it->second));
         more = it != objects->second.end();
--- a/tools/model/PlatformStore.h
+++ b/tools/model/PlatformStore.h
@@ -28,7 +28,10 @@
         : m_pageSize(pageSize)
     {}
 
-    Answer list(const std::string &kind, const std::string &after) const;
+    void setPageSize(std::size_t pageSize) { m_pageSize = pageSize; }
+
+    /// Objects after the name; from the first one if there is no name.
+    Answer list(const std::string &kind, const std::optional<std::string> &after) const;
     Answer get(const std::string &kind, const std::string &name) const;
     /// Returns 201, or 409 with the existing object.
     Answer create(const std::string &kind, const std::string &name, boost::json::value spec);
--- a/tools/model/StoreServer.cpp
+++ b/tools/model/StoreServer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/AsioPch.h"
 #include "model/LoopbackListener.h"
+#include "model/UriText.h"
 #include "process/Timers.h"
 
 namespace tamarack::standin {
@@ -26,7 +27,7 @@
     const auto slash = path.find('/');
     if (slash == std::string::npos)
         return {path, ""};
-    return {path.substr(0, slash), path.substr(slash + 1)};
+    return {path.substr(0, slash), decodePathPart(path.substr(slash + 1)).value_or("")};
 }
 
 std::uint64_t numberOf(std::optional<std::string_view> text)
@@ -58,6 +59,12 @@
         co_await exchange.respond(std::move(refusal));
         co_return;
     }
+    if (!isValidTarget(exchange.request().target)) {
+        ++invalidTargets;
+        HttpResponse refusal{400, {}, ""};
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
     if (exchange.request().query("watch")) {
         std::string kind = objectPath(exchange.request()).kind;
         co_await watch(exchange, std::move(kind));
@@ -135,12 +142,25 @@
     return response;
 }
 
+PlatformStore::Answer StoreServer::handleList(const HttpRequest &request,
+                                              const std::string &kind) const
+{
+    const auto after = request.query("after");
+    if (!after)
+        return m_store.list(kind, std::nullopt);
+    const std::string name = decodeQueryPart(*after).value_or("");
+    const std::string valid = withReplacedBytes(name);
+    if (refusesInvalidUtf8 && valid != name)
+        return {400, json::object{{"error", "name is not UTF-8"}}};
+    return m_store.list(kind, valid);
+}
+
 PlatformStore::Answer StoreServer::handle(const HttpRequest &request)
 {
     const std::lock_guard lock(m_mutex);
     const ObjectPath path = objectPath(request);
     if (request.method == "GET" && path.name.empty())
-        return m_store.list(path.kind, std::string(request.query("after").value_or("")));
+        return handleList(request, path.kind);
     if (request.method == "GET")
         return m_store.get(path.kind, path.name);
     if (request.method == "DELETE")
--- a/tools/model/StoreServer.h
+++ b/tools/model/StoreServer.h
@@ -47,11 +47,16 @@
     /// Those of `calls` that accept stale data; this store serves them the latest data all the
     /// same.
     std::atomic<int> staleCalls{0};
+    /// Calls whose target is no valid URI, which are refused with 400.
+    std::atomic<int> invalidTargets{0};
+    /// Refuses names in targets that are not UTF-8; otherwise reads such bytes as U+FFFD.
+    std::atomic<bool> refusesInvalidUtf8{false};
 
 private:
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
     boost::asio::awaitable<void> watch(HttpExchange &exchange, std::string kind);
     PlatformStore::Answer handle(const HttpRequest &request);
+    PlatformStore::Answer handleList(const HttpRequest &request, const std::string &kind) const;
     /// Whether the call is a deletion that is held.
     bool hold(const HttpRequest &request);
     HttpResponse encode(const PlatformStore::Answer &answer);
