The configuration is read by its name, not by listing its kind

Cause: the start read all objects of kind `config` to find one of known name, so that whatever another writer puts beside it stood between an entry and its configuration. Now the first page of the kind gives the position for the watch, and the object too if it is there; if not, it is read by its name.

--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -175,7 +175,8 @@
         const TimePoint start = steadyNow();
         auto listing = co_await store.list(kind, freshness);
         const bool read = recordResult(listing, call);
-        listener.listingEnded(kind, read ? "whole" : "failed");
+        if (read)
+            listener.listingEnded(kind, "whole");
         if (read)
             logEvent(LogLevel::Info, "listing_read",
                      {{"kind", kind},
@@ -185,12 +186,13 @@
                       {"revision", listing->position.revision},
                       {"took_ms", toMs(steadyNow() - start)}});
         else
-            logFailedListing(kind, listing.error().message, steadyNow() - start);
+            handleFailedListing(kind, listing.error().message, steadyNow() - start);
         co_return listing;
     }
 
-    void logFailedListing(const std::string &kind, const std::string &reason, Duration took)
+    void handleFailedListing(const std::string &kind, const std::string &reason, Duration took)
     {
+        listener.listingEnded(kind, "failed");
         const TimePoint now = steadyNow();
         FailedListings &failed = failedListings[kind];
         ++failed.count;
@@ -214,16 +216,19 @@
     {
         while (true) {
             const BootTime callStart = bootNow();
-            const auto listing = co_await list(platform::configKind(), "list_config");
-            if (!listing) {
+            const auto found = co_await store.find(platform::configKind(), platform::configName());
+            if (!recordResult(found, "read_config")) {
+                handleFailedListing(platform::configKind(), found.error().message,
+                                    bootNow() - callStart);
                 co_await pauseAfterFailure(configRetry);
                 continue;
             }
-            for (const auto &object : listing->objects)
-                applyConfig(object);
+            listener.listingEnded(platform::configKind(), "whole");
+            if (found->object)
+                applyConfig(*found->object);
             watchPolicy.configRead(version.value_or(0));
             proveConfig(callStart);
-            co_await watchConfig(listing->position);
+            co_await watchConfig(found->position);
         }
     }
 
--- a/tests/StoreListingTest.cpp
+++ b/tests/StoreListingTest.cpp
@@ -31,6 +31,18 @@
     });
 }
 
+/// Writes an object under a name that JSON can write and a parser for Unicode text refuses, a lone
+/// surrogate, on a page of its own.
+void addUnreadableName(SmallFleet &fleet, const std::string &kind)
+{
+    const std::string name = "a\xED\xA0\x80";
+    fleet.store().substitute(name, R"("a\ud800")");
+    fleet.store().with([&](PlatformStore &store) {
+        store.setPageSize(1);
+        store.create(kind, name, nullptr);
+    });
+}
+
 void checkStart(const std::string &kind)
 {
     SmallFleet fleet(0, 2);
@@ -73,14 +85,18 @@
     BOOST_TEST(fleet.store().invalidTargets == 0);
 }
 
+BOOST_AUTO_TEST_CASE(unreadableObjectBesideTheConfigurationDoesNotKeepAnEntryFromStarting)
+{
+    SmallFleet fleet(0, 2);
+    addUnreadableName(fleet, "config");
+    const std::size_t entry = fleet.startEntry();
+    BOOST_TEST(fleet.entryFollowsList(entry, 0, 1));
+}
+
 BOOST_AUTO_TEST_CASE(pageOfUnreadableObjectsIsNotTheEndOfAListing)
 {
     SmallFleet fleet(0, 2);
-    fleet.store().with([](PlatformStore &store) { store.setPageSize(1); });
-    // A lone surrogate, which JSON can write and a parser for Unicode text refuses.
-    const std::string name = "a\xED\xA0\x80";
-    fleet.store().substitute(name, R"("a\ud800")");
-    fleet.store().with([&](PlatformStore &store) { store.create("servers", name, nullptr); });
+    addUnreadableName(fleet, "servers");
     const std::size_t entry = fleet.startEntry();
     BOOST_TEST(fleet.entryFollowsList(entry, 0, 1));
 }
