Listings of the store are read page by page

Cause: a listing was kept whole, every object parsed, until its last page had come, of whatever other writers put there; and the revisions of ignored objects were kept by name, for names of any length and number.

--- a/src/direct/RolloutFollower.cpp
+++ b/src/direct/RolloutFollower.cpp
@@ -3,13 +3,13 @@
 #include "base/AsioPch.h"
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "fleet/IgnoredObjects.h"
 #include "platform/RolloutDecoder.h"
 #include "platform/StoreClient.h"
 #include "process/Supervisor.h"
 #include "process/Timers.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace tamarack {
@@ -50,34 +50,28 @@
     asio::awaitable<std::optional<StorePosition>> list()
     {
         const BootTime callStart = bootNow();
-        const auto listing = co_await store.list(platform::rolloutKind());
-        if (!listing) {
-            logEvent(LogLevel::Info, "rollouts_unread", {{"reason", listing.error().message}});
-            co_return std::nullopt;
-        }
         std::vector<RolloutOrder> read;
-        std::map<std::string, platform::Revision> ignored;
-        for (const auto &object : listing->objects) {
+        const platform::ObjectVisitor visit = [&](const platform::StoredObject &object) {
             auto order = platform::decodeRollout(object);
             const bool isDouble =
                 order
                 && std::ranges::find(read, order->service, &RolloutOrder::service) != read.end();
-            if (order && !isDouble && read.size() < maxOrders) {
+            if (order && !isDouble && read.size() < maxOrders)
                 read.push_back(std::move(*order));
-                continue;
-            }
-            if (ignored.size() >= maxOrders)
-                continue;
-            ignored[object.name] = object.revision;
-            const auto logged = ignoredOrders.find(object.name);
-            if (logged == ignoredOrders.end() || logged->second != object.revision)
+            else if (ignoredOrders.add(object.name, object.revision))
                 logEvent(LogLevel::Warning, "rollout_ignored",
                          {{"name", object.name},
                           {"revision", object.revision},
                           {"reason", order ? "second order of its service"
                                            : std::string_view(order.error().message)}});
+        };
+        ignoredOrders.beginListing();
+        const auto listing = co_await store.list(platform::rolloutKind(), visit);
+        if (!listing) {
+            logEvent(LogLevel::Info, "rollouts_unread", {{"reason", listing.error().message}});
+            co_return std::nullopt;
         }
-        ignoredOrders = std::move(ignored);
+        ignoredOrders.endListing();
         publish(std::move(read), callStart);
         co_return listing->position;
     }
@@ -162,8 +156,8 @@
     asio::steady_timer dutyTimer;
     std::vector<RolloutOrder> orders;
     BootTime readAt{};
-    /// Revisions of the objects that describe no usable order.
-    std::map<std::string, platform::Revision> ignoredOrders;
+    /// Objects that describe no usable order.
+    IgnoredObjects ignoredOrders;
     bool elected = true;
     bool active = false;
     bool reading = false;
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 #include "base/Log.h"
 #include "base/RequestId.h"
+#include "fleet/IgnoredObjects.h"
 #include "fleet/OriginRecords.h"
 #include "fleet/StoreWatchPolicy.h"
 #include "platform/ConfigDecoder.h"
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <concepts>
+#include <set>
 #include <utility>
 
 namespace tamarack {
@@ -62,6 +64,11 @@
 /// Kind of the objects that hold the origins of streams; one object per entry.
 const std::string originKind = "tamarack-streams";
 
+Duration randomDuration(milliseconds below)
+{
+    return milliseconds(static_cast<std::int64_t>(randomBits64() % below.count()));
+}
+
 } // namespace
 
 struct StoreFollower::Private : std::enable_shared_from_this<StoreFollower::Private>
@@ -148,11 +155,6 @@
         wakeLoops();
     }
 
-    static Duration randomDuration(milliseconds below)
-    {
-        return milliseconds(static_cast<std::int64_t>(randomBits64() % below.count()));
-    }
-
     /// Whether the upstreams are to be listed, because the store has been restored.
     bool isRelistDue(TimePoint now) const { return era > listedEra && now >= relistAt; }
 
@@ -169,24 +171,24 @@
 
     /// Lists the kind, counts the outcome and logs it.
     asio::awaitable<Result<platform::StoreListing>>
-    list(const std::string &kind, std::string_view call,
+    list(const std::string &kind, std::string_view call, const platform::ObjectVisitor &visit,
          platform::StoreClient::Freshness freshness = platform::StoreClient::Freshness::Latest)
     {
         const TimePoint start = steadyNow();
-        auto listing = co_await store.list(kind, freshness);
-        const bool read = recordResult(listing, call);
-        if (read)
-            listener.listingEnded(kind, "whole");
-        if (read)
-            logEvent(LogLevel::Info, "listing_read",
-                     {{"kind", kind},
-                      {"pages", listing->pages},
-                      {"objects", listing->objects.size()},
-                      {"era", listing->position.era},
-                      {"revision", listing->position.revision},
-                      {"took_ms", toMs(steadyNow() - start)}});
-        else
-            handleFailedListing(kind, listing.error().message, steadyNow() - start);
+        auto listing = co_await store.list(kind, visit, freshness);
+        const Duration took = steadyNow() - start;
+        if (!recordResult(listing, call)) {
+            handleFailedListing(kind, listing.error().message, took);
+            co_return listing;
+        }
+        listener.listingEnded(kind, "whole");
+        logEvent(LogLevel::Info, "listing_read",
+                 {{"kind", kind},
+                  {"pages", listing->pages},
+                  {"objects", listing->objects},
+                  {"era", listing->position.era},
+                  {"revision", listing->position.revision},
+                  {"took_ms", toMs(took)}});
         co_return listing;
     }
 
@@ -299,17 +301,19 @@
             readingUpstreams = true;
             const BootTime callStart = bootNow();
             const std::uint64_t knownEra = era;
-            const auto listing = co_await list(platform::upstreamKind(), "list_upstreams");
+            std::vector<UpstreamRecord> records;
+            const platform::ObjectVisitor visit = [&](const platform::StoredObject &object) {
+                if (auto record = decode(object))
+                    records.push_back(std::move(*record));
+            };
+            ignoredEntries.beginListing();
+            const auto listing = co_await list(platform::upstreamKind(), "list_upstreams", visit);
             readingUpstreams = false;
             if (!listing) {
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
-            forgetIgnoredEntries(*listing);
-            std::vector<UpstreamRecord> records;
-            for (const auto &object : listing->objects)
-                if (auto record = decode(object))
-                    records.push_back(std::move(*record));
+            ignoredEntries.endListing();
             directory.replace(std::move(records), steadyNow());
             publishUpstreams();
             listedEra = std::max(knownEra, listing->position.era);
@@ -371,7 +375,7 @@
     UpstreamChange decodeChange(const platform::StoreEvent &event)
     {
         if (event.deleted)
-            ignoredEntries.erase(event.object.name);
+            ignoredEntries.remove(event.object.name);
         auto record = event.deleted ? std::nullopt : decode(event.object);
         if (record)
             return {std::move(*record), false};
@@ -426,27 +430,17 @@
     {
         auto record = platform::decodeUpstream(object.name, object.spec);
         if (record) {
-            ignoredEntries.erase(object.name);
+            ignoredEntries.remove(object.name);
             return *record;
         }
-        platform::Revision &logged = ignoredEntries[object.name];
-        if (logged != object.revision)
+        if (ignoredEntries.add(object.name, object.revision))
             logEvent(LogLevel::Warning, "upstream_entry_ignored",
                      {{"upstream", object.name},
                       {"revision", object.revision},
                       {"reason", record.error().message}});
-        logged = object.revision;
         return std::nullopt;
     }
 
-    void forgetIgnoredEntries(const platform::StoreListing &listing)
-    {
-        std::erase_if(ignoredEntries, [&](const auto &ignored) {
-            return std::ranges::find(listing.objects, ignored.first, &platform::StoredObject::name)
-                   == listing.objects.end();
-        });
-    }
-
     void publishUpstreams()
     {
         listener.upstreamsChanged(directory.usable(steadyNow()));
@@ -463,29 +457,36 @@
     asio::awaitable<void> originLoop()
     {
         while (!originsRead) {
-            const auto listing = co_await list(originKind, "list_origins");
-            originsRead = listing.has_value();
-            if (!originsRead) {
+            std::size_t streams = 0;
+            const platform::ObjectVisitor visit = [&](const platform::StoredObject &object) {
+                streams += applyOrigins(object);
+            };
+            const auto listing = co_await list(originKind, "list_origins", visit);
+            if (!listing) {
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
-            std::size_t streams = 0;
-            for (const auto &object : listing->objects) {
-                const bool isOwn = object.name == settings.name;
-                std::vector<StreamOrigin> origins = decodeOrigins(object.spec);
-                streams += origins.size();
-                listener.originsRead(std::move(origins), isOwn);
-                if (isOwn)
-                    originsRevision = object.revision;
-            }
+            originsRead = true;
             logEvent(LogLevel::Info, "stream_origins_read",
-                     {{"entries", listing->objects.size()}, {"streams", streams}});
+                     {{"entries", listing->objects}, {"streams", streams}});
         }
         // A supervised loop must not return.
         while (true)
             co_await pause(std::chrono::hours(1));
     }
 
+    /// Returns the number of streams.
+    std::size_t applyOrigins(const platform::StoredObject &object)
+    {
+        const bool isOwn = object.name == settings.name;
+        std::vector<StreamOrigin> origins = decodeOrigins(object.spec);
+        const std::size_t streams = origins.size();
+        listener.originsRead(std::move(origins), isOwn);
+        if (isOwn)
+            originsRevision = object.revision;
+        return streams;
+    }
+
     asio::awaitable<void> saveOrigins(json::value content)
     {
         savingOrigins = true;
@@ -499,16 +500,20 @@
     {
         co_await registerEntry();
         while (true) {
-            const auto listing = co_await list(entryKind, "list_entries", maxEntryAge);
+            std::map<std::string, Endpoint> listed;
+            bool isRegistered = false;
+            const platform::ObjectVisitor visit = [&](const platform::StoredObject &object) {
+                applyEntry({object, false}, listed);
+                isRegistered = isRegistered || object.name == settings.name;
+            };
+            const auto listing = co_await list(entryKind, "list_entries", visit, maxEntryAge);
             if (!listing) {
                 co_await pauseAfterFailure(entryRetry);
                 continue;
             }
-            entries.clear();
-            for (const auto &object : listing->objects)
-                applyEntry({object, false});
+            entries = std::move(listed);
             listener.entriesChanged(entries);
-            if (isRegistrationMissing(*listing))
+            if (!isRegistered && !isOlderThanRegistration(listing->position))
                 co_await restoreRegistration("missing");
             co_await watchEntries(listing->position);
         }
@@ -540,14 +545,10 @@
             co_await remove(entryKind, revision);
     }
 
-    /// Whether a listing, which may be seconds old, shows that the registration has been lost.
-    bool isRegistrationMissing(const platform::StoreListing &listing) const
+    /// Whether a listing, which may be seconds old, was read before this entry registered.
+    bool isOlderThanRegistration(StorePosition listed) const
     {
-        const bool isOlder =
-            listing.position < registeredAt || isOfLaterEra(registeredAt, listing.position);
-        return !isOlder
-               && std::ranges::find(listing.objects, settings.name, &platform::StoredObject::name)
-                      == listing.objects.end();
+        return listed < registeredAt || isOfLaterEra(registeredAt, listed);
     }
 
     /// Registers this entry again unless it is leaving or another process has taken its name.
@@ -580,7 +581,7 @@
                 continue;
             }
             for (const auto &event : changes->events)
-                applyEntry(event);
+                applyEntry(event, entries);
             from = changes->position;
             if (changes->events.empty())
                 continue;
@@ -601,7 +602,8 @@
         return last != changes.events.rend() && last->deleted && !(changes.position < registeredAt);
     }
 
-    void applyEntry(const platform::StoreEvent &event)
+    static void applyEntry(const platform::StoreEvent &event,
+                           std::map<std::string, Endpoint> &entries)
     {
         const auto *spec = event.object.spec.if_object();
         const auto *address = spec ? spec->if_contains("peer") : nullptr;
@@ -651,8 +653,8 @@
     /// Start of this entry's last store call that proved its configuration current, or proved that
     /// there is no configuration.
     std::optional<BootTime> provedAt;
-    /// Revisions of the listed entries that describe no usable upstream.
-    std::map<std::string, platform::Revision> ignoredEntries;
+    /// Listed entries that describe no usable upstream.
+    IgnoredObjects ignoredEntries;
     /// Listings of a kind that failed since the start, and what was logged of them last.
     struct FailedListings
     {
