A listing goes on until it is proved whole, or says what it lacks

Cause: a page was taken for the end of a listing when none of its objects could be decoded, and the next page started after an earlier name when the last one could not; a listing that started over was read 200 times. The class: a part is acted on as the whole without proof.

If the store cannot list the rest, the listing has a gap. The entry serves with what was listed, asks for each upstream that it knew before by its name (one that has left gets nothing new), follows changes, lists again with growing pauses, and meanwhile neither vouches for the list nor relays it. Registrations keep those known before; roll-out orders are left as they were.

--- a/src/direct/RolloutFollower.cpp
+++ b/src/direct/RolloutFollower.cpp
@@ -67,8 +67,10 @@
         };
         ignoredOrders.beginListing();
         const auto listing = co_await store.list(platform::rolloutKind(), visit);
-        if (!listing) {
-            logEvent(LogLevel::Info, "rollouts_unread", {{"reason", listing.error().message}});
+        // An order that is missing from a part of the list may still be in force.
+        if (!listing || !listing->isWhole()) {
+            logEvent(LogLevel::Info, "rollouts_unread",
+                     {{"reason", listing ? listing->gap : listing.error().message}});
             co_return std::nullopt;
         }
         ignoredOrders.endListing();
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -69,6 +69,21 @@
     return milliseconds(static_cast<std::int64_t>(randomBits64() % below.count()));
 }
 
+/// Pause before objects that the store could not list are listed again; grows each time.
+class GapPause
+{
+public:
+    Duration next()
+    {
+        const milliseconds shortest = std::exchange(m_pause, std::min(2 * m_pause, longest));
+        return shortest + randomDuration(shortest);
+    }
+
+private:
+    static constexpr milliseconds longest{30'000};
+    milliseconds m_pause{1000};
+};
+
 } // namespace
 
 struct StoreFollower::Private : std::enable_shared_from_this<StoreFollower::Private>
@@ -155,8 +170,12 @@
         wakeLoops();
     }
 
-    /// Whether the upstreams are to be listed, because the store has been restored.
-    bool isRelistDue(TimePoint now) const { return era > listedEra && now >= relistAt; }
+    /// Whether the upstreams are to be listed, because the store has been restored or did not list
+    /// all of them.
+    bool isRelistDue(TimePoint now) const
+    {
+        return (era > listedEra && now >= relistAt) || (hasUpstreamGap && now >= gapRelistAt);
+    }
 
     template <typename T>
     bool recordResult(const Result<T> &result, std::string_view what)
@@ -181,13 +200,15 @@
             handleFailedListing(kind, listing.error().message, took);
             co_return listing;
         }
-        listener.listingEnded(kind, "whole");
-        logEvent(LogLevel::Info, "listing_read",
+        listener.listingEnded(kind, listing->isWhole() ? "whole" : "partial");
+        logEvent(listing->isWhole() ? LogLevel::Info : LogLevel::Warning, "listing_read",
                  {{"kind", kind},
                   {"pages", listing->pages},
                   {"objects", listing->objects},
+                  {"unreadable", listing->unreadable},
                   {"era", listing->position.era},
                   {"revision", listing->position.revision},
+                  {"gap", listing->gap},
                   {"took_ms", toMs(took)}});
         co_return listing;
     }
@@ -308,25 +329,56 @@
             };
             ignoredEntries.beginListing();
             const auto listing = co_await list(platform::upstreamKind(), "list_upstreams", visit);
+            bool isRead = listing.has_value();
+            if (isRead && !listing->isWhole())
+                isRead = co_await readUnlisted(records);
             readingUpstreams = false;
-            if (!listing) {
+            if (!isRead) {
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
-            ignoredEntries.endListing();
+            if (listing->isWhole())
+                ignoredEntries.endListing();
             directory.replace(std::move(records), steadyNow());
             publishUpstreams();
             listedEra = std::max(knownEra, listing->position.era);
+            recordGap(!listing->isWhole());
             setPosition({position, listing->position, {}}, UpstreamSource::Listing, callStart);
             co_await watchUpstreams();
         }
     }
 
+    /// Adds the known upstreams that the store did not list, as it has them now. Returns false if
+    /// it could not be asked about one.
+    asio::awaitable<bool> readUnlisted(std::vector<UpstreamRecord> &records)
+    {
+        for (const std::string &id : directory.missingFrom(records)) {
+            const auto object = co_await store.read(platform::upstreamKind(), id);
+            const bool exists = recordResult(object, "read_upstream");
+            if (!exists && object.error().kind != ErrorKind::NotFound)
+                co_return false;
+            if (auto record = exists ? decode(*object) : std::nullopt)
+                records.push_back(std::move(*record));
+        }
+        co_return true;
+    }
+
+    void recordGap(bool gap)
+    {
+        hasUpstreamGap = gap;
+        if (gap)
+            gapRelistAt = steadyNow() + upstreamGapPause.next();
+        else
+            upstreamGapPause = {};
+    }
+
     void setPosition(const UpstreamDelta &delta, UpstreamSource source, BootTime currentAt)
     {
         position = delta.position;
         positionAt = steadyNow();
-        listener.upstreamsFollowed(delta, source, currentAt);
+        // Neither this entry nor one that relies on it may take a part of the list for the whole.
+        if (!hasUpstreamGap)
+            listener.upstreamsFollowed(delta, source, currentAt);
     }
 
     asio::awaitable<void> watchUpstreams()
@@ -466,6 +518,10 @@
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
+            if (!listing->isWhole() && !originsRevision) {
+                const auto own = co_await store.read(originKind, settings.name);
+                streams += own ? applyOrigins(*own) : 0;
+            }
             originsRead = true;
             logEvent(LogLevel::Info, "stream_origins_read",
                      {{"entries", listing->objects}, {"streams", streams}});
@@ -499,6 +555,7 @@
     asio::awaitable<void> entryLoop()
     {
         co_await registerEntry();
+        GapPause gapPause;
         while (true) {
             std::map<std::string, Endpoint> listed;
             bool isRegistered = false;
@@ -511,8 +568,15 @@
                 co_await pauseAfterFailure(entryRetry);
                 continue;
             }
+            if (!listing->isWhole())
+                listed.merge(entries);
             entries = std::move(listed);
             listener.entriesChanged(entries);
+            if (!listing->isWhole()) {
+                co_await pause(gapPause.next());
+                continue;
+            }
+            gapPause = {};
             if (!isRegistered && !isOlderThanRegistration(listing->position))
                 co_await restoreRegistration("missing");
             co_await watchEntries(listing->position);
@@ -640,6 +704,10 @@
     std::uint64_t listedEra = 0;
     /// When to list the upstreams after a restore.
     TimePoint relistAt{};
+    /// The store has upstreams that it could not list, and when to list them again.
+    bool hasUpstreamGap = false;
+    TimePoint gapRelistAt{};
+    GapPause upstreamGapPause;
     /// A store call that reads upstreams is in progress.
     bool readingUpstreams = false;
     /// Last logged value of `StoreWatchPolicy::watchesStore`.
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -36,7 +36,7 @@
     std::function<void(std::vector<StreamOrigin>, bool own)> originsRead;
     /// The store has been restored from an older copy.
     std::function<void()> storeRestored;
-    /// A listing of this kind of objects ended; `outcome` is `whole` or `failed`.
+    /// A listing of this kind of objects ended; `outcome` is `whole`, `partial` or `failed`.
     std::function<void(std::string_view kind, std::string_view outcome)> listingEnded;
     /// All entries by name, including this one.
     std::function<void(std::map<std::string, Endpoint>)> entriesChanged;
--- a/src/serving/UpstreamDirectory.cpp
+++ b/src/serving/UpstreamDirectory.cpp
@@ -1,6 +1,8 @@
 #include "serving/UpstreamDirectory.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace tamarack {
 
@@ -49,13 +51,22 @@
         found->second.dropAt = (isStoreOut(now) ? now : *m_returnedAt) + recoveryGrace;
 }
 
-void UpstreamDirectory::replace(std::vector<UpstreamRecord> records, TimePoint now)
+std::vector<std::string>
+UpstreamDirectory::missingFrom(std::span<const UpstreamRecord> records) const
 {
+    std::set<std::string_view> listed;
+    for (const UpstreamRecord &record : records)
+        listed.insert(record.id);
     std::vector<std::string> missing;
     for (const auto &[id, entry] : m_entries)
-        if (std::ranges::find(records, id, &UpstreamRecord::id) == records.end())
+        if (!listed.contains(id))
             missing.push_back(id);
-    for (const std::string &id : missing)
+    return missing;
+}
+
+void UpstreamDirectory::replace(std::vector<UpstreamRecord> records, TimePoint now)
+{
+    for (const std::string &id : missingFrom(records))
         remove(id, now);
     for (UpstreamRecord &record : records)
         put(std::move(record));
--- a/src/serving/UpstreamDirectory.h
+++ b/src/serving/UpstreamDirectory.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     bool knows(const std::string &id) const { return m_entries.contains(id); }
     void put(UpstreamRecord record);
     void remove(const std::string &id, TimePoint now);
+    /// Ids of the upstreams that are not among the records.
+    std::vector<std::string> missingFrom(std::span<const UpstreamRecord> records) const;
     /// Replaces all entries by a complete listing.
     void replace(std::vector<UpstreamRecord> records, TimePoint now);
 
--- a/tests/StoreListingTest.cpp
+++ b/tests/StoreListingTest.cpp
@@ -1,5 +1,7 @@
+#include "support/Eventually.h"
 #include "support/SmallFleet.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -7,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace tamarack;
+using tamarack::harness::eventually;
 using tamarack::harness::SmallFleet;
 using tamarack::standin::PlatformStore;
 
@@ -43,6 +46,33 @@
     });
 }
 
+/// Lets the store list nothing behind the object: the name that follows is on a page of its own and
+/// the store refuses it in a query.
+void addGapBehind(SmallFleet &fleet, const std::string &object)
+{
+    const std::string name = object + "\xED\xA0\x80";
+    fleet.store().refusesInvalidUtf8 = true;
+    fleet.store().substitute(name, '"' + object + R"(\ud800")");
+    fleet.store().with([&](PlatformStore &store) {
+        store.setPageSize(1);
+        store.create("servers", name, nullptr);
+    });
+}
+
+/// The upstreams that answer some requests sent one after the other.
+std::set<std::string> answersOf(SmallFleet &fleet, std::size_t entry)
+{
+    constexpr int requests = 30;
+    std::set<std::string> names;
+    for (int i = 0; i < requests; ++i) {
+        const std::string answer = fleet.get(entry, "/read/x", "r" + std::to_string(i));
+        for (std::size_t upstream = 0; upstream < fleet.upstreams(); ++upstream)
+            if (answer.find("signed-by-" + SmallFleet::upstreamName(upstream)) != std::string::npos)
+                names.insert(SmallFleet::upstreamName(upstream));
+    }
+    return names;
+}
+
 void checkStart(const std::string &kind)
 {
     SmallFleet fleet(0, 2);
@@ -116,4 +146,29 @@
     BOOST_TEST(fleet.entryFollowsList(entry, 0, 1));
 }
 
+BOOST_AUTO_TEST_CASE(entryServesWithThePartThatTheStoreListsUntilItListsAll)
+{
+    SmallFleet fleet(0, 2);
+    addGapBehind(fleet, SmallFleet::upstreamName(0));
+    const std::size_t entry = fleet.startEntry();
+    BOOST_TEST(answersOf(fleet, entry).contains(SmallFleet::upstreamName(0)));
+    BOOST_TEST(!answersOf(fleet, entry).contains(SmallFleet::upstreamName(1)));
+    fleet.store().refusesInvalidUtf8 = false;
+    BOOST_TEST(fleet.entryFollowsList(entry, 0, 1));
+}
+
+BOOST_AUTO_TEST_CASE(upstreamBehindAGapStaysUnlessItHasLeft)
+{
+    SmallFleet fleet(1, 3);
+    addGapBehind(fleet, SmallFleet::upstreamName(0));
+    // The entry does not learn of the removal from a watch.
+    fleet.store().with([](PlatformStore &store) {
+        store.remove("servers", SmallFleet::upstreamName(1));
+        store.compact();
+    });
+    fleet.unlist(0);
+    BOOST_TEST(eventually(
+        [&] { return answersOf(fleet, 0) == std::set<std::string>{SmallFleet::upstreamName(2)}; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -34,6 +34,7 @@
 
     static std::string entryName(std::size_t number) { return "entry-" + std::to_string(number); }
     static std::string upstreamName(std::size_t number) { return "up-" + std::to_string(number); }
+    std::size_t upstreams() const { return m_upstreams.size(); }
     standin::UpstreamServer &upstream(std::size_t number) { return *m_upstreams.at(number); }
     const DirectEntry &entry(std::size_t number) const { return *m_entries.at(number); }
     standin::StoreServer &store() { return m_store; }
