Names of services are escaped in labels of metrics

A service's name comes from the configuration and went into tamarack_ranked_requests_total and tamarack_rollout_* as it is: a quote or a line end in it broke the line, which the text format does not allow. Labels with such text are made by metricLabel, which escapes quotes, backslashes and line ends, replaces bytes that are not UTF-8 and keeps 256 bytes at most. Names without these keep their lines.

With the former text (quotes around the name) in place of the escaping, MetricLabelSuite is red in 4 checks of its one case; with it, green. Not run: a scrape by Prometheus itself.

--- a/src/direct/RequestLines.cpp
+++ b/src/direct/RequestLines.cpp
@@ -1,5 +1,6 @@
 #include "base/AsioPch.h"
 #include "base/Log.h"
+#include "base/MetricLabel.h"
 #include "direct/RequestFlow.h"
 #include "process/Timers.h"
 
@@ -35,8 +36,9 @@
     const std::string tier = fmt::format("tier=\"{}\"", m_admitted.tier);
     m_state.metrics.add("tamarack_requests_total", fmt::format("outcome=\"{}\"", outcome));
     m_state.metrics.add("tamarack_ranked_requests_total",
-                        fmt::format("service=\"{}\",{},route_tier=\"{}\",outcome=\"{}\"",
-                                    m_admitted.service, tier, m_admitted.route.tier, outcome));
+                        fmt::format("{},{},route_tier=\"{}\",outcome=\"{}\"",
+                                    metricLabel("service", m_admitted.service), tier,
+                                    m_admitted.route.tier, outcome));
     m_state.metrics.observe("tamarack_request_seconds", tier,
                             std::chrono::duration<double>(now - m_arrivedAt).count());
     if (m_firstToken)
--- a/src/direct/RolloutDesk.cpp
+++ b/src/direct/RolloutDesk.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "base/MetricLabel.h"
 #include "process/Timers.h"
 
 #include <algorithm>
@@ -243,7 +244,7 @@
     });
     for (const RolloutControl::View &view : views) {
         const std::string &service = view.order.service;
-        const std::string label = fmt::format("service=\"{}\"", service);
+        const std::string label = metricLabel("service", service);
         m_metrics.set("tamarack_rollout_requests", label, view.sends);
         m_metrics.set("tamarack_rollout_requests_new", label, view.newSends);
         m_metrics.gauge("tamarack_rollout_verdict", label, static_cast<double>(view.verdict));
