Origins of streams take no multiple of their object's size

Of an object of kind tamarack-streams that another writer left, an entry that starts takes many times the object's size in memory: each of its streams holds a copy of the upstream's name, which the object states once, and a stream may be one digit. With one object of 1 MB (half of it the name) the daemon took 5,163 MB within 5 s and had not finished; the smallest host has 88 MB, so its process ends, and ends again at each start.

Entries write streams as 16 digits and at most 4,000 of them: others are not read. Names of upstreams and versions above 256 bytes are not read either; streams of such an upstream are not known after all entries were killed at once.

The odd texts of recordsRoundTripWithoutAmbiguousOrigins that are refused for something else now hold streams that would be read.

--- a/src/fleet/OriginRecords.cpp
+++ b/src/fleet/OriginRecords.cpp
@@ -1,8 +1,8 @@
 #include "fleet/OriginRecords.h"
 
 #include "base/RequestId.h"
+#include "fleet/OriginSaving.h"
 
-#include <charconv>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,17 +21,15 @@
 constexpr std::string_view bornField = "born";
 constexpr std::string_view versionField = "version";
 constexpr std::string_view streamsField = "streams";
-constexpr int hexadecimal = 16;
+/// Each origin holds a copy of the texts that its group states once: an object of another writer
+/// could take any multiple of its size.
+constexpr std::size_t longestText = 256;
 
 std::optional<StreamKey> decodeStream(const json::value &value)
 {
+    // Shorter texts would take many times their size as origins.
     const auto *text = value.if_string();
-    StreamKey stream = 0;
-    if (!text)
-        return std::nullopt;
-    const char *last = text->data() + text->size();
-    const auto [end, error] = std::from_chars(text->data(), last, stream, hexadecimal);
-    return error == std::errc() && end == last ? std::optional(stream) : std::nullopt;
+    return text ? parseHex64(*text) : std::nullopt;
 }
 
 /// Appends the origins of the streams that one upstream began.
@@ -46,12 +44,16 @@
                           && version->is_string() && streams && streams->is_array();
     boost::system::error_code error;
     const auto bornAt = complete ? born->to_number<std::uint64_t>(error) : 0;
-    if (!complete || error)
+    if (!complete || error || upstream->get_string().size() > longestText
+        || version->get_string().size() > longestText)
         return;
-    for (const json::value &each : streams->get_array())
+    for (const json::value &each : streams->get_array()) {
+        if (origins.size() >= OriginSaving::maxRows)
+            return;
         if (const auto stream = decodeStream(each))
             origins.push_back({*stream, std::string(upstream->get_string()), bornAt,
                                std::string(version->get_string()), false});
+    }
 }
 
 } // namespace
--- a/tests/OriginSavingTest.cpp
+++ b/tests/OriginSavingTest.cpp
@@ -1,4 +1,5 @@
 #include "fleet/OriginSaving.h"
+#include "base/RequestId.h"
 #include "fleet/OriginRecords.h"
 
 #include <boost/json.hpp>
@@ -62,10 +63,32 @@
     all.push_back({10, "c", 3, "v2", true});
     BOOST_TEST((decodeOrigins(encodeOrigins(all)) == origins));
     for (const char *odd :
-         {"null", "{}", "[3]", "[{}]", R"([{"upstream":1,"born":1,"version":"v","streams":["7"]}])",
-          R"([{"upstream":"a","born":-1,"version":"v","streams":["7"]}])",
+         {"null", "{}", "[3]", "[{}]",
+          R"([{"upstream":1,"born":1,"version":"v","streams":["0000000000000007"]}])",
+          R"([{"upstream":"a","born":-1,"version":"v","streams":["0000000000000007"]}])",
           R"([{"upstream":"a","born":1,"version":"v","streams":[7,"x","",null]}])"})
         BOOST_TEST(decodeOrigins(boost::json::parse(odd)).empty(), odd);
 }
 
+BOOST_AUTO_TEST_CASE(originsTakeLittleMoreThanTheirText)
+{
+    namespace json = boost::json;
+    const auto group = [](const std::string &upstream, std::size_t streams) {
+        json::array keys;
+        for (std::size_t i = 0; i < streams; ++i)
+            keys.emplace_back(hex64(i));
+        return json::object{
+            {"upstream", upstream}, {"born", 1}, {"version", "v"}, {"streams", keys}};
+    };
+    const std::string longName(1000, 'u');
+    const auto origins = decodeOrigins(json::array{group(longName, 10), group("a", 1)});
+    BOOST_REQUIRE(origins.size() == 1U);
+    BOOST_TEST(origins.front().upstreamId == "a");
+    const auto most = OriginSaving::maxRows;
+    BOOST_TEST(decodeOrigins(json::array{group("a", most), group("b", most)}).size() == most);
+    json::object shortKeys = group("a", 1);
+    shortKeys["streams"] = json::array(1000, "1");
+    BOOST_TEST(decodeOrigins(json::array{shortKeys}).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
