Tests: what other writers leave in the store fits into the smallest host

10,000 objects of 1.8 kB of another writer in each of four kinds, pages of 500, the daemon as a process.

--- a/tests/StoreMemoryTest.cpp
+++ b/tests/StoreMemoryTest.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include <unistd.h>
@@ -35,6 +36,9 @@
 constexpr std::size_t pageObjects = 500;
 constexpr std::size_t objects = 10'000;
 constexpr std::size_t objectBytes = 1800;
+constexpr std::size_t largestObjectBytes = 1'000'000;
+/// Time in which an entry reads a change, its pause between two watches included.
+constexpr milliseconds watchTime{2000};
 /// Kinds of the store that each entry reads.
 constexpr std::array<std::string_view, 4> kinds{"servers", "config", "tamarack-entries",
                                                 "tamarack-streams"};
@@ -44,6 +48,23 @@
     return std::string(text).append(std::to_string(number));
 }
 
+/// The value as often as fits into an object's bytes.
+json::array filledWith(const json::value &value)
+{
+    return json::array(objectBytes / (json::serialize(value).size() + 1), value);
+}
+
+json::object shortFields()
+{
+    json::object fields;
+    for (std::size_t bytes = 0; bytes < objectBytes;) {
+        const std::string name = std::to_string(fields.size());
+        fields[name] = 0;
+        bytes += name.size() + std::string_view("\"\":0,").size();
+    }
+    return fields;
+}
+
 /// An entry in a process of its own, before two sound upstreams and a store with many objects of
 /// another writer.
 struct FilledStore : SmallFleet
@@ -120,6 +141,22 @@
         return eventually([this] { return responseStatus(ordinaryAnswer()) == okStatus; });
     }
 
+    /// Creates the objects between two calls of the store.
+    void fillAtOnce(std::string_view kind, const json::value &content, std::size_t count)
+    {
+        store().with([&](PlatformStore &model) {
+            for (std::size_t i = 0; i < count; ++i)
+                model.create(std::string(kind), numbered("other-", i), content);
+        });
+    }
+
+    void end()
+    {
+        process.signal(SIGKILL);
+        BOOST_REQUIRE(eventually([this] { return !process.running(); }));
+        std::filesystem::remove(directory / "log");
+    }
+
     /// Whether the entry has read all kinds that it lists.
     bool hasReadEverything() const
     {
@@ -165,6 +202,24 @@
     check("texts");
 }
 
+BOOST_AUTO_TEST_CASE(manyObjectsOfSmallNumbersStayInsideTheHost)
+{
+    fillEverything(filledWith(0));
+    check("small numbers");
+}
+
+BOOST_AUTO_TEST_CASE(manyObjectsOfEmptyObjectsStayInsideTheHost)
+{
+    fillEverything(filledWith(json::object()));
+    check("empty objects");
+}
+
+BOOST_AUTO_TEST_CASE(manyObjectsOfShortFieldsStayInsideTheHost)
+{
+    fillEverything(shortFields());
+    check("short fields");
+}
+
 BOOST_AUTO_TEST_CASE(aNameOfTwentyThousandBytesIsReadPast)
 {
     const std::string name(20'000, 'n');
@@ -203,4 +258,38 @@
     check("one object of many streams");
 }
 
+/// Objects of the largest size that the store takes, all changed at the same moment.
+BOOST_AUTO_TEST_CASE(largeChangesAtOnceStayInsideTheHost)
+{
+    constexpr std::size_t count = 7;
+    for (const std::string_view kind : kinds) {
+        start();
+        BOOST_REQUIRE(isReady());
+        BOOST_REQUIRE(hasReadEverything());
+        fillAtOnce(kind, json::array(largestObjectBytes / std::string_view("0,").size(), 0), count);
+        std::this_thread::sleep_for(watchTime);
+        checkServing(std::string("large changes of ").append(kind));
+        end();
+        store().with([&](PlatformStore &model) {
+            for (std::size_t i = 0; i < count; ++i)
+                model.remove(std::string(kind), numbered("other-", i));
+        });
+    }
+}
+
+BOOST_AUTO_TEST_CASE(changesBehindAnAnswerThatIsTooLongAreFollowed)
+{
+    unlist(1);
+    start();
+    BOOST_REQUIRE(isReady());
+    BOOST_REQUIRE(hasReadEverything());
+    fillAtOnce("servers", json::string(largestObjectBytes, 'x'), 10);
+    list(1, {});
+    unlist(0);
+    BOOST_TEST(eventually([this] {
+        return ordinaryAnswer().find("signed-by-" + upstreamName(1)) != std::string::npos;
+    }));
+    checkServing("an answer that is too long");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
