Tests: the store of the test with too long an answer ends its pages

The platform's store ends a page at 1 MB; the stand-in counts objects only, so that the listing after the watch was as long as the answer of the watch.

--- a/tests/StoreMemoryTest.cpp
+++ b/tests/StoreMemoryTest.cpp
@@ -279,6 +279,8 @@
 
 BOOST_AUTO_TEST_CASE(changesBehindAnAnswerThatIsTooLongAreFollowed)
 {
+    // The store ends a page at 1 MB.
+    store().with([](PlatformStore &model) { model.setPageSize(1); });
     unlist(1);
     start();
     BOOST_REQUIRE(isReady());
