The soak varies the store's pages and the names of others' objects

Now each seed draws the page size (1, 2, 3, 7 or 500) and objects of another writer in `servers`, `config` and the entries' own kinds, some before the entries start, some while they run.

--- a/tools/soak/FaultPlan.cpp
+++ b/tools/soak/FaultPlan.cpp
@@ -1,9 +1,10 @@
 #include "soak/FaultPlan.h"
 
+#include "soak/Draw.h"
+
 #include <algorithm>
 #include <array>
 #include <iterator>
-#include <random>
 
 namespace tamarack::soak {
 
@@ -56,35 +57,18 @@
 
 namespace {
 
-/// Distributions of the standard library differ between its versions; a remainder does not.
-class Draw
+Fault drawFault(Draw &draw, FaultKind kind, milliseconds length)
 {
-public:
-    explicit Draw(std::uint64_t seed)
-        : m_random(seed)
-    {}
-
-    std::size_t below(std::size_t bound) { return m_random() % bound; }
-    milliseconds between(milliseconds from, milliseconds to)
-    {
-        return from + milliseconds(below((to - from).count()));
-    }
-    Fault fault(FaultKind kind, milliseconds length)
-    {
-        Fault fault;
-        fault.kind = kind;
-        fault.at = between(firstFault, length);
-        const bool isLong = below(faultsPerLong) == 0;
-        fault.lasts =
-            isLong ? between(shortestLong, longestLong) : between(shortestFault, longestFault);
-        fault.target = below(manyTargets);
-        fault.variant = below(manyTargets);
-        return fault;
-    }
-
-private:
-    std::mt19937_64 m_random;
-};
+    Fault fault;
+    fault.kind = kind;
+    fault.at = draw.between(firstFault, length);
+    const bool isLong = draw.below(faultsPerLong) == 0;
+    fault.lasts = isLong ? draw.between(shortestLong, longestLong)
+                         : draw.between(shortestFault, longestFault);
+    fault.target = draw.below(manyTargets);
+    fault.variant = draw.below(manyTargets);
+    return fault;
+}
 
 /// Drawn apart: the other faults of a seed stay what they were.
 std::vector<Fault> drawStatements(std::uint64_t seed, milliseconds length)
@@ -94,7 +78,7 @@
     for (Fault &fault : faults) {
         const auto first = static_cast<std::size_t>(FaultKind::UpstreamLimits);
         const auto kind = static_cast<FaultKind>(first + draw.below(names.size() - first));
-        fault = draw.fault(kind, length);
+        fault = drawFault(draw, kind, length);
     }
     return faults;
 }
@@ -110,7 +94,7 @@
         kind = static_cast<FaultKind>(draw.below(fromOutside));
     std::vector<Fault> faults(fewestFaults + draw.below(extraFaults));
     for (Fault &fault : faults)
-        fault = draw.fault(kinds[draw.below(kinds.size())], length);
+        fault = drawFault(draw, kinds[draw.below(kinds.size())], length);
     std::ranges::move(drawStatements(seed, length), std::back_inserter(faults));
     std::ranges::stable_sort(faults, {}, &Fault::at);
     return faults;
--- a/tools/soak/SoakRun.cpp
+++ b/tools/soak/SoakRun.cpp
@@ -202,6 +202,7 @@
         , m_store(m_context, 0)
     {
         m_report.faults = drawFaults(seed, options.length);
+        m_report.store = drawStorePlan(seed, options.length);
         m_view.steadyKey = "steady";
         m_view.newestKey = "key-1";
         m_view.formerKey = "key-0";
@@ -249,6 +250,9 @@
         asio::co_spawn(m_context, watchProcesses(), asio::detached);
         for (const Fault &fault : m_report.faults)
             asio::co_spawn(m_context, play(fault), asio::detached);
+        for (const ForeignObject &object : m_report.store.objects)
+            if (object.at.count() > 0)
+                asio::co_spawn(m_context, writeLater(object), asio::detached);
         co_await pause(m_options.length);
         while (m_playing > 0)
             co_await pause(poll);
@@ -267,6 +271,10 @@
     void writeStore()
     {
         m_store.with([this](standin::PlatformStore &store) {
+            store.setPageSize(m_report.store.pageSize);
+            for (const ForeignObject &object : m_report.store.objects)
+                if (object.at.count() == 0)
+                    write(store, object);
             store.create("config", "main", configuration());
             for (const auto &upstream : m_upstreams)
                 store.create("servers", upstream->name(), upstream->record("ready"));
@@ -275,6 +283,17 @@
             watchUpstream(*upstream);
     }
 
+    static void write(standin::PlatformStore &store, const ForeignObject &object)
+    {
+        store.create(object.kind, object.name, json::object{{"odd", true}});
+    }
+
+    asio::awaitable<void> writeLater(const ForeignObject &object)
+    {
+        co_await pause(object.at);
+        m_store.with([&object](standin::PlatformStore &store) { write(store, object); });
+    }
+
     void watchUpstream(Upstream &upstream)
     {
         const auto idOf = [](const HttpRequest &request) {
--- a/tools/soak/SoakRun.h
+++ b/tools/soak/SoakRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "soak/FaultPlan.h"
+#include "soak/StorePlan.h"
 
 #include <cstddef>
 #include <filesystem>
@@ -24,6 +25,7 @@
 struct SoakReport
 {
     std::vector<Fault> faults;
+    StorePlan store;
     std::size_t calls = 0;
     std::size_t served = 0;
     /// Streams that clients resumed, and those of them that went on.
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -14,7 +14,7 @@
 ABSL_FLAG(std::uint64_t, first, 1, "first seed");
 ABSL_FLAG(std::uint64_t, seeds, 1, "number of seeds, one after the other");
 ABSL_FLAG(double, minutes, 0, "go on with further seeds for so long; 0: run --seeds seeds");
-ABSL_FLAG(bool, plan, false, "print the faults of the seeds and run nothing");
+ABSL_FLAG(bool, plan, false, "print the plans of the seeds and run nothing");
 ABSL_FLAG(int, length_ms, 10000, "time under faults of one seed, in milliseconds");
 ABSL_FLAG(std::uint64_t, entries, 3, "entries of a run, each a process");
 ABSL_FLAG(std::uint64_t, upstreams, 4, "upstreams of a run");
@@ -25,8 +25,9 @@
 using namespace tamarack;
 using namespace tamarack::soak;
 
-void printFaults(const std::vector<Fault> &faults)
+void printPlan(const std::vector<Fault> &faults, const StorePlan &store)
 {
+    std::cout << "  store " << toString(store) << '\n';
     for (const Fault &fault : faults)
         std::cout << "  fault " << toString(fault) << '\n';
 }
@@ -35,7 +36,8 @@
 {
     for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
         std::cout << "seed " << seed << '\n';
-        printFaults(drawFaults(seed, milliseconds(absl::GetFlag(FLAGS_length_ms))));
+        const milliseconds length(absl::GetFlag(FLAGS_length_ms));
+        printPlan(drawFaults(seed, length), drawStorePlan(seed, length));
     }
     return 0;
 }
@@ -66,7 +68,7 @@
         std::filesystem::remove_all(options.directory);
         return Outcome::Good;
     }
-    printFaults(report.faults);
+    printPlan(report.faults, report.store);
     for (const std::string &violation : report.violations)
         std::cout << "  broken: " << violation << '\n';
     std::cout << "  logs: " << options.directory.string() << std::endl;
