PlatformFuzz: names as other writers put them, and listings of any pages

It now compares decodeString with Boost.JSON wherever that accepts the string, and takes the lines of the input as the answers of a store, over and over: ListingProgress ends, goes on only from names that were listed, never twice from one, and says Whole only after a page that none follows.

Which names replace a refused one is not fuzzed; ListingProgressTest has it.

--- a/fuzz/PlatformFuzz.cpp
+++ b/fuzz/PlatformFuzz.cpp
@@ -1,8 +1,10 @@
 #include "FuzzTarget.h"
 
+#include "fleet/ListingProgress.h"
 #include "peer/EntryMessageCodec.h"
 #include "platform/ConfigDecoder.h"
 #include "platform/HeaderCodec.h"
+#include "platform/JsonText.h"
 #include "platform/StoreClient.h"
 #include "platform/UpstreamDecoder.h"
 #include "serving/ConfigCheck.h"
@@ -11,6 +13,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <set>
 
 #include <boost/json.hpp>
 
@@ -47,6 +50,55 @@
         check(upstream->slots > 0 && upstream->endpoint.port != 0);
 }
 
+/// A string that the parser accepts is decoded alike; of others, only that it ends.
+void fuzzString(const std::string &text)
+{
+    const auto decoded = platform::decodeString(text);
+    boost::system::error_code error;
+    const boost::json::value value = boost::json::parse(text, error);
+    const bool isBare = text.starts_with('"') && text.ends_with('"');
+    if (!error && value.is_string() && isBare)
+        check(decoded == std::string(value.get_string()));
+}
+
+std::vector<std::string> split(std::string_view text, char separator)
+{
+    std::vector<std::string> parts;
+    for (std::size_t from = 0; from <= text.size();) {
+        const std::size_t end = std::min(text.find(separator, from), text.size());
+        parts.emplace_back(text.substr(from, end - from));
+        from = end + 1;
+    }
+    return parts;
+}
+
+/// Takes the lines of the text as the answers of a store, over and over: a refusal, or the names of
+/// a page, that more pages follow or not.
+void fuzzListing(std::string_view text)
+{
+    using State = ListingProgress::State;
+    constexpr char refusal = '!';
+    constexpr char lastPage = '.';
+    ListingProgress progress;
+    std::set<std::string> used;
+    std::set<std::string> listed;
+    const std::vector<std::string> lines = split(text, '\n');
+    for (std::size_t i = 0;; ++i) {
+        const std::string &line = lines[i % lines.size()];
+        const bool refused = line.starts_with(refusal);
+        const bool more = !line.starts_with(lastPage);
+        const auto names = line.empty() ? std::vector<std::string>() : split(line, ',');
+        if (!refused)
+            listed.insert(names.begin(), names.end());
+        const State state = refused ? progress.handleRefusal() : progress.handlePage(names, more);
+        check((state == State::Whole) == (!refused && !more));
+        if (state != State::Unfinished)
+            return;
+        check(progress.after() && listed.contains(*progress.after()));
+        check(used.insert(*progress.after()).second);
+    }
+}
+
 /// Decodes the lines of the text as headers of a client's request and of an upstream's response.
 void fuzzHeaders(std::string_view text)
 {
@@ -89,6 +141,9 @@
 {
     const std::string_view text(reinterpret_cast<const char *>(data), size);
     fuzzStoreObjects(text);
+    fuzzString(std::string(text));
+    fuzzString('"' + std::string(text) + '"');
+    fuzzListing(text);
     fuzzHeaders(text);
     fuzzEventScanner(text);
     openMessage(text, peerKey);
@@ -116,5 +171,11 @@
         "Replica-Load:3,0,8\nServer-Limit:3.9\nServer-Leaving:1\nRetry-After:1.5\nTransfer-"
         "Encoding:chunked\nLast-"
         "Event-Id:4",
+        R"({"metadata":{"name":"a\ud800%#","revision":4,"createRevision":3},"spec":{"odd":true}})",
+        R"(a\"\\\/\b\f\n\r\t\u0000\u00e9\u07ff\u0800\uffff\ud83c\udf32\uDBFF\uDFFF)",
+        R"("a\ud800b\udc00\ud800\u0041\ud800")",
+        "\"a\xC3\xA9\xF0\x9F\x8C\xB2\"",
+        "a,b\nc,d\n!\nb,d,e\n!\n!\n.f",
+        "a,b%,c\n!\n!\n,\xED\xA0\x80,a\n!\nz",
         "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: x\n\n"};
 }
