--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -244,4 +244,56 @@
         BOOST_TEST(!platform::splitArray(bad), bad);
 }
 
+BOOST_AUTO_TEST_CASE(decodesStringsThatParsersRefuse)
+{
+    using namespace std::string_literals;
+    const std::vector<std::pair<std::string, std::string>> texts = {
+        {"", ""},
+        {R"(\"\\\/\b\f\n\r\t)", "\"\\/\b\f\n\r\t"},
+        {R"(a\u0000b)", "a\0b"s},
+        {"a\0b"s, "a\0b"s},
+        {R"(\u0041\u00e9\u00E9\u20ac)", "A\xC3\xA9\xC3\xA9\xE2\x82\xAC"},
+        {R"(\u007f\u0080\u07ff\u0800\uffff)", "\x7F\xC2\x80\xDF\xBF\xE0\xA0\x80\xEF\xBF\xBF"},
+        {R"(\ud83c\udf32\uD800\uDC00\udbff\udfff)",
+         "\xF0\x9F\x8C\xB2\xF0\x90\x80\x80\xF4\x8F\xBF\xBF"},
+        {R"(\ud800)", "\xED\xA0\x80"},
+        {R"(\udfffa)", "\xED\xBF\xBF"
+                       "a"},
+        {R"(\udc00\ud800)", "\xED\xB0\x80\xED\xA0\x80"},
+        {R"(\ud800\ud83c\udf32)", "\xED\xA0\x80\xF0\x9F\x8C\xB2"},
+        {R"(\ud800\n\ud800\u0041)", "\xED\xA0\x80\n\xED\xA0\x80"
+                                    "A"},
+        {"\xFF\xC3\xED\xA0\x80", "\xFF\xC3\xED\xA0\x80"}};
+    for (const auto &[text, meaning] : texts) {
+        const auto decoded = platform::decodeString('"' + text + '"');
+        BOOST_TEST((decoded == meaning), text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refusesMalformedStrings)
+{
+    for (const char *bad : {"",
+                            "\"",
+                            "a",
+                            "\"a",
+                            "a\"",
+                            "'a'",
+                            "null",
+                            R"("\")",
+                            R"("a\")",
+                            R"("\x")",
+                            R"("\u")",
+                            R"("\u12")",
+                            R"("\u12g4")",
+                            R"("\u-123")",
+                            R"("\u+123")",
+                            R"("\u 123")",
+                            R"("\u0x12")",
+                            R"("\U0041")",
+                            R"("\ud800\u")",
+                            R"("\ud800\udc0")",
+                            R"("\ud800\")"})
+        BOOST_TEST(!platform::decodeString(bad), bad);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
