The configuration check reads the live configuration by its name

`tamarackseamctl` read it from a listing of its kind, as entries did, so an object of another writer could hide it.

--- a/ctl/ConfigCheckCommand.cpp
+++ b/ctl/ConfigCheckCommand.cpp
@@ -52,14 +52,11 @@
     Result<ServingConfigPtr> config = failure(ErrorKind::NotFound, "the store holds none");
     const auto read = [&]() -> asio::awaitable<void> {
         platform::StoreClient store(context.get_executor(), address);
-        const auto listing = co_await store.list(platform::configKind());
-        if (!listing) {
-            config = tl::unexpected(listing.error());
-            co_return;
-        }
-        for (const platform::StoredObject &object : listing->objects)
-            if (object.name == platform::configName())
-                config = platform::decodeConfig(object.spec);
+        const auto found = co_await store.find(platform::configKind(), platform::configName());
+        if (!found)
+            config = tl::unexpected(found.error());
+        else if (found->object)
+            config = platform::decodeConfig(found->object->spec);
     };
     asio::co_spawn(context, read, asio::detached);
     context.run();
