Watches pass changes on one by one, and too long an answer leads to a listing

What operators saw (by stand-in, daemon as a process): seven objects of 1 MB of small numbers, changed between two watches, bring an entry to 116 MB of the 88 that the smallest host has; ten of them make an answer of over 8 MB, which the client refuses, and the entry asks for the same answer again for ever: it follows no later change.

Cause: the content of all changes of an answer was parsed and kept before the first was looked at; and a limit of the client was taken for a store that does not answer. Changes are now decoded and passed on one at a time. An answer over the limit gives `PayloadTooLarge`, which a watch turns into `HistoryGone`: the listing that follows comes in pages.

--- a/fuzz/PlatformFuzz.cpp
+++ b/fuzz/PlatformFuzz.cpp
@@ -32,7 +32,7 @@
 /// Decodes the text as store objects, which other software may write with any content.
 void fuzzStoreObjects(std::string_view text)
 {
-    platform::decodeChanges(text, 1);
+    platform::decodeChanges(text, 1, [](const platform::StoreEvent &) {});
     platform::decodeObject(text);
     boost::system::error_code error;
     const boost::json::value value = boost::json::parse(text, error);
--- a/src/direct/RolloutFollower.cpp
+++ b/src/direct/RolloutFollower.cpp
@@ -111,14 +111,15 @@
             if (stoodBy)
                 co_return;
             const BootTime callStart = bootNow();
-            const auto changes =
-                co_await store.watch(platform::rolloutKind(), from, active ? activeWait : idleWait);
+            const platform::EventVisitor ignoreEvent = [](const platform::StoreEvent &) {};
+            const auto changes = co_await store.watch(platform::rolloutKind(), from,
+                                                      active ? activeWait : idleWait, ignoreEvent);
             if (!changes) {
                 if (changes.error().kind != ErrorKind::HistoryGone)
                     co_await pauseAfterFailure();
                 co_return;
             }
-            if (!changes->events.empty())
+            if (changes->events > 0)
                 co_return;
             from = changes->position;
             publish(orders, callStart);
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -265,17 +265,18 @@
                 co_return;
             const BootTime callStart = bootNow();
             const bool recentlyProved = provedAt && callStart - *provedAt < configWait;
+            const platform::EventVisitor visit = [this](const platform::StoreEvent &event) {
+                if (!event.deleted)
+                    applyConfig(event.object);
+            };
             const auto changes = co_await store.watch(platform::configKind(), from,
-                                                      recentlyProved ? configWait : noWait);
+                                                      recentlyProved ? configWait : noWait, visit);
             if (!recordResult(changes, "watch_config")) {
                 if (changes.error().kind != ErrorKind::HistoryGone)
                     co_await pauseAfterFailure(configRetry);
                 // A listing proves the configuration current immediately.
                 co_return;
             }
-            for (const auto &event : changes->events)
-                if (!event.deleted)
-                    applyConfig(event.object);
             proveConfig(callStart);
             from = changes->position;
         }
@@ -393,8 +394,13 @@
                 co_return;
             const BootTime callStart = bootNow();
             const milliseconds wait = watchPolicy.watchesStore(callStart) ? upstreamWait() : noWait;
+            UpstreamDelta delta{position, {}, {}};
+            const platform::EventVisitor visit = [&](const platform::StoreEvent &event) {
+                delta.changes.push_back(decodeChange(event));
+            };
             readingUpstreams = true;
-            const auto changes = co_await store.watch(platform::upstreamKind(), position, wait);
+            const auto changes =
+                co_await store.watch(platform::upstreamKind(), position, wait, visit);
             readingUpstreams = false;
             if (!recordResult(changes, "watch_upstreams")) {
                 if (changes.error().kind == ErrorKind::HistoryGone)
@@ -402,19 +408,17 @@
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
+            delta.position = changes->position;
             bool onlyNew = true;
-            UpstreamDelta delta{position, changes->position, {}};
-            for (const auto &event : changes->events) {
-                delta.changes.push_back(decodeChange(event));
-                onlyNew = applyChange(delta.changes.back(), "store") && onlyNew;
-            }
-            if (!changes->events.empty())
+            for (const UpstreamChange &change : delta.changes)
+                onlyNew = applyChange(change, "store") && onlyNew;
+            if (!delta.changes.empty())
                 publishUpstreams();
             // A response that this process reads late shows an older state.
             const BootTime currentAt =
                 std::min<BootTime>(bootNow(), callStart + wait + usualLatency);
             setPosition(delta, UpstreamSource::OwnWatch, currentAt);
-            if (changes->events.empty())
+            if (delta.changes.empty())
                 continue;
             co_await pause(onlyNew ? newUpstreamPause : upstreamPause);
         }
@@ -636,7 +640,14 @@
     asio::awaitable<void> watchEntries(StorePosition from)
     {
         while (true) {
-            const auto changes = co_await store.watch(entryKind, from, entryWait, maxEntryAge);
+            bool isDeleted = false;
+            const platform::EventVisitor visit = [&](const platform::StoreEvent &event) {
+                applyEntry(event, entries);
+                if (event.object.name == settings.name)
+                    isDeleted = event.deleted;
+            };
+            const auto changes =
+                co_await store.watch(entryKind, from, entryWait, visit, maxEntryAge);
             if (!recordResult(changes, "watch_entries")) {
                 // A stale listing can be older than the retained history several times in a row.
                 co_await pauseAfterFailure(entryRetry);
@@ -644,28 +655,17 @@
                     co_return;
                 continue;
             }
-            for (const auto &event : changes->events)
-                applyEntry(event, entries);
             from = changes->position;
-            if (changes->events.empty())
+            if (changes->events == 0)
                 continue;
             listener.entriesChanged(entries);
-            if (isRegistrationDeleted(*changes))
+            // The changes may be older than the registration.
+            if (isDeleted && !(changes->position < registeredAt))
                 co_await restoreRegistration("deleted");
             co_await pause(entryPause);
         }
     }
 
-    /// Whether the registration has been deleted since it was written. The changes may be seconds
-    /// old.
-    bool isRegistrationDeleted(const platform::StoreChanges &changes) const
-    {
-        const auto last =
-            std::find_if(changes.events.rbegin(), changes.events.rend(),
-                         [this](const auto &event) { return event.object.name == settings.name; });
-        return last != changes.events.rend() && last->deleted && !(changes.position < registeredAt);
-    }
-
     static void applyEntry(const platform::StoreEvent &event,
                            std::map<std::string, Endpoint> &entries)
     {
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -47,7 +47,9 @@
 
 Error toError(beast::error_code error, std::string_view step)
 {
-    const auto kind = error == beast::error::timeout ? ErrorKind::Timeout : ErrorKind::IoFailed;
+    auto kind = error == beast::error::timeout ? ErrorKind::Timeout : ErrorKind::IoFailed;
+    if (error == http::error::body_limit)
+        kind = ErrorKind::PayloadTooLarge;
     return {kind, std::string(step) + ": " + error.message()};
 }
 
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -24,7 +24,7 @@
     HttpClient &operator=(const HttpClient &) = delete;
 
     /// One whole call. `UpstreamRefused`: the connection was not made, so nothing was sent.
-    /// `Timeout` and `IoFailed`: the server may have acted.
+    /// `Timeout`, `IoFailed` and `PayloadTooLarge` (the answer is): the server may have acted.
     boost::asio::awaitable<Result<HttpResponse>> call(Endpoint server, HttpRequest request,
                                                       Duration timeout);
 
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -211,16 +211,22 @@
 
 BOOST_AUTO_TEST_CASE(decodesStoreChanges)
 {
+    std::vector<platform::StoreEvent> events;
+    const platform::EventVisitor visit = [&](platform::StoreEvent event) {
+        events.push_back(std::move(event));
+    };
     const auto changes = platform::decodeChanges(
         R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":4},"spec":null}},
             {"deleted":false,"object":{"metadata":{},"spec":1}}, 7],"currentRev":9})",
-        3);
+        3, visit);
     BOOST_REQUIRE(changes);
     BOOST_TEST((changes->position == StorePosition{3, 9}));
-    BOOST_REQUIRE(changes->events.size() == 1U);
-    BOOST_TEST(changes->events[0].deleted);
-    BOOST_TEST(changes->events[0].object.revision == 4U);
-    BOOST_TEST(!platform::decodeChanges(R"({"events":[]})", 3));
+    BOOST_TEST(changes->events == 1U);
+    BOOST_REQUIRE(events.size() == 1U);
+    BOOST_TEST(events[0].deleted);
+    BOOST_TEST(events[0].object.revision == 4U);
+    BOOST_TEST(!platform::decodeChanges(R"({"events":[]})", 3, visit));
+    BOOST_TEST(events.size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(splitsJsonTextWithoutReadingValues)
