--- a/tests/StoreMemoryTest.cpp
+++ b/tests/StoreMemoryTest.cpp
@@ -294,4 +294,37 @@
     checkServing("an answer that is too long");
 }
 
+BOOST_AUTO_TEST_CASE(manyRegistrationsStayInsideTheHost)
+{
+    fill("tamarack-entries", json::object{{"peer", "127.0.0.1:9"}, {"incarnation", "0"}});
+    check("registrations");
+    std::this_thread::sleep_for(watchTime);
+    checkServing("registrations, later");
+}
+
+BOOST_AUTO_TEST_CASE(registrationsAtOddAddressesEndNoProcess)
+{
+    const std::array<const char *, 9> addresses{"0.0.0.0:1",   "255.255.255.255:9", "[::1]:1",
+                                                "::1:1",       "224.0.0.1:5",       "fe80::1%lo:7",
+                                                "127.0.0.1:0", "127.0.0.1:70000",   ":1"};
+    store().with([&](PlatformStore &model) {
+        for (const char *address : addresses) {
+            model.create("tamarack-entries", address, json::object{{"peer", address}});
+            model.create("tamarack-streams", address, json::object{{"peer", address}});
+            model.create("servers", address,
+                         json::object{{"service", "models"},
+                                      {"address", address},
+                                      {"slots", 1e300},
+                                      {"born", -1},
+                                      {"state", "draining"}});
+        }
+        model.create("tamarack-entries", "entry-0", json::object{{"peer", "127.0.0.1:9"}});
+        model.create("tamarack-streams", "entry-0", 7);
+    });
+    for (int round = 0; round < 3; ++round) {
+        check("odd addresses");
+        end();
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
