An entry with a gap in its list relays changes, and keeps its own origins

A follower of the store whose list has a gap said nothing of its position, while its earlier position still counted as followed for up to 3 s: entries that rely on it would have missed a leaving upstream for so long. What a watch tells is true whatever the list lacks, so changes and positions are passed on and only the list's currency is withheld.

Origins that a listing did not reach are read by the entry's name until the store answers; before, one failed call let the next write replace them unread.

--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -115,7 +115,7 @@
                        [this, records = std::move(records)] { state.applyUpstreams(records); });
         };
         listener.upstreamsFollowed = [this](const UpstreamDelta &delta, UpstreamSource source,
-                                            BootTime currentAt) {
+                                            std::optional<BootTime> currentAt) {
             asio::post(traffic, [this, delta, source, currentAt] {
                 state.applyUpstreamsFollowed(delta, source, currentAt);
             });
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -353,7 +353,8 @@
     /// it could not be asked about one.
     asio::awaitable<bool> readUnlisted(std::vector<UpstreamRecord> &records)
     {
-        for (const std::string &id : directory.missingFrom(records)) {
+        const std::vector<std::string> unlisted = directory.missingFrom(records);
+        for (const std::string &id : unlisted) {
             const auto object = co_await store.read(platform::upstreamKind(), id);
             const bool exists = recordResult(object, "read_upstream");
             if (!exists && object.error().kind != ErrorKind::NotFound)
@@ -377,9 +378,8 @@
     {
         position = delta.position;
         positionAt = steadyNow();
-        // Neither this entry nor one that relies on it may take a part of the list for the whole.
-        if (!hasUpstreamGap)
-            listener.upstreamsFollowed(delta, source, currentAt);
+        listener.upstreamsFollowed(delta, source,
+                                   hasUpstreamGap ? std::nullopt : std::optional(currentAt));
     }
 
     asio::awaitable<void> watchUpstreams()
@@ -524,6 +524,10 @@
             }
             if (!listing->isWhole() && !originsRevision) {
                 const auto own = co_await store.read(originKind, settings.name);
+                if (!recordResult(own, "read_origins") && own.error().kind != ErrorKind::NotFound) {
+                    co_await pauseAfterFailure(upstreamRetry);
+                    continue;
+                }
                 streams += own ? applyOrigins(*own) : 0;
             }
             originsRead = true;
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,8 +30,10 @@
     /// The current configuration was the newest in the store at this time, the start of a call.
     std::function<void(BootTime)> configProved;
     std::function<void(std::vector<UpstreamRecord>)> upstreamsChanged;
-    /// The upstream list is current as of the delta's position, and was at the time given.
-    std::function<void(const UpstreamDelta &, UpstreamSource, BootTime)> upstreamsFollowed;
+    /// The changes up to the delta's position are known. The list is current as of that position,
+    /// and was at the time given; none if the store did not list all upstreams.
+    std::function<void(const UpstreamDelta &, UpstreamSource, std::optional<BootTime>)>
+        upstreamsFollowed;
     /// Origins of streams that an entry wrote to the store, read once after the start; `own`: it
     /// was this entry, before it restarted.
     std::function<void(std::vector<StreamOrigin>, bool own)> originsRead;
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -124,9 +124,10 @@
 }
 
 void TrafficState::applyUpstreamsFollowed(const UpstreamDelta &delta, UpstreamSource source,
-                                          BootTime currentAt)
+                                          std::optional<BootTime> currentAt)
 {
-    upstreamListAge.recordConfirmed(currentAt);
+    if (currentAt)
+        upstreamListAge.recordConfirmed(*currentAt);
     if (source == UpstreamSource::Listing)
         m_upstreamLog.restart(delta.position);
     else
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -80,7 +80,7 @@
     void applyPeer(const EntryLoad &load);
     /// The upstream list is current as of the delta's revision, and was at `currentAt`.
     void applyUpstreamsFollowed(const UpstreamDelta &delta, UpstreamSource source,
-                                BootTime currentAt);
+                                std::optional<BootTime> currentAt);
     void applyKnownEntries(const std::set<std::string> &names);
     /// Applies what a member of another exchange group tells about its group.
     void applyDigest(const GroupDigest &digest);
