--- a/src/direct/RolloutFollower.cpp
+++ b/src/direct/RolloutFollower.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::seconds dutyCheck{1};
 /// Pause after a failed call, plus random jitter of up to the same length.
 constexpr milliseconds shortestRetry{150};
+/// Pause before orders that the store could not list are listed again.
+constexpr std::chrono::seconds gapPause{5};
 /// Orders of a store beyond this number are ignored.
 constexpr std::size_t maxOrders = 256;
 
@@ -71,6 +73,8 @@
         if (!listing || !listing->isWhole()) {
             logEvent(LogLevel::Info, "rollouts_unread",
                      {{"reason", listing ? listing->gap : listing.error().message}});
+            if (listing)
+                co_await pause(gapPause);
             co_return std::nullopt;
         }
         ignoredOrders.endListing();
