--- a/src/fleet/ListingProgress.cpp
+++ b/src/fleet/ListingProgress.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Whether any store can read the name in a query.
+/// Whether a store that refuses unusual names is likely to accept this one in a query.
 bool isPlain(std::string_view name)
 {
     const auto isVisible = [](char c) { return c > ' ' && c <= '~'; };
@@ -21,6 +21,7 @@
 ListingProgress::State ListingProgress::handlePage(std::vector<std::string> names, bool more)
 {
     m_alternatives = std::move(names);
+    m_refusals = 0;
     if (!more)
         return State::Whole;
     if (m_alternatives.empty())
@@ -32,6 +33,8 @@
 
 ListingProgress::State ListingProgress::handleRefusal()
 {
+    if (m_refusals++ >= maxAlternatives)
+        return State::Stuck;
     while (!m_alternatives.empty()) {
         std::string name = std::move(m_alternatives.back());
         m_alternatives.pop_back();
--- a/src/fleet/ListingProgress.h
+++ b/src/fleet/ListingProgress.h
@@ -32,6 +32,8 @@
     /// None before the first page.
     const std::optional<std::string> &after() const { return m_after; }
 
+    /// Names that are tried instead of one that the store refuses.
+    static constexpr int maxAlternatives = 3;
     /// Longest name from which a listing goes on if the store has refused another.
     static constexpr std::size_t plainNameBytes = 256;
 
@@ -41,6 +43,8 @@
     std::optional<std::string> m_after;
     /// Names of the last page before the one that was tried last.
     std::vector<std::string> m_alternatives;
+    /// How many of them have been tried.
+    int m_refusals = 0;
     std::unordered_set<std::string> m_used;
 };
 
--- a/tests/ListingProgressTest.cpp
+++ b/tests/ListingProgressTest.cpp
@@ -60,6 +60,15 @@
     BOOST_TEST((progress.handleRefusal() == State::Stuck));
 }
 
+BOOST_AUTO_TEST_CASE(refusalsThatDoNotDependOnTheNameEndSoon)
+{
+    ListingProgress progress;
+    progress.handlePage({"a", "b", "c", "d", "e"}, true);
+    for (int i = 0; i < ListingProgress::maxAlternatives; ++i)
+        BOOST_TEST((progress.handleRefusal() == State::Unfinished));
+    BOOST_TEST((progress.handleRefusal() == State::Stuck));
+}
+
 BOOST_AUTO_TEST_CASE(longestPlainNameIsStillOne)
 {
     const std::string name(ListingProgress::plainNameBytes, 'e');
