--- a/tests/ExchangeGroupsTest.cpp
+++ b/tests/ExchangeGroupsTest.cpp
@@ -381,9 +381,10 @@
         table.assign(upstreamRecords("models", 6));
         table.setGroups(2, own);
         double sum = 0;
+        const TimePoint now = steadyNow();
         for (const UpstreamPtr &each : table.ofService("models"))
-            each->terms.handleStatement(UpstreamStatement{2.0, false, std::nullopt, false},
-                                        steadyNow(), steadyNow());
+            each->terms.handleStatement(UpstreamStatement{2.0, false, std::nullopt, false}, now,
+                                        now);
         for (const std::string &name : group) {
             table.shareLimits({name, serving}, {name, group});
             for (const UpstreamPtr &each : table.ofService("models")) {
