--- a/src/direct/RolloutFollower.cpp
+++ b/src/direct/RolloutFollower.cpp
@@ -3,13 +3,13 @@
 #include "base/AsioPch.h"
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "fleet/IgnoredObjects.h"
 #include "platform/RolloutDecoder.h"
 #include "platform/StoreClient.h"
 #include "process/Supervisor.h"
 #include "process/Timers.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace tamarack {
@@ -25,6 +25,8 @@
 constexpr std::chrono::seconds dutyCheck{1};
 /// Pause after a failed call, plus random jitter of up to the same length.
 constexpr milliseconds shortestRetry{150};
+/// Pause before orders that the store could not list are listed again.
+constexpr std::chrono::seconds gapPause{5};
 /// Orders of a store beyond this number are ignored.
 constexpr std::size_t maxOrders = 256;
 
@@ -50,34 +52,32 @@
     asio::awaitable<std::optional<StorePosition>> list()
     {
         const BootTime callStart = bootNow();
-        const auto listing = co_await store.list(platform::rolloutKind());
-        if (!listing) {
-            logEvent(LogLevel::Info, "rollouts_unread", {{"reason", listing.error().message}});
-            co_return std::nullopt;
-        }
         std::vector<RolloutOrder> read;
-        std::map<std::string, platform::Revision> ignored;
-        for (const auto &object : listing->objects) {
+        const platform::ObjectVisitor visit = [&](const platform::StoredObject &object) {
             auto order = platform::decodeRollout(object);
             const bool isDouble =
                 order
                 && std::ranges::find(read, order->service, &RolloutOrder::service) != read.end();
-            if (order && !isDouble && read.size() < maxOrders) {
+            if (order && !isDouble && read.size() < maxOrders)
                 read.push_back(std::move(*order));
-                continue;
-            }
-            if (ignored.size() >= maxOrders)
-                continue;
-            ignored[object.name] = object.revision;
-            const auto logged = ignoredOrders.find(object.name);
-            if (logged == ignoredOrders.end() || logged->second != object.revision)
+            else if (ignoredOrders.add(object.name, object.revision))
                 logEvent(LogLevel::Warning, "rollout_ignored",
                          {{"name", object.name},
                           {"revision", object.revision},
                           {"reason", order ? "second order of its service"
                                            : std::string_view(order.error().message)}});
+        };
+        ignoredOrders.beginListing();
+        const auto listing = co_await store.list(platform::rolloutKind(), visit);
+        // An order that is missing from a part of the list may still be in force.
+        if (!listing || !listing->isWhole()) {
+            logEvent(LogLevel::Info, "rollouts_unread",
+                     {{"reason", listing ? listing->gap : listing.error().message}});
+            if (listing)
+                co_await pause(gapPause);
+            co_return std::nullopt;
         }
-        ignoredOrders = std::move(ignored);
+        ignoredOrders.endListing();
         publish(std::move(read), callStart);
         co_return listing->position;
     }
@@ -115,14 +115,15 @@
             if (stoodBy)
                 co_return;
             const BootTime callStart = bootNow();
-            const auto changes =
-                co_await store.watch(platform::rolloutKind(), from, active ? activeWait : idleWait);
+            const platform::EventVisitor ignoreEvent = [](const platform::StoreEvent &) {};
+            const auto changes = co_await store.watch(platform::rolloutKind(), from,
+                                                      active ? activeWait : idleWait, ignoreEvent);
             if (!changes) {
                 if (changes.error().kind != ErrorKind::HistoryGone)
                     co_await pauseAfterFailure();
                 co_return;
             }
-            if (!changes->events.empty())
+            if (changes->events > 0)
                 co_return;
             from = changes->position;
             publish(orders, callStart);
@@ -162,8 +163,8 @@
     asio::steady_timer dutyTimer;
     std::vector<RolloutOrder> orders;
     BootTime readAt{};
-    /// Revisions of the objects that describe no usable order.
-    std::map<std::string, platform::Revision> ignoredOrders;
+    /// Objects that describe no usable order.
+    IgnoredObjects ignoredOrders;
     bool elected = true;
     bool active = false;
     bool reading = false;
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 #include "base/Log.h"
 #include "base/RequestId.h"
+#include "fleet/IgnoredObjects.h"
 #include "fleet/OriginRecords.h"
 #include "fleet/StoreWatchPolicy.h"
 #include "platform/ConfigDecoder.h"
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <concepts>
+#include <set>
 #include <utility>
 
 namespace tamarack {
@@ -52,6 +54,8 @@
 /// After a restore of the store, entries that rely on followers list the upstreams within this
 /// time.
 constexpr milliseconds relistSpread{700};
+/// A listing that fails again for the same reason is logged once in this time.
+constexpr milliseconds failureLogInterval{5000};
 /// A listing that is seconds old suffices to discover entries; state changes are exchanged directly
 /// between entries in datagrams.
 constexpr auto maxEntryAge = platform::StoreClient::Freshness::MaybeStale;
@@ -60,6 +64,26 @@
 /// Kind of the objects that hold the origins of streams; one object per entry.
 const std::string originKind = "tamarack-streams";
 
+Duration randomDuration(milliseconds below)
+{
+    return milliseconds(static_cast<std::int64_t>(randomBits64() % below.count()));
+}
+
+/// Pause before objects that the store could not list are listed again; grows each time.
+class GapPause
+{
+public:
+    Duration next()
+    {
+        const milliseconds shortest = std::exchange(m_pause, std::min(2 * m_pause, longest));
+        return shortest + randomDuration(shortest);
+    }
+
+private:
+    static constexpr milliseconds longest{30'000};
+    milliseconds m_pause{1000};
+};
+
 } // namespace
 
 struct StoreFollower::Private : std::enable_shared_from_this<StoreFollower::Private>
@@ -146,14 +170,13 @@
         wakeLoops();
     }
 
-    static Duration randomDuration(milliseconds below)
+    /// Whether the upstreams are to be listed, because the store has been restored or did not list
+    /// all of them.
+    bool isRelistDue(TimePoint now) const
     {
-        return milliseconds(static_cast<std::int64_t>(randomBits64() % below.count()));
+        return (era > listedEra && now >= relistAt) || (hasUpstreamGap && now >= gapRelistAt);
     }
 
-    /// Whether the upstreams are to be listed, because the store has been restored.
-    bool isRelistDue(TimePoint now) const { return era > listedEra && now >= relistAt; }
-
     template <typename T>
     bool recordResult(const Result<T> &result, std::string_view what)
     {
@@ -165,6 +188,48 @@
         return result.has_value();
     }
 
+    /// Lists the kind, counts the outcome and logs it.
+    asio::awaitable<Result<platform::StoreListing>>
+    list(const std::string &kind, std::string_view call, const platform::ObjectVisitor &visit,
+         platform::StoreClient::Freshness freshness = platform::StoreClient::Freshness::Latest)
+    {
+        const TimePoint start = steadyNow();
+        auto listing = co_await store.list(kind, visit, freshness);
+        const Duration took = steadyNow() - start;
+        if (!recordResult(listing, call)) {
+            handleFailedListing(kind, listing.error().message, took);
+            co_return listing;
+        }
+        listener.listingEnded(kind, listing->isWhole() ? "whole" : "partial");
+        logEvent(listing->isWhole() ? LogLevel::Info : LogLevel::Warning, "listing_read",
+                 {{"kind", kind},
+                  {"pages", listing->pages},
+                  {"objects", listing->objects},
+                  {"unreadable", listing->unreadable},
+                  {"era", listing->position.era},
+                  {"revision", listing->position.revision},
+                  {"gap", listing->gap},
+                  {"took_ms", toMs(took)}});
+        co_return listing;
+    }
+
+    void handleFailedListing(const std::string &kind, const std::string &reason, Duration took)
+    {
+        listener.listingEnded(kind, "failed");
+        const TimePoint now = steadyNow();
+        FailedListings &failed = failedListings[kind];
+        ++failed.count;
+        if (reason == failed.reason && now < failed.logAt)
+            return;
+        failed.reason = reason;
+        failed.logAt = now + failureLogInterval;
+        logEvent(LogLevel::Warning, "listing_failed",
+                 {{"kind", kind},
+                  {"reason", reason},
+                  {"failures", failed.count},
+                  {"took_ms", toMs(took)}});
+    }
+
     static asio::awaitable<void> pauseAfterFailure(milliseconds shortest)
     {
         co_await pause(shortest + randomDuration(shortest));
@@ -174,16 +239,19 @@
     {
         while (true) {
             const BootTime callStart = bootNow();
-            const auto listing = co_await store.list(platform::configKind());
-            if (!recordResult(listing, "list_config")) {
+            const auto found = co_await store.find(platform::configKind(), platform::configName());
+            if (!recordResult(found, "read_config")) {
+                handleFailedListing(platform::configKind(), found.error().message,
+                                    bootNow() - callStart);
                 co_await pauseAfterFailure(configRetry);
                 continue;
             }
-            for (const auto &object : listing->objects)
-                applyConfig(object);
+            listener.listingEnded(platform::configKind(), "whole");
+            if (found->object)
+                applyConfig(*found->object);
             watchPolicy.configRead(version.value_or(0));
             proveConfig(callStart);
-            co_await watchConfig(listing->position);
+            co_await watchConfig(found->position);
         }
     }
 
@@ -197,17 +265,18 @@
                 co_return;
             const BootTime callStart = bootNow();
             const bool recentlyProved = provedAt && callStart - *provedAt < configWait;
+            const platform::EventVisitor visit = [this](const platform::StoreEvent &event) {
+                if (!event.deleted)
+                    applyConfig(event.object);
+            };
             const auto changes = co_await store.watch(platform::configKind(), from,
-                                                      recentlyProved ? configWait : noWait);
+                                                      recentlyProved ? configWait : noWait, visit);
             if (!recordResult(changes, "watch_config")) {
                 if (changes.error().kind != ErrorKind::HistoryGone)
                     co_await pauseAfterFailure(configRetry);
                 // A listing proves the configuration current immediately.
                 co_return;
             }
-            for (const auto &event : changes->events)
-                if (!event.deleted)
-                    applyConfig(event.object);
             proveConfig(callStart);
             from = changes->position;
         }
@@ -254,30 +323,63 @@
             readingUpstreams = true;
             const BootTime callStart = bootNow();
             const std::uint64_t knownEra = era;
-            const auto listing = co_await store.list(platform::upstreamKind());
+            std::vector<UpstreamRecord> records;
+            const platform::ObjectVisitor visit = [&](const platform::StoredObject &object) {
+                if (auto record = decode(object))
+                    records.push_back(std::move(*record));
+            };
+            ignoredEntries.beginListing();
+            const auto listing = co_await list(platform::upstreamKind(), "list_upstreams", visit);
+            bool isRead = listing.has_value();
+            if (isRead && !listing->isWhole())
+                isRead = co_await readUnlisted(records);
             readingUpstreams = false;
-            if (!recordResult(listing, "list_upstreams")) {
+            if (!isRead) {
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
-            forgetIgnoredEntries(*listing);
-            std::vector<UpstreamRecord> records;
-            for (const auto &object : listing->objects)
-                if (auto record = decode(object))
-                    records.push_back(std::move(*record));
+            if (listing->isWhole())
+                ignoredEntries.endListing();
             directory.replace(std::move(records), steadyNow());
             publishUpstreams();
             listedEra = std::max(knownEra, listing->position.era);
+            recordGap(!listing->isWhole());
             setPosition({position, listing->position, {}}, UpstreamSource::Listing, callStart);
             co_await watchUpstreams();
         }
     }
 
+    /// Adds the known upstreams that the store did not list, as it has them now. Returns false if
+    /// it could not be asked about one.
+    asio::awaitable<bool> readUnlisted(std::vector<UpstreamRecord> &records)
+    {
+        const std::vector<std::string> unlisted = directory.missingFrom(records);
+        for (const std::string &id : unlisted) {
+            const auto object = co_await store.read(platform::upstreamKind(), id);
+            const bool exists = recordResult(object, "read_upstream");
+            if (!exists && object.error().kind != ErrorKind::NotFound)
+                co_return false;
+            if (auto record = exists ? decode(*object) : std::nullopt)
+                records.push_back(std::move(*record));
+        }
+        co_return true;
+    }
+
+    void recordGap(bool gap)
+    {
+        hasUpstreamGap = gap;
+        if (gap)
+            gapRelistAt = steadyNow() + upstreamGapPause.next();
+        else
+            upstreamGapPause = {};
+    }
+
     void setPosition(const UpstreamDelta &delta, UpstreamSource source, BootTime currentAt)
     {
         position = delta.position;
         positionAt = steadyNow();
-        listener.upstreamsFollowed(delta, source, currentAt);
+        listener.upstreamsFollowed(delta, source,
+                                   hasUpstreamGap ? std::nullopt : std::optional(currentAt));
     }
 
     asio::awaitable<void> watchUpstreams()
@@ -292,8 +394,13 @@
                 co_return;
             const BootTime callStart = bootNow();
             const milliseconds wait = watchPolicy.watchesStore(callStart) ? upstreamWait() : noWait;
+            UpstreamDelta delta{position, {}, {}};
+            const platform::EventVisitor visit = [&](const platform::StoreEvent &event) {
+                delta.changes.push_back(decodeChange(event));
+            };
             readingUpstreams = true;
-            const auto changes = co_await store.watch(platform::upstreamKind(), position, wait);
+            const auto changes =
+                co_await store.watch(platform::upstreamKind(), position, wait, visit);
             readingUpstreams = false;
             if (!recordResult(changes, "watch_upstreams")) {
                 if (changes.error().kind == ErrorKind::HistoryGone)
@@ -301,19 +408,17 @@
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
+            delta.position = changes->position;
             bool onlyNew = true;
-            UpstreamDelta delta{position, changes->position, {}};
-            for (const auto &event : changes->events) {
-                delta.changes.push_back(decodeChange(event));
-                onlyNew = applyChange(delta.changes.back(), "store") && onlyNew;
-            }
-            if (!changes->events.empty())
+            for (const UpstreamChange &change : delta.changes)
+                onlyNew = applyChange(change, "store") && onlyNew;
+            if (!delta.changes.empty())
                 publishUpstreams();
             // A response that this process reads late shows an older state.
             const BootTime currentAt =
                 std::min<BootTime>(bootNow(), callStart + wait + usualLatency);
             setPosition(delta, UpstreamSource::OwnWatch, currentAt);
-            if (changes->events.empty())
+            if (delta.changes.empty())
                 continue;
             co_await pause(onlyNew ? newUpstreamPause : upstreamPause);
         }
@@ -326,7 +431,7 @@
     UpstreamChange decodeChange(const platform::StoreEvent &event)
     {
         if (event.deleted)
-            ignoredEntries.erase(event.object.name);
+            ignoredEntries.remove(event.object.name);
         auto record = event.deleted ? std::nullopt : decode(event.object);
         if (record)
             return {std::move(*record), false};
@@ -381,27 +486,17 @@
     {
         auto record = platform::decodeUpstream(object.name, object.spec);
         if (record) {
-            ignoredEntries.erase(object.name);
+            ignoredEntries.remove(object.name);
             return *record;
         }
-        platform::Revision &logged = ignoredEntries[object.name];
-        if (logged != object.revision)
+        if (ignoredEntries.add(object.name, object.revision))
             logEvent(LogLevel::Warning, "upstream_entry_ignored",
                      {{"upstream", object.name},
                       {"revision", object.revision},
                       {"reason", record.error().message}});
-        logged = object.revision;
         return std::nullopt;
     }
 
-    void forgetIgnoredEntries(const platform::StoreListing &listing)
-    {
-        std::erase_if(ignoredEntries, [&](const auto &ignored) {
-            return std::ranges::find(listing.objects, ignored.first, &platform::StoredObject::name)
-                   == listing.objects.end();
-        });
-    }
-
     void publishUpstreams()
     {
         listener.upstreamsChanged(directory.usable(steadyNow()));
@@ -418,29 +513,44 @@
     asio::awaitable<void> originLoop()
     {
         while (!originsRead) {
-            const auto listing = co_await store.list(originKind);
-            originsRead = recordResult(listing, "list_origins");
-            if (!originsRead) {
+            std::size_t streams = 0;
+            const platform::ObjectVisitor visit = [&](const platform::StoredObject &object) {
+                streams += applyOrigins(object);
+            };
+            const auto listing = co_await list(originKind, "list_origins", visit);
+            if (!listing) {
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
-            std::size_t streams = 0;
-            for (const auto &object : listing->objects) {
-                const bool isOwn = object.name == settings.name;
-                std::vector<StreamOrigin> origins = decodeOrigins(object.spec);
-                streams += origins.size();
-                listener.originsRead(std::move(origins), isOwn);
-                if (isOwn)
-                    originsRevision = object.revision;
+            if (!listing->isWhole() && !originsRevision) {
+                const auto own = co_await store.read(originKind, settings.name);
+                if (!recordResult(own, "read_origins") && own.error().kind != ErrorKind::NotFound) {
+                    co_await pauseAfterFailure(upstreamRetry);
+                    continue;
+                }
+                streams += own ? applyOrigins(*own) : 0;
             }
+            originsRead = true;
             logEvent(LogLevel::Info, "stream_origins_read",
-                     {{"entries", listing->objects.size()}, {"streams", streams}});
+                     {{"entries", listing->objects}, {"streams", streams}});
         }
         // A supervised loop must not return.
         while (true)
             co_await pause(std::chrono::hours(1));
     }
 
+    /// Returns the number of streams.
+    std::size_t applyOrigins(const platform::StoredObject &object)
+    {
+        const bool isOwn = object.name == settings.name;
+        std::vector<StreamOrigin> origins = decodeOrigins(object.spec);
+        const std::size_t streams = origins.size();
+        listener.originsRead(std::move(origins), isOwn);
+        if (isOwn)
+            originsRevision = object.revision;
+        return streams;
+    }
+
     asio::awaitable<void> saveOrigins(json::value content)
     {
         savingOrigins = true;
@@ -453,17 +563,29 @@
     asio::awaitable<void> entryLoop()
     {
         co_await registerEntry();
+        GapPause gapPause;
         while (true) {
-            const auto listing = co_await store.list(entryKind, maxEntryAge);
-            if (!recordResult(listing, "list_entries")) {
+            std::map<std::string, Endpoint> listed;
+            bool isRegistered = false;
+            const platform::ObjectVisitor visit = [&](const platform::StoredObject &object) {
+                applyEntry({object, false}, listed);
+                isRegistered = isRegistered || object.name == settings.name;
+            };
+            const auto listing = co_await list(entryKind, "list_entries", visit, maxEntryAge);
+            if (!listing) {
                 co_await pauseAfterFailure(entryRetry);
                 continue;
             }
-            entries.clear();
-            for (const auto &object : listing->objects)
-                applyEntry({object, false});
+            if (!listing->isWhole())
+                listed.merge(entries);
+            entries = std::move(listed);
             listener.entriesChanged(entries);
-            if (isRegistrationMissing(*listing))
+            if (!listing->isWhole()) {
+                co_await pause(gapPause.next());
+                continue;
+            }
+            gapPause = {};
+            if (!isRegistered && !isOlderThanRegistration(listing->position))
                 co_await restoreRegistration("missing");
             co_await watchEntries(listing->position);
         }
@@ -495,14 +617,10 @@
             co_await remove(entryKind, revision);
     }
 
-    /// Whether a listing, which may be seconds old, shows that the registration has been lost.
-    bool isRegistrationMissing(const platform::StoreListing &listing) const
+    /// Whether a listing, which may be seconds old, was read before this entry registered.
+    bool isOlderThanRegistration(StorePosition listed) const
     {
-        const bool isOlder =
-            listing.position < registeredAt || isOfLaterEra(registeredAt, listing.position);
-        return !isOlder
-               && std::ranges::find(listing.objects, settings.name, &platform::StoredObject::name)
-                      == listing.objects.end();
+        return listed < registeredAt || isOfLaterEra(registeredAt, listed);
     }
 
     /// Registers this entry again unless it is leaving or another process has taken its name.
@@ -526,7 +644,14 @@
     asio::awaitable<void> watchEntries(StorePosition from)
     {
         while (true) {
-            const auto changes = co_await store.watch(entryKind, from, entryWait, maxEntryAge);
+            bool isDeleted = false;
+            const platform::EventVisitor visit = [&](const platform::StoreEvent &event) {
+                applyEntry(event, entries);
+                if (event.object.name == settings.name)
+                    isDeleted = event.deleted;
+            };
+            const auto changes =
+                co_await store.watch(entryKind, from, entryWait, visit, maxEntryAge);
             if (!recordResult(changes, "watch_entries")) {
                 // A stale listing can be older than the retained history several times in a row.
                 co_await pauseAfterFailure(entryRetry);
@@ -534,29 +659,19 @@
                     co_return;
                 continue;
             }
-            for (const auto &event : changes->events)
-                applyEntry(event);
             from = changes->position;
-            if (changes->events.empty())
+            if (changes->events == 0)
                 continue;
             listener.entriesChanged(entries);
-            if (isRegistrationDeleted(*changes))
+            // The changes may be older than the registration.
+            if (isDeleted && !(changes->position < registeredAt))
                 co_await restoreRegistration("deleted");
             co_await pause(entryPause);
         }
     }
 
-    /// Whether the registration has been deleted since it was written. The changes may be seconds
-    /// old.
-    bool isRegistrationDeleted(const platform::StoreChanges &changes) const
-    {
-        const auto last =
-            std::find_if(changes.events.rbegin(), changes.events.rend(),
-                         [this](const auto &event) { return event.object.name == settings.name; });
-        return last != changes.events.rend() && last->deleted && !(changes.position < registeredAt);
-    }
-
-    void applyEntry(const platform::StoreEvent &event)
+    static void applyEntry(const platform::StoreEvent &event,
+                           std::map<std::string, Endpoint> &entries)
     {
         const auto *spec = event.object.spec.if_object();
         const auto *address = spec ? spec->if_contains("peer") : nullptr;
@@ -593,6 +708,10 @@
     std::uint64_t listedEra = 0;
     /// When to list the upstreams after a restore.
     TimePoint relistAt{};
+    /// The store has upstreams that it could not list, and when to list them again.
+    bool hasUpstreamGap = false;
+    TimePoint gapRelistAt{};
+    GapPause upstreamGapPause;
     /// A store call that reads upstreams is in progress.
     bool readingUpstreams = false;
     /// Last logged value of `StoreWatchPolicy::watchesStore`.
@@ -606,8 +725,16 @@
     /// Start of this entry's last store call that proved its configuration current, or proved that
     /// there is no configuration.
     std::optional<BootTime> provedAt;
-    /// Revisions of the listed entries that describe no usable upstream.
-    std::map<std::string, platform::Revision> ignoredEntries;
+    /// Listed entries that describe no usable upstream.
+    IgnoredObjects ignoredEntries;
+    /// Listings of a kind that failed since the start, and what was logged of them last.
+    struct FailedListings
+    {
+        std::uint64_t count = 0;
+        std::string reason;
+        TimePoint logAt{};
+    };
+    std::map<std::string, FailedListings> failedListings;
     /// Identifies this start of the process.
     std::uint64_t incarnation = randomBits64();
     /// Where this entry's registration was written last.
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -14,7 +14,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tamarack {
@@ -28,13 +30,17 @@
     /// The current configuration was the newest in the store at this time, the start of a call.
     std::function<void(BootTime)> configProved;
     std::function<void(std::vector<UpstreamRecord>)> upstreamsChanged;
-    /// The upstream list is current as of the delta's position, and was at the time given.
-    std::function<void(const UpstreamDelta &, UpstreamSource, BootTime)> upstreamsFollowed;
+    /// The changes up to the delta's position are known. The list is current as of that position,
+    /// and was at the time given; none if the store did not list all upstreams.
+    std::function<void(const UpstreamDelta &, UpstreamSource, std::optional<BootTime>)>
+        upstreamsFollowed;
     /// Origins of streams that an entry wrote to the store, read once after the start; `own`: it
     /// was this entry, before it restarted.
     std::function<void(std::vector<StreamOrigin>, bool own)> originsRead;
     /// The store has been restored from an older copy.
     std::function<void()> storeRestored;
+    /// A listing of this kind of objects ended; `outcome` is `whole`, `partial` or `failed`.
+    std::function<void(std::string_view kind, std::string_view outcome)> listingEnded;
     /// All entries by name, including this one.
     std::function<void(std::map<std::string, Endpoint>)> entriesChanged;
 };
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -34,6 +34,7 @@
 
     static std::string entryName(std::size_t number) { return "entry-" + std::to_string(number); }
     static std::string upstreamName(std::size_t number) { return "up-" + std::to_string(number); }
+    std::size_t upstreams() const { return m_upstreams.size(); }
     standin::UpstreamServer &upstream(std::size_t number) { return *m_upstreams.at(number); }
     const DirectEntry &entry(std::size_t number) const { return *m_entries.at(number); }
     standin::StoreServer &store() { return m_store; }
@@ -57,6 +58,9 @@
     void unlist(std::size_t upstream);
     /// Lists one more entry of another writer, whose content is `text`.
     void listOdd(const std::string &text);
+    /// Lists the upstream `next` in place of `former`. Returns whether the entry sends requests to
+    /// it soon.
+    bool entryFollowsList(std::size_t entry, std::size_t former, std::size_t next);
 
     /// Makes the open connections of the entry to the store swallow bytes; new ones work.
     void silenceStoreConnections(std::size_t entry);
