Streams that no entry knows go on while their service has one version

Cause: what began a stream was known per stream only. Entries write origins at most each 2 s while all upstreams have one version (times 1 + entries / 10), so the first stream of each entry was written and the 44 after it were not; a client that names no request cannot be matched to an origin at all. That every stream of the service began at the one version that served was known to all entries, and recorded nowhere.

SoleVersionSuite on: the three cases in which streams must go on failed with 0 of 12; the others hold there, as no unknown stream goes on.

Change: one object of the store, shared by all entries, holds the versions at which streams of each service may have begun in the last 120 s (VersionHistory decides, VersionRecorder reads and writes). An entry has a version recorded before it sends requests to it. An unknown stream goes on if the record names one version for all services of the route, the list names no other, is current and has been followed for 3 s, and no upstream is suspected to have restarted. A restored store, a missing record beside traces of earlier streams, or an entry that stood still make the record prove nothing until it has been confirmed. Origins are written each 150 ms unless the record proves one version for each service; before, unless the list did, which forgot versions that had just left.

--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -125,6 +125,11 @@
                 state.applySavedOrigins(saved, own);
             });
         };
+        listener.versionsProved = [this](SoleVersions proved) {
+            asio::post(traffic, [this, proved = std::move(proved)]() mutable {
+                state.applySoleVersions(std::move(proved));
+            });
+        };
         listener.storeRestored = [this] {
             metrics.add("tamarack_store_restores_total", "");
             asio::post(traffic, [this] { state.saveOriginsAgain(); });
--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -55,6 +55,11 @@
     boost::asio::awaitable<void> findOrigin();
     /// Why the request must not be sent now; none if it may.
     std::optional<Denial> sendDenial() const;
+    /// The version at which all streams of the route began, also those that no entry knows; none if
+    /// that is not certain now.
+    std::optional<std::string> soleVersion() const;
+    /// Why the stream that the client resumes is refused as unknown; none if it may go on.
+    std::optional<Denial> unknownStreamDenial() const;
     /// Why a stream cannot go on; none if it can, or if it is new.
     std::optional<Denial> continuationDenial() const;
     void releaseUpstream();
@@ -124,6 +129,8 @@
     bool m_mayHaveRun = false;
     /// What wrote the first event of the stream; none while it has no events.
     std::optional<StreamOrigin> m_origin;
+    /// No entry knows the origin, but all streams of the service began at its version.
+    bool m_isOriginInferred = false;
     int m_upstreamsRun = 0;
     int m_sends = 0;
     /// The retry budget holds a token for the next send.
--- a/src/direct/RequestResumption.cpp
+++ b/src/direct/RequestResumption.cpp
@@ -5,6 +5,8 @@
 #include "base/Log.h"
 #include "process/Timers.h"
 
+#include <algorithm>
+
 #include <spdlog/fmt/fmt.h>
 
 namespace tamarack {
@@ -16,6 +18,13 @@
 /// Another entry may know the stream.
 constexpr milliseconds unknownStreamRetryAfter{300};
 
+std::string_view resumptionLabel(bool isKnown, bool certain)
+{
+    if (isKnown)
+        return certain ? "origin=\"known\"" : "origin=\"ambiguous\"";
+    return certain ? "origin=\"inferred\"" : "origin=\"unknown\"";
+}
+
 } // namespace
 
 StreamKey RequestFlow::streamKey(std::string_view requestId) const
@@ -31,16 +40,21 @@
     if (!m_facts.resumedRequest.empty())
         m_origin = co_await m_state.origins.find(streamKey(m_facts.resumedRequest),
                                                  m_state.peers.reachableNames(start));
+    const bool isKnown = m_origin.has_value();
+    const auto version = soleVersion();
+    if (!isKnown && version) {
+        m_origin = StreamOrigin{streamKey(m_facts.resumedRequest), "", 0, *version, false};
+        m_isOriginInferred = true;
+    }
     const bool certain = m_origin && m_state.upstreams.isCertain(*m_origin);
     const bool listIsCurrent = m_state.upstreamListAge.isCurrent(bootNow());
-    m_state.metrics.add("tamarack_stream_resumptions_total",
-                        !m_origin ? "origin=\"unknown\""
-                                  : (certain ? "origin=\"known\"" : "origin=\"ambiguous\""));
+    m_state.metrics.add("tamarack_stream_resumptions_total", resumptionLabel(isKnown, certain));
     logEvent(LogLevel::Info, "stream_origin",
              {{"request", m_facts.id},
               {"resumes", m_facts.resumedRequest},
               {"resume_after", *m_facts.resumeAfter},
-              {"known", m_origin.has_value()},
+              {"known", isKnown},
+              {"sole_version", version.value_or("")},
               {"certain", certain},
               {"list_current", listIsCurrent},
               {"upstream", m_origin ? m_origin->upstreamId : ""},
@@ -48,13 +62,32 @@
               {"took_ms", toMs(steadyNow() - start)}});
 }
 
+std::optional<std::string> RequestFlow::soleVersion() const
+{
+    const auto version = m_state.soleVersion(m_admitted.service);
+    // The stream may have begun at any service of the route.
+    const bool isSole = std::ranges::all_of(m_admitted.route.services, [&](const auto &share) {
+        return m_state.soleVersion(share.service) == version;
+    });
+    return isSole ? version : std::nullopt;
+}
+
+std::optional<Denial> RequestFlow::unknownStreamDenial() const
+{
+    const bool holds = m_origin && (!m_isOriginInferred || soleVersion() == m_origin->version);
+    if (holds && m_state.upstreams.isCertain(*m_origin))
+        return std::nullopt;
+    const Duration wait = m_origin ? Duration::zero() : m_state.untilVersionsCertain();
+    return Denial{ErrorKind::StreamUnknown, std::max<Duration>(unknownStreamRetryAfter, wait)};
+}
+
 std::optional<Denial> RequestFlow::continuationDenial() const
 {
     const bool isNew = !m_origin && !resumesStream();
     if (isNew)
         return std::nullopt;
-    if (!m_origin || !m_state.upstreams.isCertain(*m_origin))
-        return Denial{ErrorKind::StreamUnknown, unknownStreamRetryAfter};
+    if (const auto denial = unknownStreamDenial())
+        return denial;
     if (!m_state.upstreams.offersVersion(m_admitted.service, m_origin->version))
         return Denial{ErrorKind::VersionGone, {}};
     if (!m_state.rollouts.maySend(m_admitted.service, m_origin->version))
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -4,6 +4,8 @@
 #include "base/Hash.h"
 #include "base/Log.h"
 #include "base/RequestId.h"
+#include "direct/StoreKinds.h"
+#include "direct/VersionRecorder.h"
 #include "fleet/IgnoredObjects.h"
 #include "fleet/OriginRecords.h"
 #include "fleet/StoreWatchPolicy.h"
@@ -16,6 +18,7 @@
 #include <algorithm>
 #include <concepts>
 #include <set>
+#include <span>
 #include <utility>
 
 namespace tamarack {
@@ -59,14 +62,22 @@
 /// A listing that is seconds old suffices to discover entries; state changes are exchanged directly
 /// between entries in datagrams.
 constexpr auto maxEntryAge = platform::StoreClient::Freshness::MaybeStale;
-/// Kind of the registration objects in the store; one object per entry.
-const std::string entryKind = "tamarack-entries";
-/// Kind of the objects that hold the origins of streams; one object per entry.
-const std::string originKind = "tamarack-streams";
 
-Duration randomDuration(milliseconds below)
+std::set<ServiceVersion> versionsOf(std::span<const UpstreamRecord> records)
 {
-    return milliseconds(static_cast<std::int64_t>(randomBits64() % below.count()));
+    std::set<ServiceVersion> versions;
+    for (const UpstreamRecord &record : records)
+        versions.insert({record.service, record.version});
+    return versions;
+}
+
+std::set<ServiceVersion> versionsOf(const UpstreamDelta &delta)
+{
+    std::set<ServiceVersion> versions;
+    for (const UpstreamChange &change : delta.changes)
+        if (!change.removed)
+            versions.insert({change.record.service, change.record.version});
+    return versions;
 }
 
 /// Pause before objects that the store could not list are listed again; grows each time.
@@ -94,6 +105,7 @@
         , settings(processSettings)
         , listener(std::move(storeListener))
         , store(executor, settings.direct.store)
+        , versions(executor, settings, listener.versionsProved)
         , expiryTimer(executor)
         , configTimer(executor)
         , upstreamTimer(executor)
@@ -166,6 +178,7 @@
                   {"relist_ms", toMs(relistAt - now)}});
         directory.storeRestored(now);
         ignoredEntries.clear();
+        versions.readAgain();
         listener.storeRestored();
         wakeLoops();
     }
@@ -333,14 +346,19 @@
             bool isRead = listing.has_value();
             if (isRead && !listing->isWhole())
                 isRead = co_await readUnlisted(records);
-            readingUpstreams = false;
             if (!isRead) {
+                readingUpstreams = false;
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
             if (listing->isWhole())
                 ignoredEntries.endListing();
             directory.replace(std::move(records), steadyNow());
+            // Changes before the listing may have been missed.
+            versions.readAgain();
+            VersionRecorder::Listed listed = listedAfter({});
+            co_await versions.record(std::move(listed));
+            readingUpstreams = false;
             publishUpstreams();
             listedEra = std::max(knownEra, listing->position.era);
             recordGap(!listing->isWhole());
@@ -401,8 +419,8 @@
             readingUpstreams = true;
             const auto changes =
                 co_await store.watch(platform::upstreamKind(), position, wait, visit);
-            readingUpstreams = false;
             if (!recordResult(changes, "watch_upstreams")) {
+                readingUpstreams = false;
                 if (changes.error().kind == ErrorKind::HistoryGone)
                     co_return;
                 co_await pauseAfterFailure(upstreamRetry);
@@ -412,8 +430,14 @@
             bool onlyNew = true;
             for (const UpstreamChange &change : delta.changes)
                 onlyNew = applyChange(change, "store") && onlyNew;
-            if (!delta.changes.empty())
+            if (delta.changes.empty()) {
+                versions.confirmList(watchPolicy.watchesStore(bootNow()));
+            } else {
+                VersionRecorder::Listed listed = listedAfter(delta);
+                co_await versions.record(std::move(listed));
                 publishUpstreams();
+            }
+            readingUpstreams = false;
             // A response that this process reads late shows an older state.
             const BootTime currentAt =
                 std::min<BootTime>(bootNow(), callStart + wait + usualLatency);
@@ -477,11 +501,22 @@
             return;
         for (const UpstreamChange &change : delta.changes)
             applyChange(change, "relay");
-        if (!delta.changes.empty())
+        // The follower has had the versions recorded.
+        if (delta.changes.empty()) {
+            versions.confirmList(false);
+        } else {
+            versions.recordLater(listedAfter(delta));
             publishUpstreams();
+        }
         setPosition(delta, UpstreamSource::Relay, requestedAt);
     }
 
+    /// The versions in the list, which contains the delta already.
+    VersionRecorder::Listed listedAfter(const UpstreamDelta &delta)
+    {
+        return {versionsOf(directory.usable(steadyNow())), versionsOf(delta)};
+    }
+
     std::optional<UpstreamRecord> decode(const platform::StoredObject &object)
     {
         auto record = platform::decodeUpstream(object.name, object.spec);
@@ -517,13 +552,13 @@
             const platform::ObjectVisitor visit = [&](const platform::StoredObject &object) {
                 streams += applyOrigins(object);
             };
-            const auto listing = co_await list(originKind, "list_origins", visit);
+            const auto listing = co_await list(originKind(), "list_origins", visit);
             if (!listing) {
                 co_await pauseAfterFailure(upstreamRetry);
                 continue;
             }
             if (!listing->isWhole() && !originsRevision) {
-                const auto own = co_await store.read(originKind, settings.name);
+                const auto own = co_await store.read(originKind(), settings.name);
                 if (!recordResult(own, "read_origins") && own.error().kind != ErrorKind::NotFound) {
                     co_await pauseAfterFailure(upstreamRetry);
                     continue;
@@ -554,7 +589,7 @@
     asio::awaitable<void> saveOrigins(json::value content)
     {
         savingOrigins = true;
-        const auto saved = co_await store.put(originKind, settings.name, content);
+        const auto saved = co_await store.put(originKind(), settings.name, content);
         savingOrigins = false;
         if (recordResult(saved, "save_origins"))
             originsRevision = *saved;
@@ -571,7 +606,7 @@
                 applyEntry({object, false}, listed);
                 isRegistered = isRegistered || object.name == settings.name;
             };
-            const auto listing = co_await list(entryKind, "list_entries", visit, maxEntryAge);
+            const auto listing = co_await list(entryKind(), "list_entries", visit, maxEntryAge);
             if (!listing) {
                 co_await pauseAfterFailure(entryRetry);
                 continue;
@@ -601,7 +636,7 @@
     asio::awaitable<void> registerEntry()
     {
         while (!leaving) {
-            const auto written = co_await store.put(entryKind, settings.name, registration());
+            const auto written = co_await store.put(entryKind(), settings.name, registration());
             if (recordResult(written, "register")) {
                 co_await handleRegistered(*written);
                 co_return;
@@ -614,7 +649,7 @@
     {
         registeredAt = {store.era(), revision};
         if (leaving)
-            co_await remove(entryKind, revision);
+            co_await remove(entryKind(), revision);
     }
 
     /// Whether a listing, which may be seconds old, was read before this entry registered.
@@ -627,7 +662,7 @@
     asio::awaitable<void> restoreRegistration(std::string_view reason)
     {
         while (!leaving) {
-            const auto created = co_await store.create(entryKind, settings.name, registration());
+            const auto created = co_await store.create(entryKind(), settings.name, registration());
             const bool exists = !created && created.error().kind == ErrorKind::VersionConflict;
             logEvent(LogLevel::Warning, "registration_restored",
                      {{"reason", reason},
@@ -651,7 +686,7 @@
                     isDeleted = event.deleted;
             };
             const auto changes =
-                co_await store.watch(entryKind, from, entryWait, visit, maxEntryAge);
+                co_await store.watch(entryKind(), from, entryWait, visit, maxEntryAge);
             if (!recordResult(changes, "watch_entries")) {
                 // A stale listing can be older than the retained history several times in a row.
                 co_await pauseAfterFailure(entryRetry);
@@ -698,6 +733,7 @@
     Settings settings;
     StoreListener listener;
     platform::StoreClient store;
+    VersionRecorder versions;
     UpstreamDirectory directory;
     StoreWatchPolicy watchPolicy;
     /// Position up to which the upstreams are known, and the time it was last updated.
@@ -772,9 +808,9 @@
 {
     const auto self = m_private;
     self->leaving = true;
-    co_await self->remove(entryKind, self->registeredAt.revision);
+    co_await self->remove(entryKind(), self->registeredAt.revision);
     if (self->originsRevision)
-        co_await self->remove(originKind, *self->originsRevision);
+        co_await self->remove(originKind(), *self->originsRevision);
 }
 
 void StoreFollower::setElected(bool elected)
@@ -819,7 +855,7 @@
 
 std::uint64_t StoreFollower::calls() const
 {
-    return m_private->store.calls();
+    return m_private->store.calls() + m_private->versions.calls();
 }
 
 } // namespace tamarack
--- a/src/direct/StoreFollower.h
+++ b/src/direct/StoreFollower.h
@@ -3,6 +3,7 @@
 #include "base/StorePosition.h"
 #include "config/Settings.h"
 #include "fleet/UpstreamLog.h"
+#include "fleet/VersionRecord.h"
 #include "serving/FreshnessGuard.h"
 #include "serving/ServingConfig.h"
 #include "serving/StreamOrigin.h"
@@ -37,6 +38,8 @@
     /// Origins of streams that an entry wrote to the store, read once after the start; `own`: it
     /// was this entry, before it restarted.
     std::function<void(std::vector<StreamOrigin>, bool own)> originsRead;
+    /// What the store's record proves of the versions of streams.
+    std::function<void(SoleVersions)> versionsProved;
     /// The store has been restored from an older copy.
     std::function<void()> storeRestored;
     /// A listing of this kind of objects ended; `outcome` is `whole`, `partial` or `failed`.
--- /dev/null
+++ b/src/direct/StoreKinds.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+namespace tamarack {
+
+/// Kinds of the objects that entries write to the platform's store.
+
+/// Registrations, one for each entry.
+const std::string &entryKind();
+/// Origins of streams, one object for each entry.
+const std::string &originKind();
+/// The versions of all services, one object for all entries.
+const std::string &versionKind();
+
+} // namespace tamarack
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -128,6 +128,8 @@
 {
     if (currentAt)
         upstreamListAge.recordConfirmed(*currentAt);
+    if (!m_upstreamsListedAt)
+        m_upstreamsListedAt = steadyNow();
     if (source == UpstreamSource::Listing)
         m_upstreamLog.restart(delta.position);
     else
@@ -450,6 +452,33 @@
     }
 }
 
+void TrafficState::applySoleVersions(SoleVersions proved)
+{
+    m_soleVersions = std::move(proved);
+    metrics.set("tamarack_services_of_one_version", "", m_soleVersions.size());
+}
+
+std::optional<std::string> TrafficState::soleVersion(const std::string &service) const
+{
+    const auto found = m_soleVersions.find(service);
+    // An upstream without a version may have any.
+    if (found == m_soleVersions.end() || found->second.empty())
+        return std::nullopt;
+    const bool isCertain = untilVersionsCertain() == Duration::zero()
+                           && upstreamListAge.isCurrent(bootNow())
+                           && upstreams.offersOnly(service, found->second, steadyNow());
+    return isCertain ? std::optional(found->second) : std::nullopt;
+}
+
+Duration TrafficState::untilVersionsCertain() const
+{
+    // An upstream may have begun streams as another version before it was listed with it.
+    if (!m_upstreamsListedAt)
+        return UpstreamTable::listingDelay;
+    const Duration left = *m_upstreamsListedAt + UpstreamTable::listingDelay - steadyNow();
+    return std::max(left, Duration::zero());
+}
+
 void TrafficState::recordAnswer(std::span<const PromptPart> prompt, TimePoint now)
 {
     partQuarantine.addAnswer(prompt, now);
@@ -555,8 +584,8 @@
     upstreams.removeGone(now);
     checkUnconfirmed(now);
     updateFollowers(now);
-    auto dueOrigins =
-        m_originSaving.takeDue(upstreams.hasSeveralVersions(), peers.servingCount(now), now);
+    auto dueOrigins = m_originSaving.takeDue(!upstreams.haveVersions(m_soleVersions),
+                                             peers.servingCount(now), now);
     if (!dueOrigins.empty() && onOriginsDue)
         onOriginsDue(std::move(dueOrigins));
     pool.dropExpired(now);
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -13,6 +13,7 @@
 #include "fleet/OriginSaving.h"
 #include "fleet/ProofRelay.h"
 #include "fleet/UpstreamLog.h"
+#include "fleet/VersionRecord.h"
 #include "serving/Admission.h"
 #include "serving/CrashLedger.h"
 #include "serving/DispatchQueue.h"
@@ -117,6 +118,14 @@
     /// Applies the origins of streams that an entry wrote to the store before this process started;
     /// `own`: it was this entry.
     void applySavedOrigins(const std::vector<StreamOrigin> &saved, bool own);
+    /// Applies what the store's record proves of the versions of streams.
+    void applySoleVersions(SoleVersions proved);
+    /// The version at which all streams of the service began in the last while, also those that no
+    /// entry knows; none if that is not certain now.
+    std::optional<std::string> soleVersion(const std::string &service) const;
+    /// How long this entry must still follow the list of upstreams until `soleVersion` can be
+    /// certain.
+    Duration untilVersionsCertain() const;
     /// Writes the origins to the store again, which may have lost them.
     void saveOriginsAgain() { m_originSaving.saveAgain(); }
     /// Records a complete, successful response to a request with this prompt.
@@ -244,6 +253,9 @@
     StorePosition m_reportedUpstreams;
     UpstreamLog m_upstreamLog;
     OriginSaving m_originSaving;
+    SoleVersions m_soleVersions;
+    /// When the upstreams were listed first.
+    std::optional<TimePoint> m_upstreamsListedAt;
     /// Position of the last change received from this entry's own watch.
     StorePosition m_upstreamPosition;
     TimePoint m_upstreamsFollowedAt{};
--- a/src/process/Timers.h
+++ b/src/process/Timers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Hash.h"
 #include "base/Time.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -16,6 +17,12 @@
     return std::chrono::steady_clock::now();
 }
 
+/// A random duration of whole milliseconds, shorter than `below`.
+inline Duration randomDuration(milliseconds below)
+{
+    return milliseconds(static_cast<std::int64_t>(randomBits64() % below.count()));
+}
+
 /// Suspends the calling coroutine for `duration`.
 inline boost::asio::awaitable<void> pause(Duration duration)
 {
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -163,13 +163,25 @@
     return !origin.ambiguous && !isReplaced;
 }
 
-bool UpstreamTable::hasSeveralVersions() const
+bool UpstreamTable::haveVersions(const std::map<std::string, std::string> &versions) const
 {
-    return std::ranges::any_of(m_services, [](const auto &service) {
+    return std::ranges::all_of(m_services, [&versions](const auto &service) {
         const auto &upstreams = service.second.upstreams;
-        return std::ranges::any_of(upstreams, [&](const UpstreamPtr &upstream) {
-            return upstream->record.version != upstreams.front()->record.version;
-        });
+        const auto version = versions.find(service.first);
+        return upstreams.empty()
+               || (version != versions.end()
+                   && std::ranges::all_of(upstreams, [&](const UpstreamPtr &upstream) {
+                          return upstream->record.version == version->second;
+                      }));
+    });
+}
+
+bool UpstreamTable::offersOnly(std::string_view service, std::string_view version,
+                               TimePoint now) const
+{
+    const auto &upstreams = ofService(service);
+    return !upstreams.empty() && std::ranges::all_of(upstreams, [&](const UpstreamPtr &upstream) {
+        return upstream->record.version == version && now >= upstream->restartSuspectedUntil;
     });
 }
 
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -144,8 +144,11 @@
     /// Whether it is certain which version began the stream. The store may list a restart of an
     /// upstream late, so that streams of the incarnation listed before may be the new one's.
     bool isCertain(const StreamOrigin &origin) const;
-    /// Whether the upstreams of any service have different versions.
-    bool hasSeveralVersions() const;
+    /// Whether all listed upstreams of each service have the version given for it.
+    bool haveVersions(const std::map<std::string, std::string> &versions) const;
+    /// Whether the service has upstreams, all of this version, and each is the listed incarnation
+    /// as far as is known.
+    bool offersOnly(std::string_view service, std::string_view version, TimePoint now) const;
     /// Whether the service has an upstream of the software version.
     bool offersVersion(std::string_view service, std::string_view version) const;
     /// Listed upstreams that count as leaving until a health check shows that they are not.
--- /dev/null
+++ b/tests/SoleVersionTest.cpp
@@ -0,0 +1,213 @@
+#include "process/Timers.h"
+#include "serving/UpstreamTable.h"
+#include "support/SmallFleet.h"
+
+#include <algorithm>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using tamarack::harness::responseStatus;
+using tamarack::harness::SmallFleet;
+using tamarack::standin::PlatformStore;
+
+namespace {
+
+constexpr int okStatus = 200;
+constexpr int notRunStatus = 503;
+constexpr int streams = 12;
+constexpr std::size_t entryCount = 3;
+constexpr std::size_t upstreamCount = 3;
+/// From a change of the store's list until it is in force at all entries.
+constexpr milliseconds listDelay{1200};
+/// A starting entry can tell versions after this time.
+constexpr milliseconds certainDelay = UpstreamTable::listingDelay + milliseconds(700);
+
+/// Three entries before three upstreams of one software version, which write slowly.
+struct FleetOfOneVersion : SmallFleet
+{
+    FleetOfOneVersion()
+        : SmallFleet(entryCount, upstreamCount)
+    {
+        constexpr int eventPauseMs = 50;
+        for (std::size_t i = 0; i < upstreamCount; ++i)
+            upstream(i).eventPauseMs = eventPauseMs;
+    }
+
+    static std::string streamId(int number) { return "a" + std::to_string(number); }
+
+    /// Begins streams at all entries; their clients leave after the second event.
+    void beginStreams()
+    {
+        std::vector<std::jthread> clients;
+        for (int i = 0; i < streams; ++i)
+            clients.emplace_back([this, i] {
+                const std::string id = streamId(i);
+                leaveAfter(static_cast<std::size_t>(i) % entryCount, "/stream/" + id, id,
+                           "id: 2\n");
+            });
+    }
+
+    void stopAllEntries()
+    {
+        for (std::size_t i = 0; i < entryCount; ++i)
+            stopEntry(i);
+    }
+
+    void restartAllEntries()
+    {
+        for (std::size_t i = 0; i < entryCount; ++i)
+            restartEntry(i);
+        std::this_thread::sleep_for(certainDelay);
+    }
+
+    /// Takes the streams up at the restarted entries. Returns how many go on.
+    int takeUp(bool namesFirstRequest = true)
+    {
+        int taken = 0;
+        for (int i = 0; i < streams; ++i) {
+            const std::string id = streamId(i);
+            const std::string headers = namesFirstRequest ? "Resumes: " + id + "\r\n" : "";
+            const std::string answer =
+                get(static_cast<std::size_t>(i + 1) % entryCount, "/stream/" + id, "again-" + id,
+                    headers + "Last-Event-Id: 2\r\n");
+            const int status = responseStatus(answer);
+            BOOST_TEST((status == okStatus || status == notRunStatus));
+            taken += status == okStatus ? 1 : 0;
+        }
+        return taken;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SoleVersionSuite, FleetOfOneVersion)
+
+// Guards against review case 9: streams that began shortly before all entries were killed were
+// refused as unknown although all upstreams had one version.
+BOOST_AUTO_TEST_CASE(clientsTakeUpYoungStreamsAfterAllEntriesWereKilled)
+{
+    beginStreams();
+    stopAllEntries();
+    restartAllEntries();
+    BOOST_TEST(takeUp() == streams);
+}
+
+// Guards against review case 9 where clients do not name the request that brought the first event.
+BOOST_AUTO_TEST_CASE(clientsThatNameNoRequestTakeUpStreamsAfterAllEntriesWereKilled)
+{
+    beginStreams();
+    stopAllEntries();
+    restartAllEntries();
+    BOOST_TEST(takeUp(false) == streams);
+}
+
+// Guards against review case 9 where the entries are killed again before they know any stream.
+BOOST_AUTO_TEST_CASE(clientsTakeUpStreamsAfterAllEntriesWereKilledTwice)
+{
+    beginStreams();
+    stopAllEntries();
+    restartAllEntries();
+    stopAllEntries();
+    restartAllEntries();
+    BOOST_TEST(takeUp() == streams);
+}
+
+// While the entries are down, all upstreams come back under their ids with another version.
+BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnAfterAllUpstreamsChangedTheirVersion)
+{
+    beginStreams();
+    stopAllEntries();
+    for (std::size_t i = 0; i < upstreamCount; ++i)
+        list(i, {.version = "v2", .born = 2});
+    restartAllEntries();
+    BOOST_TEST(takeUp(false) == 0);
+    BOOST_TEST(responseStatus(get(0, "/stream/new", "new")) == okStatus);
+}
+
+// As above, but one upstream keeps its version.
+BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnWhileTwoVersionsAreListed)
+{
+    beginStreams();
+    stopAllEntries();
+    list(1, {.version = "v2", .born = 2});
+    list(2, {.version = "v2", .born = 2});
+    restartAllEntries();
+    BOOST_TEST(takeUp(false) == 0);
+}
+
+// The other version has left before the entries are killed.
+BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnAfterAnotherVersionHasServed)
+{
+    list(1, {.version = "v2", .born = 2});
+    std::this_thread::sleep_for(listDelay);
+    beginStreams();
+    unlist(1);
+    std::this_thread::sleep_for(listDelay);
+    stopAllEntries();
+    restartAllEntries();
+    BOOST_TEST(takeUp(false) == 0);
+}
+
+// The copy from which the store is restored knows nothing of the other version.
+BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnAfterTheStoreWasRestored)
+{
+    PlatformStore copy;
+    store().with([&copy](const PlatformStore &content) { copy = content; });
+    list(1, {.version = "v2", .born = 2});
+    std::this_thread::sleep_for(listDelay);
+    beginStreams();
+    stopAllEntries();
+    store().with([&copy](PlatformStore &content) {
+        content.restore(copy);
+        content.remove("servers", upstreamName(1));
+    });
+    restartAllEntries();
+    BOOST_TEST(takeUp(false) == 0);
+}
+
+// Entries that run while the store is restored know the other version.
+BOOST_AUTO_TEST_CASE(entriesRecordTheirVersionsAgainAfterTheStoreWasRestored)
+{
+    PlatformStore copy;
+    store().with([&copy](const PlatformStore &content) { copy = content; });
+    list(1, {.version = "v2", .born = 2});
+    std::this_thread::sleep_for(listDelay);
+    beginStreams();
+    store().with([&copy](PlatformStore &content) {
+        content.restore(copy);
+        content.remove("servers", upstreamName(1));
+    });
+    constexpr milliseconds restoreDelay{2500};
+    std::this_thread::sleep_for(restoreDelay);
+    stopAllEntries();
+    restartAllEntries();
+    BOOST_TEST(takeUp(false) == 0);
+}
+
+// The route's other service has another version.
+BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnWhileTheirRouteIsSplit)
+{
+    list(1, {.version = "v2", .born = 2, .service = "others"});
+    routeStreams({"models", "others"});
+    std::this_thread::sleep_for(listDelay);
+    beginStreams();
+    stopAllEntries();
+    restartAllEntries();
+    BOOST_TEST(takeUp(false) == 0);
+}
+
+// An entry that has just started may have an old list.
+BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnBeforeRestartedUpstreamsAreListed)
+{
+    beginStreams();
+    stopAllEntries();
+    restartEntry(0);
+    const std::string answer = get(0, "/stream/a0", "again", "Resumes: a0\r\nLast-Event-Id: 2\r\n");
+    BOOST_TEST(responseStatus(answer) == notRunStatus);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/SmallFleet.cpp
+++ b/tests/support/SmallFleet.cpp
@@ -30,12 +30,17 @@
             {"resumeStreams", true}, {"public", true}};
 }
 
-json::object configuration()
+/// `split`: the services of streams with their weights; none if all streams are for `models`.
+json::object configuration(int version, const json::array &split)
 {
-    return {{"version", 1},
-            {"routes", json::array{route("read", "idempotent"), route("write", "non_idempotent"),
-                                   route("stream", "streaming")}},
-            {"services", json::array{json::object{{"name", "models"}}}}};
+    json::object streaming = route("stream", "streaming");
+    if (!split.empty())
+        streaming["weightedClusters"] = split;
+    return {{"version", version},
+            {"routes",
+             json::array{route("read", "idempotent"), route("write", "non_idempotent"), streaming}},
+            {"services",
+             json::array{json::object{{"name", "models"}}, json::object{{"name", "others"}}}}};
 }
 
 } // namespace
@@ -46,7 +51,8 @@
     , m_store(m_context, freePort())
 {
     setLogLevel("off");
-    m_store.with([](PlatformStore &store) { store.create("config", "main", configuration()); });
+    m_store.with(
+        [](PlatformStore &store) { store.create("config", "main", configuration(1, {})); });
     for (std::size_t i = 0; i < upstreamCount; ++i) {
         m_upstreams.push_back(
             std::make_unique<UpstreamServer>(m_context, freePort(), upstreamName(i)));
@@ -95,11 +101,13 @@
 
 void SmallFleet::listAt(const std::string &name, unsigned short port, const Listed &listed)
 {
-    const json::object entry{
-        {"service", "models"},   {"address", "127.0.0.1:" + std::to_string(port)},
-        {"zone", "dc"},          {"slots", listed.slots},
-        {"state", listed.state}, {"version", listed.version},
-        {"born", listed.born}};
+    const json::object entry{{"service", listed.service},
+                             {"address", "127.0.0.1:" + std::to_string(port)},
+                             {"zone", "dc"},
+                             {"slots", listed.slots},
+                             {"state", listed.state},
+                             {"version", listed.version},
+                             {"born", listed.born}};
     m_store.with([&](PlatformStore &store) {
         if (store.get("servers", name).status == okStatus)
             store.replace("servers", name, entry, 0);
@@ -108,6 +116,16 @@
     });
 }
 
+void SmallFleet::routeStreams(const std::vector<std::string> &services)
+{
+    json::array split;
+    for (const std::string &service : services)
+        split.emplace_back(json::object{{"service", service}, {"weight", 1}});
+    m_store.with([&](PlatformStore &store) {
+        store.replace("config", "main", configuration(++m_configVersion, split), 0);
+    });
+}
+
 void SmallFleet::unlist(std::size_t upstream)
 {
     m_store.with([&](PlatformStore &store) { store.remove("servers", upstreamName(upstream)); });
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -51,11 +51,14 @@
         std::string version = "v1";
         int slots = 4;
         std::uint64_t born = 1;
+        std::string service = "models";
     };
     /// Lists the upstream, or changes how it is listed.
     void list(std::size_t upstream, const Listed &listed);
     void listAt(const std::string &name, unsigned short port, const Listed &listed);
     void unlist(std::size_t upstream);
+    /// Sends streams to the services `models` or `others`, in equal shares.
+    void routeStreams(const std::vector<std::string> &services);
     /// Lists one more entry of another writer, whose content is `text`.
     void listOdd(const std::string &text);
     /// Lists the upstream `next` in place of `former`. Returns whether the entry sends requests to
@@ -95,6 +98,7 @@
     std::vector<std::unique_ptr<standin::LinkRelay>> m_links;
     std::vector<std::unique_ptr<DirectEntry>> m_entries;
     std::size_t m_oddEntries = 0;
+    int m_configVersion = 1;
     std::jthread m_thread;
     /// Ends the server thread also when the constructor throws.
     struct ContextStopper
