A stream goes on when its upstream is back under its id with its version

Cause: UpstreamTable::isCertain dropped an origin as soon as another incarnation was listed, since the store may list a restart late and the first event may be the new process's. If both incarnations have the same version, either way the stream began at it.

Change: an origin is dropped only if the listed incarnation has another version.

--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -158,9 +158,10 @@
 bool UpstreamTable::isCertain(const StreamOrigin &origin) const
 {
     const auto listed = m_lastListed.find(origin.upstreamId);
-    const bool isReplaced =
-        listed != m_lastListed.end() && listed->second->record.born != origin.born;
-    return !origin.ambiguous && !isReplaced;
+    const bool hasChanged = listed != m_lastListed.end()
+                            && listed->second->record.born != origin.born
+                            && listed->second->record.version != origin.version;
+    return !origin.ambiguous && !hasChanged;
 }
 
 bool UpstreamTable::haveVersions(const std::map<std::string, std::string> &versions) const
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -142,7 +142,8 @@
     /// An upstream that refuses connections may be back within this time.
     static constexpr milliseconds longestRestart{15'000};
     /// Whether it is certain which version began the stream. The store may list a restart of an
-    /// upstream late, so that streams of the incarnation listed before may be the new one's.
+    /// upstream late, so that streams of the incarnation listed before may be the new one's. Both
+    /// may have the same version.
     bool isCertain(const StreamOrigin &origin) const;
     /// Whether all listed upstreams of each service have the version given for it.
     bool haveVersions(const std::map<std::string, std::string> &versions) const;
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -324,4 +324,16 @@
     BOOST_TEST(continuations(0) + continuations(1) + continuations(2) == 0U);
 }
 
+// Guards against take-ups that were refused because the upstream that began the streams had been
+// killed and was back under its id, although with the same version.
+BOOST_AUTO_TEST_CASE(clientsTakeStreamsUpAfterTheUpstreamIsBackWithItsVersion)
+{
+    beginStreams(0, "a");
+    list(0, {.version = versionOf(0), .born = 2});
+    std::this_thread::sleep_for(listDelay);
+    for (std::size_t entry = 0; entry < 3; ++entry)
+        BOOST_TEST(takeUp(entry, "a") == streams);
+    BOOST_TEST(continuations(1) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
