The record of versions follows streams whose route moves to another service

What callers would have seen: a stream that began at one service and was taken up after its route had moved to another one went on there at the new service's only version, if no entry knew the stream. Found by reading, on the code before this commit; it needs a kill of all entries within 120 s of the move.

Cause: the record holds versions by service, and a configuration may move routes, split them, or add and remove a route with a longer prefix.

Change: streamMoves lists the services between which a configuration moves resumable streams, and the versions of the one are recorded for the other, for 120 s. Not covered: a route that moves while no entry runs.

--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -319,6 +319,9 @@
                       {"keys", workspace.keys.size()},
                       {"rate", workspace.rate},
                       {"burst", workspace.burst}});
+        if (appliedConfig)
+            versions.recordMoves(streamMoves(*appliedConfig, **config));
+        appliedConfig = *config;
         listener.configChanged(std::move(*config));
     }
 
@@ -758,6 +761,7 @@
     asio::steady_timer upstreamTimer;
     std::map<std::string, Endpoint> entries;
     std::optional<std::uint64_t> version;
+    ServingConfigPtr appliedConfig;
     /// Start of this entry's last store call that proved its configuration current, or proved that
     /// there is no configuration.
     std::optional<BootTime> provedAt;
--- a/src/direct/VersionRecorder.cpp
+++ b/src/direct/VersionRecorder.cpp
@@ -46,6 +46,12 @@
         history.recordListed(std::move(listed.versions), now);
         for (const ServiceVersion &version : listed.formerVersions)
             history.recordSeen(version, now);
+        checkRecord();
+    }
+
+    /// Makes the calls that the history needs now.
+    void checkRecord()
+    {
         // Another entry may have extended the record already.
         isReadDue = isReadDue || !history.isRead() || history.extended(store.era());
         publish();
@@ -222,6 +228,15 @@
     m_private->startWork();
 }
 
+void VersionRecorder::recordMoves(const std::set<RouteMove> &moves)
+{
+    if (moves.empty())
+        return;
+    for (const auto &[from, to] : moves)
+        m_private->history.recordMove(from, to, steadyNow());
+    m_private->checkRecord();
+}
+
 void VersionRecorder::readAgain()
 {
     m_private->isReadDue = true;
--- a/src/direct/VersionRecorder.h
+++ b/src/direct/VersionRecorder.h
@@ -2,6 +2,7 @@
 
 #include "config/Settings.h"
 #include "fleet/VersionRecord.h"
+#include "serving/RouteMoves.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -42,6 +43,8 @@
     void recordLater(Listed listed);
     /// The list is unchanged. `trims`: this entry removes from the record what has become obsolete.
     void confirmList(bool trims);
+    /// Has the versions of the services that streams come from recorded for those that they go to.
+    void recordMoves(const std::set<RouteMove> &moves);
     /// Changes of the list may have been missed, or the store has been restored.
     void readAgain();
     std::uint64_t calls() const;
--- a/src/fleet/VersionHistory.cpp
+++ b/src/fleet/VersionHistory.cpp
@@ -54,6 +54,13 @@
         m_unlistedSince.insert_or_assign(version, now);
 }
 
+void VersionHistory::recordMove(const std::string &from, const std::string &to, TimePoint now)
+{
+    for (const auto &[service, version] : known())
+        if (service == from)
+            recordSeen({to, version}, now);
+}
+
 std::set<ServiceVersion> VersionHistory::known() const
 {
     std::set<ServiceVersion> versions = m_listed;
--- a/src/fleet/VersionHistory.h
+++ b/src/fleet/VersionHistory.h
@@ -31,6 +31,9 @@
     /// The version was listed, and may not be any more.
     void recordSeen(const ServiceVersion &version, TimePoint now);
 
+    /// Streams that began at the service `from` may be resumed at `to`.
+    void recordMove(const std::string &from, const std::string &to, TimePoint now);
+
     /// Whether a record has been applied since the start.
     bool isRead() const { return m_isRead; }
     /// The record that the store needs in this era; none if it has it, or has not been asked.
--- a/tests/SoleVersionTest.cpp
+++ b/tests/SoleVersionTest.cpp
@@ -200,6 +200,18 @@
     BOOST_TEST(takeUp(false) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnAfterTheirRouteMovedToAnotherService)
+{
+    list(1, {.version = "v2", .born = 2, .service = "others"});
+    std::this_thread::sleep_for(listDelay);
+    beginStreams();
+    routeStreams({"others"});
+    std::this_thread::sleep_for(listDelay);
+    stopAllEntries();
+    restartAllEntries();
+    BOOST_TEST(takeUp(false) == 0);
+}
+
 // An entry that has just started may have an old list.
 BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnBeforeRestartedUpstreamsAreListed)
 {
--- a/tests/VersionHistoryTest.cpp
+++ b/tests/VersionHistoryTest.cpp
@@ -104,6 +104,16 @@
     BOOST_TEST((history.extended(era + 1) == VersionRecord{era + 1, true, {first}}));
 }
 
+BOOST_AUTO_TEST_CASE(movedRouteExtendsTheVersionsOfItsService)
+{
+    VersionHistory history = makeHistory({era, false, {first, other}});
+    history.recordListed({first, other}, start);
+    history.recordMove("models", "bookings", start);
+    BOOST_TEST(
+        (history.extended(era) == VersionRecord{era, false, {first, other, {"bookings", "v1"}}}));
+    BOOST_TEST((history.soleVersions(era) == SoleVersions{{"models", "v1"}}));
+}
+
 BOOST_AUTO_TEST_CASE(versionLeavesTheRecordAfterItsStreamsHaveEnded)
 {
     VersionHistory history = makeHistory({era, true, {first, second}});
