--- a/src/direct/RequestResumption.cpp
+++ b/src/direct/RequestResumption.cpp
@@ -77,7 +77,8 @@
     const bool holds = m_origin && (!m_isOriginInferred || soleVersion() == m_origin->version);
     if (holds && m_state.upstreams.isCertain(*m_origin))
         return std::nullopt;
-    const Duration wait = m_origin ? Duration::zero() : m_state.untilVersionsCertain();
+    const Duration wait =
+        m_origin ? Duration::zero() : m_state.untilSoleVersion(m_admitted.service);
     return Denial{ErrorKind::StreamUnknown, std::max<Duration>(unknownStreamRetryAfter, wait)};
 }
 
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -464,14 +464,16 @@
     // An upstream without a version may have any.
     if (found == m_soleVersions.end() || found->second.empty())
         return std::nullopt;
-    const bool isCertain = untilVersionsCertain() == Duration::zero()
+    const bool isCertain = untilSoleVersion(service) == Duration::zero()
                            && upstreamListAge.isCurrent(bootNow())
                            && upstreams.offersOnly(service, found->second, steadyNow());
     return isCertain ? std::optional(found->second) : std::nullopt;
 }
 
-Duration TrafficState::untilVersionsCertain() const
+Duration TrafficState::untilSoleVersion(const std::string &service) const
 {
+    if (!m_soleVersions.contains(service))
+        return Duration::zero();
     // An upstream may have begun streams as another version before it was listed with it.
     if (!m_upstreamsListedAt)
         return UpstreamTable::listingDelay;
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -123,9 +123,9 @@
     /// The version at which all streams of the service began in the last while, also those that no
     /// entry knows; none if that is not certain now.
     std::optional<std::string> soleVersion(const std::string &service) const;
-    /// How long this entry must still follow the list of upstreams until `soleVersion` can be
-    /// certain.
-    Duration untilVersionsCertain() const;
+    /// How long this entry must still follow the list of upstreams until `soleVersion` may be
+    /// certain; zero if the record does not prove one version of the service.
+    Duration untilSoleVersion(const std::string &service) const;
     /// Writes the origins to the store again, which may have lost them.
     void saveOriginsAgain() { m_originSaving.saveAgain(); }
     /// Records a complete, successful response to a request with this prompt.
