No temporaries in the awaited calls of VersionRecorder

Not traced: 18 runs of the test under a debugger, six at a time, did not show it. An earlier violation in this class was traced (gdb): g++ 12 destroys a braced argument of an awaited call too early. Two more calls had a temporary of that kind, a lambda converted to a function and a copy of a value; that they were the cause is only suspected.

--- a/src/direct/VersionRecorder.cpp
+++ b/src/direct/VersionRecorder.cpp
@@ -93,12 +93,14 @@
         if (isReadDue) {
             co_return co_await read();
         }
-        if (const auto extended = history.extended(store.era())) {
-            co_return co_await write(*extended, "extended");
+        auto extended = history.extended(store.era());
+        if (extended) {
+            co_return co_await write(std::move(*extended), "extended");
         }
         isTrimDue = false;
-        if (const auto trimmed = history.trimmed(steadyNow())) {
-            co_return co_await write(*trimmed, "trimmed");
+        auto trimmed = history.trimmed(steadyNow());
+        if (trimmed) {
+            co_return co_await write(std::move(*trimmed), "trimmed");
         }
         co_return true;
     }
@@ -130,7 +132,8 @@
     /// Finds out whether entries have begun streams before there was a record.
     asio::awaitable<bool> readTraces()
     {
-        const auto listing = co_await store.list(originKind(), [](const auto &) {});
+        const platform::ObjectVisitor visit = [](const platform::StoredObject &) {};
+        const auto listing = co_await store.list(originKind(), visit);
         if (!listing)
             co_return false;
         if (listing->isWhole() && listing->objects + listing->unreadable == 0)
