--- a/src/direct/RequestResumption.cpp
+++ b/src/direct/RequestResumption.cpp
@@ -6,6 +6,7 @@
 #include "process/Timers.h"
 
 #include <algorithm>
+#include <ranges>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -64,9 +65,10 @@
 
 std::optional<std::string> RequestFlow::soleVersion() const
 {
-    const auto version = m_state.soleVersion(m_admitted.service);
     // The stream may have begun at any service of the route.
-    const bool isSole = std::ranges::all_of(m_admitted.route.services, [&](const auto &share) {
+    const auto &services = m_admitted.route.services;
+    const auto version = m_state.soleVersion(services.front().service);
+    const bool isSole = std::ranges::all_of(services | std::views::drop(1), [&](const auto &share) {
         return m_state.soleVersion(share.service) == version;
     });
     return isSole ? version : std::nullopt;
--- a/src/direct/RolloutFollower.cpp
+++ b/src/direct/RolloutFollower.cpp
@@ -1,7 +1,6 @@
 #include "direct/RolloutFollower.h"
 
 #include "base/AsioPch.h"
-#include "base/Hash.h"
 #include "base/Log.h"
 #include "fleet/IgnoredObjects.h"
 #include "platform/RolloutDecoder.h"
@@ -44,8 +43,7 @@
 
     static asio::awaitable<void> pauseAfterFailure()
     {
-        const auto jitter = static_cast<std::int64_t>(randomBits64() % shortestRetry.count());
-        co_await pause(shortestRetry + milliseconds(jitter));
+        co_await pause(shortestRetry + randomDuration(shortestRetry));
     }
 
     /// Lists the orders; returns the position for a watch, none if the call failed.
--- a/tools/model/LoopbackListener.cpp
+++ b/tools/model/LoopbackListener.cpp
@@ -3,6 +3,7 @@
 #include "base/AsioPch.h"
 
 #include <atomic>
+#include <stdexcept>
 
 #include <unistd.h>
 
@@ -29,7 +30,7 @@
     constexpr int portsPerProcess = 900;
     static std::atomic<int> next{0};
     asio::io_context context;
-    while (true) {
+    for (int i = 0; i < portsPerProcess; ++i) {
         const int offset = (::getpid() % processes) * portsPerProcess + next++ % portsPerProcess;
         const auto port = static_cast<unsigned short>(lowest + offset);
         tcp::acceptor acceptor(context);
@@ -44,6 +45,7 @@
         if (!error)
             return port;
     }
+    throw std::runtime_error("all ports of this process are in use");
 }
 
 } // namespace tamarack::standin
