One upstream no longer keeps the streams of all others from going on

Cause: a connection that fails, by a refusal or by the time-out of 300 ms, marks the upstream as perhaps restarted for 15 s, and the rule for streams that no entry knows asked that no upstream of the service is so marked (UpstreamTable::offersOnly). The first request that is sent to the dead upstream so refuses all unknown streams of that entry, and a connect that is late once, on any sound machine, does the same.

Change: an upstream at which nothing responds begins no streams and is no doubt. Before an unknown stream goes on, those that may have restarted are asked what they are (RestartChecker, 500 ms apart): as listed ends the suspicion, another process or one that is back and reports nothing is a doubt for the 3 s in which the store lists it. Retry-After then says for how long. `doubt` and `doubted_upstream` in stream_origin name the condition and the upstream that refused, which the log could not tell before. A stream whose process has reported to be the listed one is no longer ambiguous because another request met a refusal meanwhile.

Tests: SoleVersionSuite, four cases.

--- a/src/direct/RequestFlow.h
+++ b/src/direct/RequestFlow.h
@@ -55,9 +55,10 @@
     boost::asio::awaitable<void> findOrigin();
     /// Why the request must not be sent now; none if it may.
     std::optional<Denial> sendDenial() const;
-    /// The version at which all streams of the route began, also those that no entry knows; none if
-    /// that is not certain now.
-    std::optional<std::string> soleVersion() const;
+    /// The version at which all streams of the route began, also those that no entry knows.
+    SoleVersion soleVersion() const;
+    /// As above, after upstreams that may have restarted were asked what they are.
+    boost::asio::awaitable<SoleVersion> checkedSoleVersion();
     /// Why the stream that the client resumes is refused as unknown; none if it may go on.
     std::optional<Denial> unknownStreamDenial() const;
     /// Why a stream cannot go on; none if it can, or if it is new.
--- a/src/direct/RequestResumption.cpp
+++ b/src/direct/RequestResumption.cpp
@@ -42,9 +42,11 @@
         m_origin = co_await m_state.origins.find(streamKey(m_facts.resumedRequest),
                                                  m_state.peers.reachableNames(start));
     const bool isKnown = m_origin.has_value();
-    const auto version = soleVersion();
-    if (!isKnown && version) {
-        m_origin = StreamOrigin{streamKey(m_facts.resumedRequest), "", 0, *version, false};
+    SoleVersion sole = soleVersion();
+    if (!isKnown && sole.isCertain())
+        sole = co_await checkedSoleVersion();
+    if (!isKnown && sole.isCertain()) {
+        m_origin = StreamOrigin{streamKey(m_facts.resumedRequest), "", 0, sole.version, false};
         m_isOriginInferred = true;
     }
     const bool certain = m_origin && m_state.upstreams.isCertain(*m_origin);
@@ -55,7 +57,9 @@
               {"resumes", m_facts.resumedRequest},
               {"resume_after", *m_facts.resumeAfter},
               {"known", isKnown},
-              {"sole_version", version.value_or("")},
+              {"sole_version", sole.version},
+              {"doubt", versionDoubtName(sole.doubt)},
+              {"doubted_upstream", sole.upstreamId},
               {"certain", certain},
               {"list_current", listIsCurrent},
               {"upstream", m_origin ? m_origin->upstreamId : ""},
@@ -63,24 +67,41 @@
               {"took_ms", toMs(steadyNow() - start)}});
 }
 
-std::optional<std::string> RequestFlow::soleVersion() const
+SoleVersion RequestFlow::soleVersion() const
 {
     // The stream may have begun at any service of the route.
     const auto &services = m_admitted.route.services;
-    const auto version = m_state.soleVersion(services.front().service);
-    const bool isSole = std::ranges::all_of(services | std::views::drop(1), [&](const auto &share) {
-        return m_state.soleVersion(share.service) == version;
-    });
-    return isSole ? version : std::nullopt;
+    SoleVersion sole = m_state.soleVersion(services.front().service);
+    for (const auto &share : services | std::views::drop(1)) {
+        if (!sole.isCertain())
+            break;
+        SoleVersion other = m_state.soleVersion(share.service);
+        if (!other.isCertain())
+            sole = std::move(other);
+        else if (other.version != sole.version)
+            sole = SoleVersion::inDoubt(VersionDoubt::ServicesDiffer);
+    }
+    return sole;
+}
+
+asio::awaitable<SoleVersion> RequestFlow::checkedSoleVersion()
+{
+    for (const auto &share : m_admitted.route.services) {
+        const UpstreamPtr unasked = co_await m_state.checkRestarts(share.service);
+        if (unasked)
+            co_return SoleVersion::inDoubt(VersionDoubt::UnlistedProcess, Duration::zero(),
+                                           unasked->record.id);
+    }
+    co_return soleVersion();
 }
 
 std::optional<Denial> RequestFlow::unknownStreamDenial() const
 {
-    const bool holds = m_origin && (!m_isOriginInferred || soleVersion() == m_origin->version);
+    const bool holds =
+        m_origin && (!m_isOriginInferred || soleVersion().version == m_origin->version);
     if (holds && m_state.upstreams.isCertain(*m_origin))
         return std::nullopt;
-    const Duration wait =
-        m_origin ? Duration::zero() : m_state.untilSoleVersion(m_admitted.service);
+    const Duration wait = m_origin ? Duration::zero() : soleVersion().wait;
     return Denial{ErrorKind::StreamUnknown, std::max<Duration>(unknownStreamRetryAfter, wait)};
 }
 
--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -1,5 +1,6 @@
 #include "direct/TrafficState.h"
 
+#include "base/AsioPch.h"
 #include "base/Hash.h"
 #include "base/Log.h"
 #include "fleet/FarQuota.h"
@@ -14,6 +15,8 @@
 
 namespace tamarack {
 
+namespace asio = boost::asio;
+
 namespace {
 
 /// A failure to connect within this time after a broken attempt indicates that the upstream crashed
@@ -52,6 +55,7 @@
     , proofs(incarnation)
     , origins(executor, incarnation)
     , healthChecker(executor, metrics)
+    , restartChecker(executor, metrics)
     , m_refusalTimer(executor)
     , m_peerTimer(executor)
     , m_startedAt(steadyNow())
@@ -432,7 +436,7 @@
 {
     const TimePoint now = steadyNow();
     StreamOrigin origin = upstreams.originAt(upstream, stream, now);
-    origin.ambiguous = origin.ambiguous || (!identified && !upstreamListAge.isCurrent(bootNow()));
+    origin.ambiguous = !identified && (origin.ambiguous || !upstreamListAge.isCurrent(bootNow()));
     if (origin.ambiguous)
         logEvent(LogLevel::Warning, "stream_origin_ambiguous",
                  {{"upstream", origin.upstreamId}, {"born", origin.born}});
@@ -458,27 +462,37 @@
     metrics.set("tamarack_services_of_one_version", "", m_soleVersions.size());
 }
 
-std::optional<std::string> TrafficState::soleVersion(const std::string &service) const
+SoleVersion TrafficState::soleVersion(const std::string &service) const
 {
+    const TimePoint now = steadyNow();
     const auto found = m_soleVersions.find(service);
     // An upstream without a version may have any.
     if (found == m_soleVersions.end() || found->second.empty())
-        return std::nullopt;
-    const bool isCertain = untilSoleVersion(service) == Duration::zero()
-                           && upstreamListAge.isCurrent(bootNow())
-                           && upstreams.offersOnly(service, found->second, steadyNow());
-    return isCertain ? std::optional(found->second) : std::nullopt;
-}
-
-Duration TrafficState::untilSoleVersion(const std::string &service) const
-{
-    if (!m_soleVersions.contains(service))
-        return Duration::zero();
+        return SoleVersion::inDoubt(VersionDoubt::NotRecorded);
     // An upstream may have begun streams as another version before it was listed with it.
-    if (!m_upstreamsListedAt)
-        return UpstreamTable::listingDelay;
-    const Duration left = *m_upstreamsListedAt + UpstreamTable::listingDelay - steadyNow();
-    return std::max(left, Duration::zero());
+    const TimePoint certainAt = m_upstreamsListedAt.value_or(now) + UpstreamTable::listingDelay;
+    if (now < certainAt)
+        return SoleVersion::inDoubt(VersionDoubt::ListNew, certainAt - now);
+    if (!upstreamListAge.isCurrent(bootNow()))
+        return SoleVersion::inDoubt(VersionDoubt::ListOld);
+    if (upstreams.ofService(service).empty())
+        return SoleVersion::inDoubt(VersionDoubt::OtherListed);
+    if (const UpstreamPtr other = upstreams.ofOtherVersion(service, found->second))
+        return SoleVersion::inDoubt(VersionDoubt::OtherListed, Duration::zero(), other->record.id);
+    if (const UpstreamPtr unlisted = upstreams.withUnlistedProcess(service, now))
+        return SoleVersion::inDoubt(VersionDoubt::UnlistedProcess, unlisted->unlistedUntil - now,
+                                    unlisted->record.id);
+    SoleVersion sole;
+    sole.version = found->second;
+    return sole;
+}
+
+asio::awaitable<UpstreamPtr> TrafficState::checkRestarts(const std::string &service)
+{
+    const std::vector<UpstreamPtr> suspects = upstreams.restartSuspects(service, steadyNow());
+    if (suspects.empty())
+        co_return nullptr;
+    co_return co_await restartChecker.check(suspects);
 }
 
 void TrafficState::recordAnswer(std::span<const PromptPart> prompt, TimePoint now)
@@ -489,7 +503,7 @@
 
 void TrafficState::upstreamUnreachable(UpstreamState &upstream, TimePoint now)
 {
-    upstreams.suspectRestart(upstream, now + UpstreamTable::longestRestart);
+    UpstreamTable::recordUnreachable(upstream, now);
     const auto found = m_brokenAttempts.find(upstream.key);
     if (found == m_brokenAttempts.end() || now - found->second.firstAt > breakWindow)
         return;
--- a/src/direct/TrafficState.h
+++ b/src/direct/TrafficState.h
@@ -5,6 +5,7 @@
 #include "config/Settings.h"
 #include "direct/HealthChecker.h"
 #include "direct/OriginExchange.h"
+#include "direct/RestartChecker.h"
 #include "direct/RolloutDesk.h"
 #include "direct/UpstreamPool.h"
 #include "fleet/ExchangeGroups.h"
@@ -26,6 +27,7 @@
 #include "serving/ReadLag.h"
 #include "serving/RetryBudget.h"
 #include "serving/ServingConfig.h"
+#include "serving/SoleVersion.h"
 #include "serving/StopWindow.h"
 #include "serving/UpstreamListAge.h"
 #include "serving/UpstreamTable.h"
@@ -120,12 +122,10 @@
     void applySavedOrigins(const std::vector<StreamOrigin> &saved, bool own);
     /// Applies what the store's record proves of the versions of streams.
     void applySoleVersions(SoleVersions proved);
-    /// The version at which all streams of the service began in the last while, also those that no
-    /// entry knows; none if that is not certain now.
-    std::optional<std::string> soleVersion(const std::string &service) const;
-    /// How long this entry must still follow the list of upstreams until `soleVersion` may be
-    /// certain; zero if the record does not prove one version of the service.
-    Duration untilSoleVersion(const std::string &service) const;
+    SoleVersion soleVersion(const std::string &service) const;
+    /// Asks the upstreams of the service that may have restarted what they are. Returns one that
+    /// could not be asked; null if there is none.
+    boost::asio::awaitable<UpstreamPtr> checkRestarts(const std::string &service);
     /// Writes the origins to the store again, which may have lost them.
     void saveOriginsAgain() { m_originSaving.saveAgain(); }
     /// Records a complete, successful response to a request with this prompt.
@@ -199,6 +199,7 @@
     AttemptAgeEstimator attemptAge;
     UpstreamPool pool;
     HealthChecker healthChecker;
+    RestartChecker restartChecker;
     ReadLag readLag;
     StopWindow stopWindow;
     BufferBudget responseBuffers{responseBufferBytes};
--- a/src/direct/UpstreamAttempt.cpp
+++ b/src/direct/UpstreamAttempt.cpp
@@ -19,8 +19,6 @@
 
 namespace {
 
-using Identity = UpstreamAttempt::Identity;
-
 constexpr int okStatus = 200;
 constexpr int firstServerError = 500;
 /// A response that is not delivered is read and discarded up to this size, so that its connection
@@ -38,34 +36,6 @@
     return std::ranges::find(promises, status) != promises.end();
 }
 
-/// The process that reported, compared with the incarnation that the store lists.
-Identity compare(const UpstreamReport &report, const UpstreamRecord &listed)
-{
-    if (!report.answered)
-        return report.late ? Identity::Silent : Identity::Lost;
-    const bool isComparable = report.startedAt && listed.born != 0;
-    if (report.misdirected || (isComparable && *report.startedAt != listed.born))
-        return Identity::Other;
-    return isComparable ? Identity::AsListed : Identity::NotReported;
-}
-
-std::string_view identityName(Identity identity)
-{
-    switch (identity) {
-    case Identity::AsListed:
-        return "as_listed";
-    case Identity::Other:
-        return "other";
-    case Identity::NotReported:
-        return "not_reported";
-    case Identity::Silent:
-        return "silent";
-    case Identity::Lost:
-        return "lost";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 UpstreamAttempt::UpstreamAttempt(TrafficState &state, const Assignment &assignment,
@@ -138,29 +108,26 @@
     co_return *made;
 }
 
-asio::awaitable<UpstreamAttempt::Identity>
-UpstreamAttempt::identify(std::shared_ptr<UpstreamConnection> connection)
+asio::awaitable<ProcessIdentity>
+UpstreamAttempt::askProcess(std::shared_ptr<UpstreamConnection> connection)
 {
     UpstreamState &upstream = *m_assignment.upstream;
     const UpstreamRecord &record = upstream.record;
     const UpstreamReport report = co_await readReport(m_state.executor, connection, record);
-    const Identity identity = compare(report, record);
-    if (m_cancelled || identity == Identity::Lost)
-        co_return Identity::Lost;
+    const ProcessIdentity identity = identify(report, record);
+    if (m_cancelled || identity == ProcessIdentity::Lost)
+        co_return ProcessIdentity::Lost;
     if (report.whole && !report.misdirected)
         upstream.reportsNoStart = !report.startedAt;
-    if (identity == Identity::AsListed)
-        UpstreamTable::confirmIncarnation(upstream);
+    UpstreamTable::recordProcess(upstream, identity, steadyNow());
     m_state.metrics.add("tamarack_upstream_reports_total",
-                        fmt::format("outcome=\"{}\"", identityName(identity)));
-    if (identity == Identity::Other) {
-        m_state.upstreams.suspectRestart(upstream, steadyNow() + UpstreamTable::listingDelay);
+                        fmt::format("outcome=\"{}\"", processIdentityName(identity)));
+    if (identity == ProcessIdentity::Other)
         logEvent(LogLevel::Warning, "upstream_not_as_listed",
                  {{"request", m_request.facts.id},
                   {"upstream", record.id},
                   {"born", record.born},
                   {"found", report.startedAt.value_or(0)}});
-    }
     co_return identity;
 }
 
@@ -176,18 +143,18 @@
 asio::awaitable<bool> UpstreamAttempt::admitsProcess()
 {
     const bool asked = m_assignment.upstream->reportsStart();
-    Identity identity = Identity::NotReported;
+    ProcessIdentity identity = ProcessIdentity::NotReported;
     if (asked)
-        identity = co_await identify(m_connection);
-    m_assignment.upstream->connectionsEnded = identity == Identity::Lost;
+        identity = co_await askProcess(m_connection);
+    m_assignment.upstream->connectionsEnded = identity == ProcessIdentity::Lost;
     logEvent(LogLevel::Info, "upstream_identified",
              {{"request", m_request.facts.id},
               {"upstream", m_assignment.upstream->record.id},
-              {"identity", identityName(identity)},
+              {"identity", processIdentityName(identity)},
               {"continues", m_request.continuesStream}});
-    m_identified = identity == Identity::AsListed;
+    m_identified = identity == ProcessIdentity::AsListed;
     m_reusedConnection = m_reusedConnection || asked;
-    if (identity == Identity::Lost || identity == Identity::Other)
+    if (identity == ProcessIdentity::Lost || identity == ProcessIdentity::Other)
         co_return false;
     const bool listIsCurrent = m_state.upstreamListAge.isCurrent(bootNow());
     if (m_request.continuesStream && !m_identified && !listIsCurrent)
@@ -418,8 +385,8 @@
                         made ? "outcome=\"accepted\"" : "outcome=\"refused\"");
     bool running = made.has_value();
     if (made) {
-        const Identity identity = co_await identify(*made);
-        running = identity == Identity::AsListed || identity == Identity::NotReported;
+        const ProcessIdentity identity = co_await askProcess(*made);
+        running = identity == ProcessIdentity::AsListed || identity == ProcessIdentity::NotReported;
         (*made)->close();
     }
     if (!running)
--- a/src/direct/UpstreamAttempt.h
+++ b/src/direct/UpstreamAttempt.h
@@ -46,9 +46,6 @@
 class UpstreamAttempt
 {
 public:
-    /// What the process at the other end of a connection is, compared with the assignment.
-    enum class Identity : std::uint8_t { AsListed, Other, NotReported, Silent, Lost };
-
     UpstreamAttempt(TrafficState &state, const Assignment &assignment, ResponseRelay &relay,
                     AttemptRequest request);
 
@@ -81,9 +78,9 @@
 private:
     boost::asio::awaitable<AttemptEnd> sendAndRead();
     boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> connect();
-    /// Asks the process at the other end. `Silent`: it was late to respond; `Lost`: the connection
-    /// ended before it did.
-    boost::asio::awaitable<Identity> identify(std::shared_ptr<UpstreamConnection> connection);
+    /// Asks the process at the other end.
+    boost::asio::awaitable<ProcessIdentity>
+    askProcess(std::shared_ptr<UpstreamConnection> connection);
     /// Whether the request depends on what the connected process is: it goes on with a stream, or
     /// begins one while the process may not be the listed incarnation.
     bool needsIdentity() const;
--- a/src/direct/UpstreamReport.cpp
+++ b/src/direct/UpstreamReport.cpp
@@ -61,4 +61,14 @@
     co_return report;
 }
 
+ProcessIdentity identify(const UpstreamReport &report, const UpstreamRecord &listed)
+{
+    if (!report.answered)
+        return report.late ? ProcessIdentity::Silent : ProcessIdentity::Lost;
+    const bool isComparable = report.startedAt && listed.born != 0;
+    if (report.misdirected || (isComparable && *report.startedAt != listed.born))
+        return ProcessIdentity::Other;
+    return isComparable ? ProcessIdentity::AsListed : ProcessIdentity::NotReported;
+}
+
 } // namespace tamarack
--- a/src/direct/UpstreamReport.h
+++ b/src/direct/UpstreamReport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/ProcessIdentity.h"
 #include "serving/UpstreamRecord.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -33,4 +34,6 @@
                                                   std::shared_ptr<UpstreamConnection> connection,
                                                   UpstreamRecord upstream);
 
+ProcessIdentity identify(const UpstreamReport &report, const UpstreamRecord &listed);
+
 } // namespace tamarack
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -4,6 +4,7 @@
 #include "fleet/ExchangeGroups.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <unordered_set>
 #include <utility>
@@ -150,9 +151,40 @@
     upstream.restartSuspectedUntil = std::max(upstream.restartSuspectedUntil, until);
 }
 
-void UpstreamTable::confirmIncarnation(UpstreamState &upstream)
+void UpstreamTable::recordUnreachable(UpstreamState &upstream, TimePoint now)
 {
-    upstream.restartSuspectedUntil = {};
+    suspectRestart(upstream, now + longestRestart);
+    upstream.wasUnreachable = true;
+}
+
+void UpstreamTable::recordProcess(UpstreamState &upstream, ProcessIdentity process, TimePoint now)
+{
+    if (process == ProcessIdentity::Lost)
+        return;
+    const bool isBack = std::exchange(upstream.wasUnreachable, false);
+    switch (process) {
+    case ProcessIdentity::AsListed:
+        upstream.restartSuspectedUntil = {};
+        upstream.unlistedUntil = {};
+        break;
+    case ProcessIdentity::Other:
+        suspectRestart(upstream, now + listingDelay);
+        upstream.unlistedUntil = now + listingDelay;
+        break;
+    default:
+        if (isBack)
+            upstream.unlistedUntil = now + listingDelay;
+    }
+}
+
+std::vector<UpstreamPtr> UpstreamTable::restartSuspects(std::string_view service,
+                                                        TimePoint now) const
+{
+    std::vector<UpstreamPtr> suspects;
+    std::ranges::copy_if(
+        ofService(service), std::back_inserter(suspects),
+        [now](const UpstreamPtr &upstream) { return now < upstream->restartSuspectedUntil; });
+    return suspects;
 }
 
 bool UpstreamTable::isCertain(const StreamOrigin &origin) const
@@ -177,13 +209,21 @@
     });
 }
 
-bool UpstreamTable::offersOnly(std::string_view service, std::string_view version,
-                               TimePoint now) const
+UpstreamPtr UpstreamTable::ofOtherVersion(std::string_view service, std::string_view version) const
 {
     const auto &upstreams = ofService(service);
-    return !upstreams.empty() && std::ranges::all_of(upstreams, [&](const UpstreamPtr &upstream) {
-        return upstream->record.version == version && now >= upstream->restartSuspectedUntil;
+    const auto found = std::ranges::find_if(upstreams, [version](const UpstreamPtr &upstream) {
+        return upstream->record.version != version;
     });
+    return found == upstreams.end() ? nullptr : *found;
+}
+
+UpstreamPtr UpstreamTable::withUnlistedProcess(std::string_view service, TimePoint now) const
+{
+    const auto &upstreams = ofService(service);
+    const auto found = std::ranges::find_if(
+        upstreams, [now](const UpstreamPtr &upstream) { return now < upstream->unlistedUntil; });
+    return found == upstreams.end() ? nullptr : *found;
 }
 
 bool UpstreamTable::offersVersion(std::string_view service, std::string_view version) const
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -5,6 +5,7 @@
 #include "serving/EngineTimeModel.h"
 #include "serving/LimitShare.h"
 #include "serving/OccupancyModel.h"
+#include "serving/ProcessIdentity.h"
 #include "serving/StreamOrigin.h"
 #include "serving/UpstreamKey.h"
 #include "serving/UpstreamRecord.h"
@@ -72,6 +73,14 @@
     /// The store has listed it as draining. It will not become ready again.
     bool drained = false;
     TimePoint restartSuspectedUntil{};
+    /// A process responds that may not be the listed incarnation; until then the store may not list
+    /// it yet.
+    TimePoint unlistedUntil{};
+    /// It could not be connected to, and no process has responded since.
+    bool wasUnreachable = false;
+    /// Earliest time to ask again whether it has restarted, and whether it is being asked.
+    TimePoint nextRestartCheck{};
+    bool isRestartCheckRunning = false;
     /// A connection has ended since its process was asked what it is.
     bool connectionsEnded = false;
     /// It was asked when its process was started and did not say.
@@ -135,21 +144,27 @@
     /// Until then, the upstream may be another incarnation than the one listed: it refused a
     /// connection, or reported another start.
     static void suspectRestart(UpstreamState &upstream, TimePoint until);
-    /// The process has reported to be the listed incarnation.
-    static void confirmIncarnation(UpstreamState &upstream);
+    /// No connection to the upstream could be made.
+    static void recordUnreachable(UpstreamState &upstream, TimePoint now);
+    /// This process has responded at the address of the upstream.
+    static void recordProcess(UpstreamState &upstream, ProcessIdentity process, TimePoint now);
     /// Within this time the store usually lists an upstream that has restarted.
     static constexpr milliseconds listingDelay{3000};
     /// An upstream that refuses connections may be back within this time.
     static constexpr milliseconds longestRestart{15'000};
+    /// Upstreams of the service that may have restarted.
+    std::vector<UpstreamPtr> restartSuspects(std::string_view service, TimePoint now) const;
     /// Whether it is certain which version began the stream. The store may list a restart of an
     /// upstream late, so that streams of the incarnation listed before may be the new one's. Both
     /// may have the same version.
     bool isCertain(const StreamOrigin &origin) const;
     /// Whether all listed upstreams of each service have the version given for it.
     bool haveVersions(const std::map<std::string, std::string> &versions) const;
-    /// Whether the service has upstreams, all of this version, and each is the listed incarnation
-    /// as far as is known.
-    bool offersOnly(std::string_view service, std::string_view version, TimePoint now) const;
+    /// An upstream of the service that is listed with another version; null if there is none.
+    UpstreamPtr ofOtherVersion(std::string_view service, std::string_view version) const;
+    /// An upstream of the service at which a process responds that may not be the listed
+    /// incarnation; null if there is none. An upstream at which nothing responds begins no streams.
+    UpstreamPtr withUnlistedProcess(std::string_view service, TimePoint now) const;
     /// Whether the service has an upstream of the software version.
     bool offersVersion(std::string_view service, std::string_view version) const;
     /// Listed upstreams that count as leaving until a health check shows that they are not.
--- a/tests/SoleVersionTest.cpp
+++ b/tests/SoleVersionTest.cpp
@@ -64,6 +64,18 @@
         std::this_thread::sleep_for(certainDelay);
     }
 
+    /// Lets each entry try to send a request to each upstream.
+    void sendToAllUpstreams()
+    {
+        constexpr int workMs = 150;
+        for (std::size_t i = 0; i < upstreamCount; ++i)
+            upstream(i).workMs = workMs;
+        std::vector<std::jthread> clients;
+        for (std::size_t i = 0; i < entryCount * upstreamCount * 2; ++i)
+            clients.emplace_back(
+                [this, i] { get(i % entryCount, "/read/x", "send" + std::to_string(i)); });
+    }
+
     /// Takes the streams up at the restarted entries. Returns how many go on.
     int takeUp(bool namesFirstRequest = true)
     {
@@ -116,6 +128,68 @@
     BOOST_TEST(takeUp() == streams);
 }
 
+// Guards against one upstream that refuses connections, but is still listed: it kept streams of all
+// others from going on.
+BOOST_AUTO_TEST_CASE(clientsTakeUpUnknownStreamsWhileOneUpstreamHasCrashed)
+{
+    listBehindLink(0, {});
+    std::this_thread::sleep_for(listDelay);
+    beginStreams();
+    stopAllEntries();
+    setListening(0, false);
+    restartAllEntries();
+    sendToAllUpstreams();
+    BOOST_TEST(takeUp(false) == streams);
+}
+
+// Guards against one upstream that accepts connections only at times: each refusal kept unknown
+// streams of all others from going on for 15 s.
+BOOST_AUTO_TEST_CASE(clientsTakeUpUnknownStreamsWhileOneUpstreamFlaps)
+{
+    listBehindLink(0, {});
+    std::this_thread::sleep_for(listDelay);
+    beginStreams();
+    stopAllEntries();
+    setListening(0, false);
+    restartAllEntries();
+    sendToAllUpstreams();
+    setListening(0, true);
+    BOOST_TEST(takeUp(false) == streams);
+}
+
+// The process that answers for an upstream is another one than the store lists, perhaps of another
+// version.
+BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnWhileAnUpstreamIsNotTheListedOne)
+{
+    listBehindLink(0, {});
+    std::this_thread::sleep_for(listDelay);
+    beginStreams();
+    stopAllEntries();
+    setListening(0, false);
+    restartAllEntries();
+    sendToAllUpstreams();
+    upstream(0).born = 2;
+    setListening(0, true);
+    BOOST_TEST(takeUp(false) == 0);
+}
+
+// As above, but the process does not report when it was started.
+BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnWhileAnUpstreamThatIsBackDoesNotReport)
+{
+    reportsBorn = false;
+    listBehindLink(0, {});
+    std::this_thread::sleep_for(listDelay);
+    beginStreams();
+    stopAllEntries();
+    setListening(0, false);
+    restartAllEntries();
+    sendToAllUpstreams();
+    setListening(0, true);
+    BOOST_TEST(takeUp(false) == 0);
+    std::this_thread::sleep_for(certainDelay);
+    BOOST_TEST(takeUp(false) == streams);
+}
+
 // While the entries are down, all upstreams come back under their ids with another version.
 BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnAfterAllUpstreamsChangedTheirVersion)
 {
--- a/tests/support/SmallFleet.cpp
+++ b/tests/support/SmallFleet.cpp
@@ -5,6 +5,7 @@
 #include "support/Eventually.h"
 
 #include <algorithm>
+#include <future>
 
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
@@ -96,7 +97,29 @@
 void SmallFleet::list(std::size_t upstream, const Listed &listed)
 {
     m_upstreams.at(upstream)->born = reportsBorn ? listed.born : 0;
-    listAt(upstreamName(upstream), m_upstreams.at(upstream)->port(), listed);
+    const auto link = m_upstreamLinks.find(upstream);
+    const unsigned short port =
+        link == m_upstreamLinks.end() ? m_upstreams.at(upstream)->port() : link->second->port();
+    listAt(upstreamName(upstream), port, listed);
+}
+
+void SmallFleet::listBehindLink(std::size_t upstream, const Listed &listed)
+{
+    const auto address = asio::ip::make_address("127.0.0.1");
+    m_upstreamLinks[upstream] =
+        std::make_unique<LinkRelay>(m_context, tcp::endpoint(address, freePort()),
+                                    tcp::endpoint(address, m_upstreams.at(upstream)->port()));
+    list(upstream, listed);
+}
+
+void SmallFleet::setListening(std::size_t upstream, bool listening)
+{
+    std::promise<void> set;
+    asio::post(m_context, [&] {
+        m_upstreamLinks.at(upstream)->setListening(listening);
+        set.set_value();
+    });
+    set.get_future().wait();
 }
 
 void SmallFleet::listAt(const std::string &name, unsigned short port, const Listed &listed)
--- a/tests/support/SmallFleet.h
+++ b/tests/support/SmallFleet.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,6 +58,10 @@
     void list(std::size_t upstream, const Listed &listed);
     void listAt(const std::string &name, unsigned short port, const Listed &listed);
     void unlist(std::size_t upstream);
+    /// Lists the upstream behind a link, which `setListening` closes.
+    void listBehindLink(std::size_t upstream, const Listed &listed);
+    /// Resets the connections to an upstream behind a link and refuses new ones, or accepts again.
+    void setListening(std::size_t upstream, bool listening);
     /// Sends streams to the services `models` or `others`, in equal shares.
     void routeStreams(const std::vector<std::string> &services);
     /// Lists one more entry of another writer, whose content is `text`.
@@ -96,6 +101,7 @@
     standin::StoreServer m_store;
     std::vector<std::unique_ptr<standin::UpstreamServer>> m_upstreams;
     std::vector<std::unique_ptr<standin::LinkRelay>> m_links;
+    std::map<std::size_t, std::unique_ptr<standin::LinkRelay>> m_upstreamLinks;
     std::vector<std::unique_ptr<DirectEntry>> m_entries;
     std::size_t m_oddEntries = 0;
     int m_configVersion = 1;
