Messages of other entries are received once all callbacks are set

An entry that starts while others send may call half a function or miss the update. The other callbacks set there (onElected, onUpstreamsRelayed, onOriginsDue, onStoreAnswerRelayed, onProofRelayed, those of roll-outs), onProofRequest, OriginExchange::onSend and onLoadChanged had the same race: the exchange received as soon as it was made. The record of versions and the list's proof come from the store over posted handlers, but a relayed proof and relayed changes of the list went this way.

Change: PeerExchange::start, posted to the traffic thread after all callbacks are set, begins to receive and to send. What arrives before waits in the socket. The servers already listened later.

--- a/src/direct/DirectProcess.cpp
+++ b/src/direct/DirectProcess.cpp
@@ -229,6 +229,7 @@
         state.onLoadChanged = [this] { exchange->loadChanged(); };
         connectFollower();
         connectRollouts();
+        exchange->start();
         const HttpLimits limits;
         asio::io_context *trafficContext = &traffic;
         asio::io_context *control = &contexts.control();
--- a/src/direct/PeerExchange.cpp
+++ b/src/direct/PeerExchange.cpp
@@ -364,8 +364,6 @@
     auto p = std::make_shared<Private>(state);
     if (auto opened = p->open(); !opened)
         return tl::unexpected(opened.error());
-    p->receive();
-    p->scheduleSend(steadyNow() + heartbeatInterval);
     state.onProofRequest = [weak = std::weak_ptr(p)](const std::string &follower,
                                                      const ProofRequest &request) {
         if (const auto self = weak.lock())
@@ -379,6 +377,14 @@
     return std::unique_ptr<PeerExchange>(new PeerExchange(std::move(p)));
 }
 
+void PeerExchange::start()
+{
+    asio::post(m_private->state.executor, [p = m_private] {
+        p->receive();
+        p->scheduleSend(steadyNow() + heartbeatInterval);
+    });
+}
+
 void PeerExchange::setPeers(const std::map<std::string, Endpoint> &peers)
 {
     std::map<std::string, udp::endpoint> listed;
--- a/src/direct/PeerExchange.h
+++ b/src/direct/PeerExchange.h
@@ -21,6 +21,9 @@
     PeerExchange(const PeerExchange &) = delete;
     PeerExchange &operator=(const PeerExchange &) = delete;
 
+    /// Begins to receive and to send. Call it once all callbacks of the state are set, which the
+    /// traffic thread uses from then on.
+    void start();
     /// Sets the other entries, by name.
     void setPeers(const std::map<std::string, Endpoint> &peers);
     void loadChanged();
--- a/tests/PeerExchangeTest.cpp
+++ b/tests/PeerExchangeTest.cpp
@@ -41,6 +41,7 @@
         BOOST_REQUIRE(created.has_value());
         exchange = std::move(*created);
         state.onLoadChanged = [this] { exchange->loadChanged(); };
+        exchange->start();
         state.applyConfig(config);
         state.applyKnownEntries({"entry-a", "entry-b"});
     }
