After a standstill, unknown streams are told to come back when the list is confirmed

Each refusal was stream_unknown with list_current=false.

Cause: an entry that stood still for a second does not trust its list until a watch of the store returns, 1.2 s later. It stated Retry-After 0.3 s each time, so that three tries ended before the list was confirmed.

Change: the refusal states the drain bound, within which the list is confirmed unless the store is out of reach.

--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -473,8 +473,9 @@
     const TimePoint certainAt = m_upstreamsListedAt.value_or(now) + UpstreamTable::listingDelay;
     if (now < certainAt)
         return SoleVersion::inDoubt(VersionDoubt::ListNew, certainAt - now);
+    // The list is confirmed within the drain bound unless the store is out of reach.
     if (!upstreamListAge.isCurrent(bootNow()))
-        return SoleVersion::inDoubt(VersionDoubt::ListOld);
+        return SoleVersion::inDoubt(VersionDoubt::ListOld, settings.direct.drainBound);
     if (upstreams.ofService(service).empty())
         return SoleVersion::inDoubt(VersionDoubt::OtherListed);
     if (const UpstreamPtr other = upstreams.ofOtherVersion(service, found->second))
--- a/tests/SoleVersionTest.cpp
+++ b/tests/SoleVersionTest.cpp
@@ -1,8 +1,11 @@
 #include "process/Timers.h"
+#include "serving/UpstreamListAge.h"
 #include "serving/UpstreamTable.h"
 #include "support/SmallFleet.h"
 
 #include <algorithm>
+#include <atomic>
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -98,6 +101,34 @@
         }
         return taken;
     }
+    /// Takes the streams up without a name, all at the same time, with up to three tries as the
+    /// responses state. Returns how many go on.
+    int takeUpWithRetries()
+    {
+        constexpr int tries = 3;
+        std::atomic<int> taken = 0;
+        std::vector<std::jthread> clients;
+        for (int i = 0; i < streams; ++i)
+            clients.emplace_back([&, i] {
+                for (int attempt = 0; attempt < tries; ++attempt) {
+                    const std::string answer =
+                        get(static_cast<std::size_t>(i) % entryCount, "/stream/" + streamId(i),
+                            "try" + std::to_string(attempt) + streamId(i), "Last-Event-Id: 2\r\n");
+                    if (responseStatus(answer) == okStatus) {
+                        ++taken;
+                        return;
+                    }
+                    constexpr std::string_view field = "Retry-After: ";
+                    const std::size_t at = answer.find(field);
+                    if (at == std::string::npos)
+                        return;
+                    const double seconds = std::stod(answer.substr(at + field.size()));
+                    std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+                }
+            });
+        clients.clear();
+        return taken;
+    }
 };
 
 } // namespace
@@ -187,6 +218,22 @@
     BOOST_TEST(takeUp(false) == streams);
 }
 
+// Guards against entries that stood still for a moment: they refused unknown streams until their
+// list was confirmed, and named a time for the next try that was too short three times in a row.
+BOOST_AUTO_TEST_CASE(clientsTakeUpUnknownStreamsSoonAfterAllEntriesStoodStill)
+{
+    beginStreams();
+    stopAllEntries();
+    restartAllEntries();
+    constexpr milliseconds standstill = UpstreamListAge::standstill + milliseconds(300);
+    std::vector<std::jthread> freezes;
+    for (std::size_t i = 0; i < entryCount; ++i)
+        freezes.emplace_back([this, i] { freezeEntry(i, standstill); });
+    freezes.clear();
+    std::this_thread::sleep_for(standstill);
+    BOOST_TEST(takeUpWithRetries() == streams);
+}
+
 // The process that answers for an upstream is another one than the store lists, perhaps of another
 // version.
 BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnWhileAnUpstreamIsNotTheListedOne)
