--- a/tests/SoleVersionTest.cpp
+++ b/tests/SoleVersionTest.cpp
@@ -85,6 +85,19 @@
                 [this, i] { get(i % entryCount, "/read/x", "send" + std::to_string(i)); });
     }
 
+    /// Begins streams, and restarts all entries, which then find that upstream 0 refuses
+    /// connections.
+    void restartBesideCrashedUpstream()
+    {
+        listBehindLink(0, {});
+        std::this_thread::sleep_for(listDelay);
+        beginStreams();
+        stopAllEntries();
+        setListening(0, false);
+        restartAllEntries();
+        sendToAllUpstreams();
+    }
+
     /// Takes the streams up at the restarted entries. Returns how many go on.
     int takeUp(bool namesFirstRequest = true)
     {
@@ -193,13 +206,7 @@
 // others from going on.
 BOOST_AUTO_TEST_CASE(clientsTakeUpUnknownStreamsWhileOneUpstreamHasCrashed)
 {
-    listBehindLink(0, {});
-    std::this_thread::sleep_for(listDelay);
-    beginStreams();
-    stopAllEntries();
-    setListening(0, false);
-    restartAllEntries();
-    sendToAllUpstreams();
+    restartBesideCrashedUpstream();
     BOOST_TEST(takeUp(false) == streams);
 }
 
@@ -207,13 +214,7 @@
 // streams of all others from going on for 15 s.
 BOOST_AUTO_TEST_CASE(clientsTakeUpUnknownStreamsWhileOneUpstreamFlaps)
 {
-    listBehindLink(0, {});
-    std::this_thread::sleep_for(listDelay);
-    beginStreams();
-    stopAllEntries();
-    setListening(0, false);
-    restartAllEntries();
-    sendToAllUpstreams();
+    restartBesideCrashedUpstream();
     setListening(0, true);
     BOOST_TEST(takeUp(false) == streams);
 }
@@ -238,13 +239,7 @@
 // version.
 BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnWhileAnUpstreamIsNotTheListedOne)
 {
-    listBehindLink(0, {});
-    std::this_thread::sleep_for(listDelay);
-    beginStreams();
-    stopAllEntries();
-    setListening(0, false);
-    restartAllEntries();
-    sendToAllUpstreams();
+    restartBesideCrashedUpstream();
     upstream(0).born = 2;
     setListening(0, true);
     BOOST_TEST(takeUp(false) == 0);
@@ -254,13 +249,7 @@
 BOOST_AUTO_TEST_CASE(unknownStreamsDoNotGoOnWhileAnUpstreamThatIsBackDoesNotReport)
 {
     reportsBorn = false;
-    listBehindLink(0, {});
-    std::this_thread::sleep_for(listDelay);
-    beginStreams();
-    stopAllEntries();
-    setListening(0, false);
-    restartAllEntries();
-    sendToAllUpstreams();
+    restartBesideCrashedUpstream();
     setListening(0, true);
     BOOST_TEST(takeUp(false) == 0);
     std::this_thread::sleep_for(certainDelay);
