Larger fleets of one version write their origins less often

Change: while each service is known to have one version, in which case streams without an origin go on by the record of versions, the fleet makes at most some 27 writes a second: 150 ms up to 4 entries, 150 ms x entries / 4 beyond. With several versions as before.

Test: OriginSavingSuite/writesOfLargerFleetsAreFewWhileThereIsOneVersion. The case of young origins now runs with one and with several versions.

--- a/src/direct/TrafficState.cpp
+++ b/src/direct/TrafficState.cpp
@@ -601,7 +601,8 @@
     upstreams.removeGone(now);
     checkUnconfirmed(now);
     updateFollowers(now);
-    auto dueOrigins = m_originSaving.takeDue(peers.servingCount(now), now);
+    auto dueOrigins = m_originSaving.takeDue(!upstreams.haveVersions(m_soleVersions),
+                                             peers.servingCount(now), now);
     if (dueOrigins && onOriginsDue)
         onOriginsDue(std::move(*dueOrigins));
     pool.dropExpired(now);
--- a/src/fleet/OriginSaving.cpp
+++ b/src/fleet/OriginSaving.cpp
@@ -26,9 +26,17 @@
     m_allTakenAt = {};
 }
 
-std::optional<OriginSaving::Write> OriginSaving::takeDue(std::size_t entries, TimePoint now)
+Duration OriginSaving::intervalOf(bool severalVersions, std::size_t entries)
 {
-    const Duration pause = interval * (1 + entries / entriesPerInterval);
+    if (severalVersions)
+        return interval * (1 + entries / entriesOfSeveral);
+    return std::max<Duration>(interval, interval * entries / entriesOfOne);
+}
+
+std::optional<OriginSaving::Write> OriginSaving::takeDue(bool severalVersions, std::size_t entries,
+                                                         TimePoint now)
+{
+    const Duration pause = intervalOf(severalVersions, entries);
     if (m_writing || !m_changed || now - m_takenAt < pause)
         return std::nullopt;
     m_takenAt = now;
--- a/src/fleet/OriginSaving.h
+++ b/src/fleet/OriginSaving.h
@@ -14,9 +14,9 @@
 /// Decides when an entry writes the origins of its streams to the store, and which.
 ///
 /// All entries may be killed at the same moment; clients then take their streams up at entries
-/// that know none of them. Streams are known from some 200 ms of age on in a fleet of up to
-/// `entriesPerInterval` entries. The write rate of the fleet does not grow with the number of
-/// entries, so that larger fleets write less often.
+/// that know none of them. In a small fleet, streams are known from some 200 ms of age on. The
+/// write rate of the fleet does not grow with the number of entries, so that larger fleets write
+/// less often; the less so if unknown streams could not go on, as services have several versions.
 class OriginSaving
 {
 public:
@@ -40,7 +40,7 @@
     void saveAgain();
     /// The write to make now; none if none is due or the last one has not ended. `entries`: number
     /// of entries of the fleet.
-    std::optional<Write> takeDue(std::size_t entries, TimePoint now);
+    std::optional<Write> takeDue(bool severalVersions, std::size_t entries, TimePoint now);
     /// The write taken last has ended. One that failed is due again.
     void recordEnd(bool succeeded);
 
@@ -50,10 +50,13 @@
     /// Shortest time between two writes, and between two writes of all origins.
     static constexpr milliseconds interval{150};
     static constexpr milliseconds intervalOfAll{2000};
-    /// Up to this many entries write at the interval above.
-    static constexpr std::size_t entriesPerInterval = 10;
+    /// Up to this many entries write at the shortest interval.
+    static constexpr std::size_t entriesOfSeveral = 10;
+    static constexpr std::size_t entriesOfOne = 4;
 
 private:
+    static Duration intervalOf(bool severalVersions, std::size_t entries);
+
     struct Row
     {
         TimePoint addedAt{};
--- a/src/serving/UpstreamTable.cpp
+++ b/src/serving/UpstreamTable.cpp
@@ -196,6 +196,19 @@
     return !origin.ambiguous && !hasChanged;
 }
 
+bool UpstreamTable::haveVersions(const std::map<std::string, std::string> &versions) const
+{
+    return std::ranges::all_of(m_services, [&versions](const auto &service) {
+        const auto &upstreams = service.second.upstreams;
+        const auto version = versions.find(service.first);
+        return upstreams.empty()
+               || (version != versions.end()
+                   && std::ranges::all_of(upstreams, [&](const UpstreamPtr &upstream) {
+                          return upstream->record.version == version->second;
+                      }));
+    });
+}
+
 UpstreamPtr UpstreamTable::ofOtherVersion(std::string_view service, std::string_view version) const
 {
     const auto &upstreams = ofService(service);
--- a/src/serving/UpstreamTable.h
+++ b/src/serving/UpstreamTable.h
@@ -158,6 +158,8 @@
     /// upstream late, so that streams of the incarnation listed before may be the new one's. Both
     /// may have the same version.
     bool isCertain(const StreamOrigin &origin) const;
+    /// Whether all listed upstreams of each service have the version given for it.
+    bool haveVersions(const std::map<std::string, std::string> &versions) const;
     /// An upstream of the service that is listed with another version; null if there is none.
     UpstreamPtr ofOtherVersion(std::string_view service, std::string_view version) const;
     /// An upstream of the service at which a process responds that may not be the listed
--- a/tests/OriginSavingTest.cpp
+++ b/tests/OriginSavingTest.cpp
@@ -18,10 +18,11 @@
 const TimePoint start{seconds(100)};
 
 /// The streams of the write that is due, which succeeds; empty if none is due.
-std::vector<StreamKey> takenStreams(OriginSaving &saving, std::size_t entries, TimePoint now)
+std::vector<StreamKey> takenStreams(OriginSaving &saving, std::size_t entries, TimePoint now,
+                                    bool several = true)
 {
     std::vector<StreamKey> streams;
-    if (const auto due = saving.takeDue(entries, now)) {
+    if (const auto due = saving.takeDue(several, entries, now)) {
         for (const StreamOrigin &origin : due->origins)
             streams.push_back(origin.stream);
         saving.recordEnd(true);
@@ -48,6 +49,21 @@
     }
 }
 
+// Each call of the store is priced. Unknown streams of one version go on without their origins.
+BOOST_AUTO_TEST_CASE(writesOfLargerFleetsAreFewWhileThereIsOneVersion)
+{
+    for (const std::size_t entries : {4U, 30U, 330U}) {
+        OriginSaving saving;
+        std::size_t writes = 0;
+        for (TimePoint now = start; now < start + seconds(60); now += milliseconds(100)) {
+            saving.add({1, "up", 1, "v1", false}, now);
+            writes += takenStreams(saving, entries, now, false).empty() ? 0 : 1;
+        }
+        constexpr std::size_t mostPerSecond = 30;
+        BOOST_TEST(writes * entries <= 60 * mostPerSecond);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(originsAreWrittenWhileTheirStreamsMayBeTakenUp)
 {
     OriginSaving saving;
@@ -67,7 +83,7 @@
     saving.add({1, "up", 1, "v1", false}, start);
     saving.add({2, "up", 1, "v1", false}, start);
     saving.remove(1);
-    const auto due = saving.takeDue(1, start);
+    const auto due = saving.takeDue(true, 1, start);
     BOOST_REQUIRE(due);
     BOOST_REQUIRE(due->origins.size() == 1U);
     BOOST_TEST(due->origins.front().stream == 2U);
@@ -79,15 +95,17 @@
 {
     constexpr milliseconds tick{100};
     constexpr milliseconds mostAge{250};
-    OriginSaving saving;
-    StreamKey stream = 0;
-    std::map<StreamKey, TimePoint> unsaved;
-    for (TimePoint now = start; now < start + seconds(10); now += tick) {
-        unsaved.emplace(++stream, now);
-        saving.add({stream, "up", 1, "v1", false}, now);
-        for (const StreamKey saved : takenStreams(saving, 4, now + milliseconds(1)))
-            unsaved.erase(saved);
-        BOOST_TEST((unsaved.empty() || now - unsaved.begin()->second <= mostAge));
+    for (const bool several : {false, true}) {
+        OriginSaving saving;
+        StreamKey stream = 0;
+        std::map<StreamKey, TimePoint> unsaved;
+        for (TimePoint now = start; now < start + seconds(10); now += tick) {
+            unsaved.emplace(++stream, now);
+            saving.add({stream, "up", 1, "v1", false}, now);
+            for (const StreamKey saved : takenStreams(saving, 4, now + milliseconds(1), several))
+                unsaved.erase(saved);
+            BOOST_TEST((unsaved.empty() || now - unsaved.begin()->second <= mostAge));
+        }
     }
 }
 
@@ -97,11 +115,11 @@
 {
     OriginSaving saving;
     saving.add({1, "up", 1, "v1", false}, start);
-    BOOST_REQUIRE(saving.takeDue(1, start));
+    BOOST_REQUIRE(saving.takeDue(true, 1, start));
     saving.add({2, "up", 1, "v1", false}, start);
-    BOOST_TEST(!saving.takeDue(1, start + seconds(1)));
+    BOOST_TEST(!saving.takeDue(true, 1, start + seconds(1)));
     saving.recordEnd(false);
-    const auto again = saving.takeDue(1, start + seconds(1));
+    const auto again = saving.takeDue(true, 1, start + seconds(1));
     BOOST_REQUIRE(again);
     BOOST_TEST((again->scope == OriginSaving::Scope::All));
     BOOST_TEST(again->origins.size() == 2U);
@@ -113,7 +131,7 @@
     saving.add({1, "up", 1, "v1", false}, start);
     BOOST_TEST(takenStreams(saving, 1, start).size() == 1U);
     const auto take = [&saving](TimePoint now) {
-        auto due = saving.takeDue(1, now);
+        auto due = saving.takeDue(true, 1, now);
         saving.recordEnd(true);
         BOOST_REQUIRE(due);
         return std::pair(due->scope, due->origins.size());
