--- a/src/serving/SoleVersion.h
+++ b/src/serving/SoleVersion.h
@@ -43,7 +43,7 @@
     VersionDoubt doubt = VersionDoubt::None;
     /// The upstream that causes the doubt; empty if none does.
     std::string upstreamId;
-    /// How long the doubt lasts at least, as far as is known.
+    /// After this time the doubt may have ended; zero if that cannot be told.
     Duration wait = Duration::zero();
 
     bool isCertain() const { return doubt == VersionDoubt::None; }
