An upstream that no request can be made for does not stay in doubt

Callers saw (by a test, not in a play): 503 stream_unknown for every stream that no entry knows, for as long as one upstream of the service is listed with a name of more than 64 kB and suspected of a restart. Nothing else need be wrong.

Cause: the question to the suspect throws, as a header field cannot hold the name; the line that ends the check is skipped, and the upstream counts as being asked for ever.

Change: the end of the coroutine ends the check, also by an exception, which is counted and logged as outcome "failed" and treated like a process that does not report. The write of origins ends in the same way now; that an exception there stopped all later writes was found by reading, no test shows it.

--- a/src/direct/RestartChecker.cpp
+++ b/src/direct/RestartChecker.cpp
@@ -7,7 +7,7 @@
 #include "process/Timers.h"
 
 #include <algorithm>
-#include <string_view>
+#include <exception>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -36,7 +36,11 @@
             continue;
         upstream->nextRestartCheck = start + interval;
         upstream->isRestartCheckRunning = true;
-        asio::co_spawn(m_executor, ask(upstream), asio::detached);
+        asio::co_spawn(m_executor, ask(upstream), [this, upstream](std::exception_ptr thrown) {
+            upstream->isRestartCheckRunning = false;
+            if (thrown)
+                recordFailure(*upstream);
+        });
     }
     const auto firstRunning = [&suspects] {
         return std::ranges::find_if(suspects, &UpstreamState::isRestartCheckRunning,
@@ -63,14 +67,25 @@
         UpstreamTable::recordProcess(*upstream, identity, steadyNow());
         found = processIdentityName(identity);
     }
-    upstream->isRestartCheckRunning = false;
+    recordOutcome(*upstream, found);
+}
+
+void RestartChecker::recordFailure(UpstreamState &upstream)
+{
+    // A process may respond there, although no request can be made from the upstream's entry.
+    UpstreamTable::recordProcess(upstream, ProcessIdentity::Silent, steadyNow());
+    recordOutcome(upstream, "failed");
+}
+
+void RestartChecker::recordOutcome(const UpstreamState &upstream, std::string_view found)
+{
     m_metrics.add("tamarack_restart_checks_total", fmt::format("outcome=\"{}\"", found));
     logEvent(LogLevel::Info, "restart_checked",
-             {{"upstream", record.id},
-              {"born", record.born},
+             {{"upstream", upstream.record.id},
+              {"born", upstream.record.born},
               {"found", found},
-              {"suspected_ms", toMs(upstream->restartSuspectedUntil - steadyNow())},
-              {"unlisted_ms", toMs(upstream->unlistedUntil - steadyNow())}});
+              {"suspected_ms", toMs(upstream.restartSuspectedUntil - steadyNow())},
+              {"unlisted_ms", toMs(upstream.unlistedUntil - steadyNow())}});
 }
 
 } // namespace tamarack
--- a/src/direct/StoreFollower.cpp
+++ b/src/direct/StoreFollower.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <concepts>
+#include <exception>
 #include <set>
 #include <span>
 #include <utility>
@@ -596,12 +597,13 @@
         return streams;
     }
 
-    asio::awaitable<void> saveOrigins(const std::string &kind, json::value content)
+    /// Returns whether the store has the origins.
+    asio::awaitable<bool> saveOrigins(const std::string &kind, json::value content)
     {
         const auto saved = co_await store.put(kind, settings.name, content);
         if (recordResult(saved, "save_origins"))
             originsRevisions[kind] = *saved;
-        listener.originsSaved(saved.has_value());
+        co_return saved.has_value();
     }
 
     asio::awaitable<void> entryLoop()
@@ -851,7 +853,9 @@
         [self, &kind, content = encodeOrigins(write.origins)] {
             return self->saveOrigins(kind, content);
         },
-        asio::detached);
+        [self](std::exception_ptr thrown, bool succeeded) {
+            self->listener.originsSaved(!thrown && succeeded);
+        });
 }
 
 void StoreFollower::recordReportedVersions(std::uint64_t configVersion, StorePosition upstreams)
