Test of young streams: they begin one after the other, so that late writes of origins are seen

clientsTakeUpYoungStreamsOfAnUpstreamThatStayedWhenOthersChanged passed with origins written each 2 s, 2 of 2 runs: all its streams began within one tick, and the first write held them all. So it did not guard against the fault that it names. The streams begin 60 ms apart now and write their events more slowly, so that the third upstream still gets some; its checks are as they were.

Evidence: with OriginSaving::interval at 2 s it fails 3 of 3 times, 1 of 7 streams go on; on the code as it is 5 of 5 runs pass (x86-64, machine otherwise idle).

--- a/tests/SoleVersionTest.cpp
+++ b/tests/SoleVersionTest.cpp
@@ -43,14 +43,16 @@
 
     static std::string streamId(int number) { return "a" + std::to_string(number); }
 
-    /// Begins streams at all entries; their clients leave after the second event.
-    void beginStreams()
+    /// Begins streams at all entries, each `pause` after the one before; their clients leave after
+    /// the second event.
+    void beginStreams(milliseconds pause = milliseconds(0))
     {
         constexpr std::string_view secondEvent = "id: 2\n";
         std::vector<std::string> received(streams);
         std::vector<std::jthread> clients;
         for (int i = 0; i < streams; ++i)
             clients.emplace_back([&, i] {
+                std::this_thread::sleep_for(pause * i);
                 const std::string id = streamId(i);
                 received[static_cast<std::size_t>(i)] = leaveAfter(
                     static_cast<std::size_t>(i) % entryCount, "/stream/" + id, id, secondEvent);
@@ -180,13 +182,18 @@
 
 // Guards against streams that only the record of versions let go on: it proves nothing once two
 // versions are listed. Two of three upstreams come back under their ids as another version; what
-// the third began is certain.
+// the third began is certain. The streams begin one after the other, so that one early write of
+// origins does not hold them all.
 BOOST_AUTO_TEST_CASE(clientsTakeUpYoungStreamsOfAnUpstreamThatStayedWhenOthersChanged)
 {
     list(0, {.slots = 1});
     list(1, {.slots = 1});
     std::this_thread::sleep_for(listDelay);
-    beginStreams();
+    constexpr int eventPauseMs = 200;
+    for (std::size_t i = 0; i < upstreamCount; ++i)
+        upstream(i).eventPauseMs = eventPauseMs;
+    constexpr milliseconds streamPause{60};
+    beginStreams(streamPause);
     constexpr milliseconds youngestKnown{400};
     std::this_thread::sleep_for(youngestKnown);
     stopAllEntries();
